--- /dev/null
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -0,0 +1,17 @@
+package org.magnoliahub.command;
+
+import java.util.List;
+
+/**
+ * All subcommands of the binary.
+ */
+final class Commands {
+
+	private Commands() {
+	}
+
+	static List<Command> all() {
+		return List.of();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/command/ExitCode.java
@@ -0,0 +1,37 @@
+package org.magnoliahub.command;
+
+/**
+ * Exit codes of the binary.
+ */
+public enum ExitCode {
+
+	/** The command did what was asked. */
+	SUCCESS(0),
+
+	/** The command ran and failed. */
+	FAILURE(1),
+
+	/** The arguments, settings or declarations are invalid; nothing was done. */
+	USAGE(2),
+
+	/** The change conflicts with a newer version; nothing was changed. */
+	CONFLICT(3),
+
+	/** A service that the command needs does not answer. */
+	UNAVAILABLE(4);
+
+	private final int value;
+
+	ExitCode(int value) {
+		this.value = value;
+	}
+
+	/**
+	 * Returns the number handed to the operating system.
+	 * @return the exit code
+	 */
+	public int value() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/command/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Command line of the magnoliahub binary.
+ */
+@NullMarked
+package org.magnoliahub.command;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/magnoliahub/gateway/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Core of the gateway process: takes one request through the stages of its pipeline.
+ */
+@NullMarked
+package org.magnoliahub.gateway;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/magnoliahub/model/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Immutable value types shared by all modules.
+ */
+@NullMarked
+package org.magnoliahub.model;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/magnoliahub/platform/StoredObject.java
@@ -0,0 +1,11 @@
+package org.magnoliahub.platform;
+
+/**
+ * An object with its version tag.
+ *
+ * @param content the content
+ * @param entityTag changes with each write
+ */
+public record StoredObject(byte[] content, String entityTag) {
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/platform/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Interfaces to the services of the platform, with in-memory implementations.
+ */
+@NullMarked
+package org.magnoliahub.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/magnoliahub/routing/StageRequest.java
@@ -0,0 +1,41 @@
+package org.magnoliahub.routing;
+
+import java.time.Duration;
+import java.util.Set;
+
+import org.magnoliahub.model.AttemptId;
+import org.magnoliahub.model.PipelineDefinition;
+import org.magnoliahub.model.RequestClass;
+import org.magnoliahub.model.StageDefinition;
+import org.magnoliahub.model.Workspace;
+
+/**
+ * A stage that needs an endpoint.
+ *
+ * @param attempt the attempt that will run
+ * @param workspace the workspace of the request
+ * @param requestClass the class of the request
+ * @param pipeline the pipeline of the class
+ * @param budget time left until the request's deadline, for this and all later stages
+ * @param excludedEndpoints names of endpoints that must not be chosen
+ * @param prefixHash hash of the prompt prefix, for cache affinity; 0 if unknown
+ */
+public record StageRequest(AttemptId attempt, Workspace workspace, RequestClass requestClass,
+		PipelineDefinition pipeline, Duration budget, Set<String> excludedEndpoints, long prefixHash) {
+
+	/**
+	 * Copies the excluded endpoints.
+	 */
+	public StageRequest {
+		excludedEndpoints = Set.copyOf(excludedEndpoints);
+	}
+
+	/**
+	 * Returns the stage.
+	 * @return the definition of the stage that needs an endpoint
+	 */
+	public StageDefinition stage() {
+		return this.pipeline.stages().get(this.attempt.stage());
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/routing/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Endpoint statistics, endpoint selection, admission and queueing.
+ */
+@NullMarked
+package org.magnoliahub.routing;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/magnoliahub/server/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Gateway and agent processes.
+ */
+@NullMarked
+package org.magnoliahub.server;
+
+import org.jspecify.annotations.NullMarked;
