Add in-memory platform services with fault injection

Answers are delivered through the timer service, so runs on virtual time can be replayed. A call to a store that is down ends with a StoreException after the time-out; a slow write can take effect after its caller was told of the time-out.

--- /dev/null
+++ b/src/main/java/org/magnoliahub/platform/FaultyObjectStore.java
@@ -0,0 +1,55 @@
+package org.magnoliahub.platform;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import io.reactivex.rxjava3.core.Single;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * {@link ObjectStore} that injects faults into the calls of another one.
+ */
+public final class FaultyObjectStore implements ObjectStore {
+
+	private final ObjectStore delegate;
+
+	private final FaultInjector injector;
+
+	private FaultyObjectStore(ObjectStore delegate, FaultInjector injector) {
+		this.delegate = delegate;
+		this.injector = injector;
+	}
+
+	/**
+	 * Creates the decorator.
+	 * @param delegate the store that answers
+	 * @param faults the faults, read at the start of each call
+	 * @param timers measures the time-out
+	 * @param random decides which calls fail
+	 * @param timeout longest time until an answer or an error, positive
+	 * @return the decorator
+	 * @throws IllegalArgumentException if the time-out is not positive
+	 */
+	public static FaultyObjectStore of(ObjectStore delegate, StoreFaults faults, TimerService timers,
+			RandomGenerator random, Duration timeout) {
+		return new FaultyObjectStore(delegate, new FaultInjector(faults, timers, random, timeout));
+	}
+
+	@Override
+	public Single<Optional<StoredObject>> get(String key) {
+		return this.injector.call(this.delegate.get(key), false);
+	}
+
+	@Override
+	public Single<Optional<String>> put(String key, byte[] content, PutCondition condition) {
+		return this.injector.call(this.delegate.put(key, content, condition), true);
+	}
+
+	@Override
+	public Single<List<String>> list(String prefix, String startAfter, int limit) {
+		return this.injector.call(this.delegate.list(prefix, startAfter, limit), false);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/platform/FaultyTableStore.java
@@ -0,0 +1,55 @@
+package org.magnoliahub.platform;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import io.reactivex.rxjava3.core.Single;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * {@link TableStore} that injects faults into the calls of another one.
+ */
+public final class FaultyTableStore implements TableStore {
+
+	private final TableStore delegate;
+
+	private final FaultInjector injector;
+
+	private FaultyTableStore(TableStore delegate, FaultInjector injector) {
+		this.delegate = delegate;
+		this.injector = injector;
+	}
+
+	/**
+	 * Creates the decorator.
+	 * @param delegate the store that answers
+	 * @param faults the faults, read at the start of each call
+	 * @param timers measures the time-out
+	 * @param random decides which calls fail
+	 * @param timeout longest time until an answer or an error, positive
+	 * @return the decorator
+	 * @throws IllegalArgumentException if the time-out is not positive
+	 */
+	public static FaultyTableStore of(TableStore delegate, StoreFaults faults, TimerService timers,
+			RandomGenerator random, Duration timeout) {
+		return new FaultyTableStore(delegate, new FaultInjector(faults, timers, random, timeout));
+	}
+
+	@Override
+	public Single<Optional<Row>> read(RowKey key) {
+		return this.injector.call(this.delegate.read(key), false);
+	}
+
+	@Override
+	public Single<List<Row>> scan(String table, String fromKey, int limit) {
+		return this.injector.call(this.delegate.scan(table, fromKey, limit), false);
+	}
+
+	@Override
+	public Single<TransactionResult> commit(Transaction transaction) {
+		return this.injector.call(this.delegate.commit(transaction), true);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/platform/RateLimitedTableStore.java
@@ -0,0 +1,65 @@
+package org.magnoliahub.platform;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.reactivex.rxjava3.core.Single;
+import org.magnoliahub.model.Arguments;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * {@link TableStore} that commits a limited number of transactions per second in order of
+ * arrival, as the platform's table service does. Reads are not limited.
+ */
+public final class RateLimitedTableStore implements TableStore {
+
+	private final TableStore delegate;
+
+	private final TimerService timers;
+
+	private final long nanosPerTransaction;
+
+	private long freeAtNanos;
+
+	private RateLimitedTableStore(TableStore delegate, TimerService timers, long nanosPerTransaction) {
+		this.delegate = delegate;
+		this.timers = timers;
+		this.nanosPerTransaction = nanosPerTransaction;
+		this.freeAtNanos = timers.nanoTime();
+	}
+
+	/**
+	 * Creates the decorator.
+	 * @param delegate the store that answers
+	 * @param timers delays the transactions
+	 * @param transactionsPerSecond the limit, 1 to 1,000,000
+	 * @return the decorator
+	 * @throws IllegalArgumentException if the limit is out of range
+	 */
+	public static RateLimitedTableStore of(TableStore delegate, TimerService timers, int transactionsPerSecond) {
+		Arguments.requireRange(transactionsPerSecond, 1, 1_000_000, "transactions per second");
+		return new RateLimitedTableStore(delegate, timers, Duration.ofSeconds(1).toNanos() / transactionsPerSecond);
+	}
+
+	@Override
+	public Single<Optional<Row>> read(RowKey key) {
+		return this.delegate.read(key);
+	}
+
+	@Override
+	public Single<List<Row>> scan(String table, String fromKey, int limit) {
+		return this.delegate.scan(table, fromKey, limit);
+	}
+
+	@Override
+	public Single<TransactionResult> commit(Transaction transaction) {
+		return Single.defer(() -> {
+			long now = this.timers.nanoTime();
+			this.freeAtNanos = Math.max(now, this.freeAtNanos) + this.nanosPerTransaction;
+			return this.timers.after(Duration.ofNanos(this.freeAtNanos - now))
+				.andThen(this.delegate.commit(transaction));
+		});
+	}
+
+}
