--- /dev/null
+++ b/src/main/java/org/magnoliahub/enginehttp/HttpEndpointClient.java
@@ -0,0 +1,244 @@
+package org.magnoliahub.enginehttp;
+
+import java.io.IOException;
+import java.time.Duration;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.reactivex.rxjava3.core.Emitter;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleEmitter;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import okhttp3.HttpUrl;
+import okhttp3.Interceptor;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSink;
+import org.jspecify.annotations.Nullable;
+import org.magnoliahub.agent.EndpointClient;
+import org.magnoliahub.agent.EndpointEvent;
+import org.magnoliahub.agent.EndpointException;
+import org.magnoliahub.model.Arguments;
+import org.magnoliahub.model.AttemptId;
+import org.magnoliahub.model.StageCall;
+import org.magnoliahub.model.StageType;
+import org.magnoliahub.protocol.Message;
+
+/**
+ * Calls an engine or a plain service over HTTP/1.1. Each call is sent at most once: there
+ * are no redirects and no repetitions.
+ *
+ * <p>
+ * The caller's input is a JSON object with the optional fields {@code prompt},
+ * {@code model}, {@code max_tokens}, {@code top_k}, {@code vector} and {@code documents},
+ * or a JSON text that is the prompt. The content of an earlier stage is a vector if it is
+ * a JSON array of numbers, documents if it is a JSON array of texts, and text otherwise.
+ * The last vector and the last documents replace those of the input.
+ *
+ * <ul>
+ * <li>GENERATE sends {@code model}, {@code prompt}, {@code max_tokens}, {@code stream}
+ * and {@code priority}; the prompt is the caller's prompt, the documents and the texts of
+ * earlier stages, separated by blank lines. Content: the streamed text. Units: completion
+ * tokens.
+ * <li>ENCODE sends {@code model} and {@code input} (the prompt). Content: the vector.
+ * <li>RETRIEVE sends {@code query} (the prompt), {@code vector} and {@code top_k}.
+ * Content: the documents.
+ * <li>RERANK sends {@code model}, {@code query} (the prompt) and {@code documents}.
+ * Content: the documents by descending relevance.
+ * <li>SERVICE sends {@code workspace}, {@code input} (as it came) and {@code previous}
+ * (stage and content of each earlier stage) with the header {@code Idempotency-Key}.
+ * Content: the body of the response.
+ * </ul>
+ *
+ * All calls carry the header {@code Workspace}, and {@code Request-Id}, {@code Stage} and
+ * {@code Attempt} if the call names its attempt.
+ */
+public final class HttpEndpointClient implements EndpointClient {
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+	private static final Duration LOAD_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final int PREFETCHED_EVENTS = 16;
+
+	private static final MediaType JSON = MediaType.get("application/json");
+
+	private static final int SERVICE_UNAVAILABLE = 503;
+
+	private final OkHttpClient client;
+
+	private final HttpUrl baseUrl;
+
+	private final String defaultModel;
+
+	private final Scheduler eventLoop;
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	private HttpEndpointClient(HttpUrl baseUrl, String defaultModel, Scheduler eventLoop) {
+		this.baseUrl = baseUrl;
+		this.defaultModel = defaultModel;
+		this.eventLoop = eventLoop;
+		this.client = new OkHttpClient.Builder().connectTimeout(CONNECT_TIMEOUT)
+			.readTimeout(Duration.ZERO)
+			.writeTimeout(Duration.ZERO)
+			.retryOnConnectionFailure(false)
+			.followRedirects(false)
+			.addNetworkInterceptor(HttpEndpointClient::withoutRetryAfter)
+			.eventListenerFactory(Exchange::listenerOf)
+			.build();
+	}
+
+	/**
+	 * Creates a client.
+	 * @param baseUrl scheme, host and port of the back end, for example
+	 * {@code http://127.0.0.1:8000}
+	 * @param defaultModel model to name if the input names none, may be empty
+	 * @param eventLoop scheduler on which all events are delivered
+	 * @return the client
+	 * @throws IllegalArgumentException if the URL is invalid
+	 */
+	public static HttpEndpointClient create(String baseUrl, String defaultModel, Scheduler eventLoop) {
+		return new HttpEndpointClient(HttpUrl.get(baseUrl), defaultModel, eventLoop);
+	}
+
+	private static Response withoutRetryAfter(Interceptor.Chain chain) throws IOException {
+		// OkHttp by itself repeats a request that got 503 with Retry-After: 0.
+		Response response = chain.proceed(chain.request());
+		return (response.code() == SERVICE_UNAVAILABLE) ? response.newBuilder().removeHeader("Retry-After").build()
+				: response;
+	}
+
+	@Override
+	public Flowable<EndpointEvent> call(StageCall call, Duration budget, int priority) {
+		Arguments.requireRange(budget.toMillis(), 1, Long.MAX_VALUE, "budget in ms");
+		return Flowable.defer(() -> {
+			StageRequest stageRequest;
+			Exchange exchange;
+			try {
+				stageRequest = StageRequest.of(this.mapper, call);
+				exchange = Exchange.create(this.client, request(call, stageRequest, priority), budget);
+			}
+			catch (JsonProcessingException | IllegalArgumentException ex) {
+				return Flowable.error(new EndpointException("call cannot be sent: " + ex.getMessage(), false));
+			}
+			JsonNode documents = stageRequest.documents();
+			return Flowable
+				.generate(() -> open(call.type(), documents, exchange), HttpEndpointClient::emit, ResponseReader::close)
+				.subscribeOn(Schedulers.io())
+				.doOnCancel(exchange::cancel);
+		}).observeOn(this.eventLoop, false, PREFETCHED_EVENTS);
+	}
+
+	private Request.Builder request(StageCall call, StageRequest stageRequest, int priority)
+			throws JsonProcessingException {
+		Request.Builder request = new Request.Builder().url(this.baseUrl.newBuilder().encodedPath(call.path()).build())
+			.header("Workspace", call.workspace())
+			.post(new SingleUseBody(stageRequest.body(this.defaultModel, priority)));
+		if (call.type() == StageType.SERVICE) {
+			call.idempotencyKey().ifPresent((key) -> request.header("Idempotency-Key", key));
+		}
+		call.attempt().ifPresent((attempt) -> addHeaders(request, attempt));
+		return request;
+	}
+
+	private static void addHeaders(Request.Builder request, AttemptId attempt) {
+		request.header("Request-Id", attempt.request().value())
+			.header("Stage", Integer.toString(attempt.stage()))
+			.header("Attempt", Integer.toString(attempt.attempt()));
+	}
+
+	private ResponseReader open(StageType type, JsonNode documents, Exchange exchange) throws EndpointException {
+		Response response = exchange.execute();
+		return (type == StageType.GENERATE) ? new CompletionReader(this.mapper, exchange, response)
+				: new DocumentReader(this.mapper, type, documents, exchange, response);
+	}
+
+	private static void emit(ResponseReader reader, Emitter<EndpointEvent> emitter) throws EndpointException {
+		EndpointEvent event = reader.next();
+		emitter.onNext(event);
+		if (event instanceof EndpointEvent.Finished) {
+			emitter.onComplete();
+		}
+	}
+
+	@Override
+	public Single<Message.LoadReport> load() {
+		return Single.create(this::requestLoad).subscribeOn(Schedulers.io()).observeOn(this.eventLoop);
+	}
+
+	private void requestLoad(SingleEmitter<Message.LoadReport> emitter) {
+		Request.Builder request = new Request.Builder().url(this.baseUrl.newBuilder().encodedPath("/load").build());
+		Exchange exchange = Exchange.create(this.client, request, LOAD_TIMEOUT);
+		emitter.setCancellable(exchange::cancel);
+		try (Response response = exchange.execute()) {
+			emitter.onSuccess(loadReport(response));
+		}
+		catch (IOException ex) {
+			emitter.tryOnError(exchange.failure(ex));
+		}
+		catch (EndpointException ex) {
+			emitter.tryOnError(ex);
+		}
+	}
+
+	private Message.LoadReport loadReport(Response response) throws IOException, EndpointException {
+		if (response.body() == null) {
+			throw new EndpointException("load report has no body", true);
+		}
+		JsonNode load = this.mapper.readTree(ResponseReader.readAll(response.body().source()));
+		JsonNode running = load.path("running");
+		JsonNode waiting = load.path("waiting");
+		if (!running.canConvertToInt() || !waiting.canConvertToInt()) {
+			throw new EndpointException("load report must hold running and waiting", true);
+		}
+		return new Message.LoadReport(Math.max(0, running.intValue()), Math.max(0, waiting.intValue()), 0);
+	}
+
+	/**
+	 * Closes idle connections. Calls in flight continue.
+	 */
+	public void close() {
+		this.client.connectionPool().evictAll();
+	}
+
+	/**
+	 * A body that OkHttp never sends a second time.
+	 */
+	private static final class SingleUseBody extends RequestBody {
+
+		private final byte[] content;
+
+		SingleUseBody(byte[] content) {
+			this.content = content;
+		}
+
+		@Override
+		public @Nullable MediaType contentType() {
+			return JSON;
+		}
+
+		@Override
+		public long contentLength() {
+			return this.content.length;
+		}
+
+		@Override
+		public boolean isOneShot() {
+			return true;
+		}
+
+		@Override
+		public void writeTo(BufferedSink sink) throws IOException {
+			sink.write(this.content);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/enginehttp/HttpEndpointClientTests.java
@@ -0,0 +1,248 @@
+package org.magnoliahub.enginehttp;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.reactivex.rxjava3.subscribers.TestSubscriber;
+import okhttp3.mockwebserver.MockResponse;
+import okhttp3.mockwebserver.MockWebServer;
+import okhttp3.mockwebserver.RecordedRequest;
+import okhttp3.mockwebserver.SocketPolicy;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.magnoliahub.agent.EndpointEvent;
+import org.magnoliahub.agent.EndpointException;
+import org.magnoliahub.model.AttemptId;
+import org.magnoliahub.model.RequestId;
+import org.magnoliahub.model.StageCall;
+import org.magnoliahub.model.StageOutput;
+import org.magnoliahub.model.StageType;
+import org.magnoliahub.protocol.Message;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards the form of each call and the verdict on each failure.
+ */
+class HttpEndpointClientTests {
+
+	private static final String DONE = "data: [DONE]\n\n";
+
+	private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
+
+	private final Scheduler loop = Schedulers.from(this.executor);
+
+	private final MockWebServer server = new MockWebServer();
+
+	@BeforeEach
+	void startServer() throws Exception {
+		this.server.start(InetAddress.getLoopbackAddress(), 0);
+	}
+
+	@AfterEach
+	void stopServer() throws Exception {
+		this.server.shutdown();
+		this.executor.shutdownNow();
+	}
+
+	static List<Arguments> forms() {
+		return List.of(
+				Arguments.of(StageType.GENERATE, event("a") + ": comment\n\n" + event("b") + DONE, "ab", 2L,
+						"{'model':'m','prompt':'p\\n\\nd1\\n\\nd0\\n\\ntext','max_tokens':7,'stream':true,"
+								+ "'stream_options':{'include_usage':true},'priority':3}"),
+				Arguments.of(StageType.GENERATE,
+						event("a") + "data: {'choices':[],'usage':{'completion_tokens':9}}\n\n".replace('\'', '"')
+								+ DONE,
+						"a", 9L, ""),
+				Arguments.of(StageType.ENCODE, "{'data':[{'embedding':[1,2.5]}],'usage':{'total_tokens':4}}", "[1,2.5]",
+						4L, "{'model':'m','input':'p'}"),
+				Arguments.of(StageType.RETRIEVE, "{'documents':['x','y']}", "['x','y']", 1L,
+						"{'query':'p','vector':[0.5,1],'top_k':5}"),
+				Arguments.of(StageType.RERANK,
+						"{'results':[{'index':0,'relevance_score':0.1},{'index':1,'relevance_score':0.9}]}",
+						"['d0','d1']", 1L, "{'model':'m','query':'p','documents':['d1','d0']}"),
+				Arguments.of(StageType.SERVICE, "any text", "any text", 1L, ""));
+	}
+
+	// Guards against a request or response form that differs from the documented one.
+	@ParameterizedTest
+	@MethodSource("forms")
+	void eachTypeHasItsForm(StageType type, String response, String content, long units, String body) throws Exception {
+		boolean json = type != StageType.GENERATE;
+		this.server.enqueue(new MockResponse().setBody(json ? response.replace('\'', '"') : response));
+		List<EndpointEvent> events = run(call(type, outputs())).values();
+		RecordedRequest request = this.server.takeRequest();
+		assertThat(events.get(events.size() - 1)).isEqualTo(new EndpointEvent.Finished(units));
+		assertThat(content(events)).isEqualTo(json ? content.replace('\'', '"') : content);
+		if (!body.isEmpty()) {
+			JsonNode expected = new ObjectMapper().readTree(body.replace('\'', '"'));
+			assertThat(new ObjectMapper().readTree(request.getBody().readUtf8())).isEqualTo(expected);
+		}
+		assertThat(request.getPath()).isEqualTo("/path");
+		assertThat(request.getHeader("Request-Id")).isEqualTo("r1");
+		assertThat(request.getHeader("Attempt")).isEqualTo("2");
+		assertThat(request.getHeader("Idempotency-Key")).isEqualTo((type == StageType.SERVICE) ? "key" : null);
+	}
+
+	static List<Arguments> failures() {
+		MockResponse hang = new MockResponse().setSocketPolicy(SocketPolicy.NO_RESPONSE);
+		return List.of(failure("busy", StageType.SERVICE, status(429), false),
+				failure("unavailable", StageType.SERVICE, status(503), false),
+				failure("unavailable, repeat now", StageType.SERVICE, status(503).setHeader("Retry-After", "0"), false),
+				failure("error", StageType.SERVICE, status(500), true),
+				failure("request timeout", StageType.SERVICE, status(408), true),
+				failure("redirect", StageType.SERVICE, status(307).setHeader("Location", "/other"), true),
+				failure("closed without answer", StageType.SERVICE,
+						new MockResponse().setSocketPolicy(SocketPolicy.DISCONNECT_AFTER_REQUEST), true),
+				failure("no answer in time", StageType.SERVICE, hang, true),
+				failure("body cut", StageType.SERVICE,
+						new MockResponse().setBody("x".repeat(1000))
+							.setSocketPolicy(SocketPolicy.DISCONNECT_DURING_RESPONSE_BODY),
+						true),
+				failure("body too large", StageType.SERVICE, new MockResponse().setBody("x".repeat(1024 * 1024 + 1)),
+						true),
+				failure("no marker", StageType.GENERATE, new MockResponse().setBody(event("a")), true),
+				failure("cut in line", StageType.GENERATE, new MockResponse().setBody(event("a") + "data: {"), true),
+				failure("error event", StageType.GENERATE, new MockResponse().setBody("data: {\"error\":{}}\n\n"),
+						true),
+				failure("not JSON", StageType.GENERATE, new MockResponse().setBody("data: x\n\n" + DONE), true),
+				failure("stream too large", StageType.GENERATE,
+						new MockResponse().setBody(event("y".repeat(10_000)).repeat(110) + DONE), true),
+				failure("line too large", StageType.GENERATE,
+						new MockResponse().setBody(event("y".repeat(1024 * 1024))), true),
+				failure("wrong form", StageType.ENCODE, new MockResponse().setBody("{}"), true),
+				failure("unknown document", StageType.RERANK,
+						new MockResponse().setBody("{\"results\":[{\"index\":9,\"relevance_score\":1}]}"), true));
+	}
+
+	// Guards against an incomplete result taken for complete, a wrong promise that
+	// nothing
+	// ran, and a call that is sent twice.
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("failures")
+	void failureTellsWhetherTheCallMayHaveRun(String name, StageType type, MockResponse response, boolean possible) {
+		this.server.enqueue(response);
+		this.server.enqueue(new MockResponse().setBody("{}"));
+		TestSubscriber<EndpointEvent> subscriber = run(call(type, outputs()));
+		subscriber.assertError(
+				(error) -> error instanceof EndpointException failure && failure.isEffectPossible() == possible);
+		assertThat(subscriber.values()).noneMatch(EndpointEvent.Finished.class::isInstance);
+		assertThat(this.server.getRequestCount()).isEqualTo(1);
+	}
+
+	// Guards against "outcome unknown" when nothing was sent.
+	@Test
+	void refusedConnectionHasNoEffect() throws Exception {
+		int port;
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			port = socket.getLocalPort();
+		}
+		HttpEndpointClient client = HttpEndpointClient.create("http://127.0.0.1:" + port, "m", this.loop);
+		client.call(call(StageType.SERVICE, List.of()), Duration.ofSeconds(5), 0)
+			.test()
+			.awaitDone(10, TimeUnit.SECONDS)
+			.assertError((error) -> error instanceof EndpointException failure && !failure.isEffectPossible());
+	}
+
+	// Guards against a back end that keeps working for a caller that is gone.
+	@Test
+	void disposalClosesTheConnection() throws Exception {
+		this.server.enqueue(
+				new MockResponse().setBody(event("a").repeat(20) + DONE).throttleBody(100, 50, TimeUnit.MILLISECONDS));
+		TestSubscriber<EndpointEvent> subscriber = client()
+			.call(call(StageType.GENERATE, List.of()), Duration.ofSeconds(20), 0)
+			.test();
+		subscriber.awaitCount(1);
+		subscriber.cancel();
+		int seen = subscriber.values().size();
+		this.server.enqueue(new MockResponse().setBody("next"));
+		run(call(StageType.SERVICE, List.of())).assertComplete();
+		this.server.takeRequest();
+		assertThat(this.server.takeRequest().getSequenceNumber()).isZero();
+		assertThat(subscriber.values()).hasSizeBetween(seen, 19);
+	}
+
+	// Guards against events that overtake a slow reader, get lost while it pauses, or
+	// arrive
+	// on another thread.
+	@Test
+	void slowReaderReceivesOnlyWhatItRequested() throws Exception {
+		this.server.enqueue(new MockResponse().setBody(event("a").repeat(200) + DONE));
+		Set<Thread> threads = ConcurrentHashMap.newKeySet();
+		TestSubscriber<EndpointEvent> subscriber = client()
+			.call(call(StageType.GENERATE, List.of()), Duration.ofSeconds(20), 0)
+			.doOnNext((event) -> threads.add(Thread.currentThread()))
+			.test(3);
+		subscriber.awaitCount(3).assertNotComplete();
+		subscriber.request(500);
+		subscriber.awaitDone(10, TimeUnit.SECONDS).assertComplete().assertValueCount(201);
+		assertThat(threads).containsExactly(this.executor.submit(Thread::currentThread).get());
+	}
+
+	// Guards against a load report that is taken from any other document.
+	@Test
+	void loadIsRead() {
+		this.server.enqueue(new MockResponse().setBody("{\"running\":2,\"waiting\":5}"));
+		this.server.enqueue(new MockResponse().setBody("{}"));
+		client().load().test().awaitDone(10, TimeUnit.SECONDS).assertValue(new Message.LoadReport(2, 5, 0));
+		client().load().test().awaitDone(10, TimeUnit.SECONDS).assertError(EndpointException.class);
+	}
+
+	private static Arguments failure(String name, StageType type, MockResponse response, boolean effectPossible) {
+		return Arguments.of(name, type, response, effectPossible);
+	}
+
+	private static MockResponse status(int status) {
+		return new MockResponse().setResponseCode(status);
+	}
+
+	private static String event(String text) {
+		return "data: {\"choices\":[{\"text\":\"" + text + "\"}]}\n\n";
+	}
+
+	private static String content(List<EndpointEvent> events) {
+		StringBuilder content = new StringBuilder();
+		for (EndpointEvent event : events) {
+			if (event instanceof EndpointEvent.Part part) {
+				content.append(part.content());
+			}
+		}
+		return content.toString();
+	}
+
+	private static List<StageOutput> outputs() {
+		return List.of(new StageOutput("encode", "[0.5,1]", 1, 1), new StageOutput("retrieve", "[\"d0\",\"d1\"]", 1, 1),
+				new StageOutput("rerank", "[\"d1\",\"d0\"]", 1, 1), new StageOutput("draft", "text", 1, 1));
+	}
+
+	private static StageCall call(StageType type, List<StageOutput> previous) {
+		return new StageCall("stage", type, "/path", "workspace", "{\"prompt\":\"p\",\"max_tokens\":7}", previous,
+				Optional.of("key"))
+			.withAttempt(new AttemptId(new RequestId("r1"), 1, 2));
+	}
+
+	private HttpEndpointClient client() {
+		return HttpEndpointClient.create("http://127.0.0.1:" + this.server.getPort(), "m", this.loop);
+	}
+
+	private TestSubscriber<EndpointEvent> run(StageCall call) {
+		return client().call(call, Duration.ofMillis(1_500), 3).test().awaitDone(20, TimeUnit.SECONDS);
+	}
+
+}
