--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 
+import org.magnoliahub.standin.EngineStandInCommand;
+import org.magnoliahub.standin.ServiceStandInCommand;
+
 /**
  * All subcommands of the binary.
  */
@@ -11,7 +14,7 @@
 	}
 
 	static List<Command> all() {
-		return List.of();
+		return List.of(new EngineStandInCommand(), new ServiceStandInCommand());
 	}
 
 }
--- a/src/main/java/org/magnoliahub/enginehttp/HttpEndpointClient.java
+++ b/src/main/java/org/magnoliahub/enginehttp/HttpEndpointClient.java
@@ -13,7 +13,6 @@
 import io.reactivex.rxjava3.core.SingleEmitter;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import okhttp3.HttpUrl;
-import okhttp3.Interceptor;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -69,8 +68,6 @@
 
 	private static final MediaType JSON = MediaType.get("application/json");
 
-	private static final int SERVICE_UNAVAILABLE = 503;
-
 	private final OkHttpClient client;
 
 	private final HttpUrl baseUrl;
@@ -90,7 +87,6 @@
 			.writeTimeout(Duration.ZERO)
 			.retryOnConnectionFailure(false)
 			.followRedirects(false)
-			.addNetworkInterceptor(HttpEndpointClient::withoutRetryAfter)
 			.eventListenerFactory(Exchange::listenerOf)
 			.build();
 	}
@@ -108,13 +104,6 @@
 		return new HttpEndpointClient(HttpUrl.get(baseUrl), defaultModel, eventLoop);
 	}
 
-	private static Response withoutRetryAfter(Interceptor.Chain chain) throws IOException {
-		// OkHttp by itself repeats a request that got 503 with Retry-After: 0.
-		Response response = chain.proceed(chain.request());
-		return (response.code() == SERVICE_UNAVAILABLE) ? response.newBuilder().removeHeader("Retry-After").build()
-				: response;
-	}
-
 	@Override
 	public Flowable<EndpointEvent> call(StageCall call, Duration budget, int priority) {
 		Arguments.requireRange(budget.toMillis(), 1, Long.MAX_VALUE, "budget in ms");
@@ -209,7 +198,8 @@
 	}
 
 	/**
-	 * A body that OkHttp never sends a second time.
+	 * A body that OkHttp sends once. It would by itself repeat another request that got
+	 * 408, or 503 with {@code Retry-After: 0}.
 	 */
 	private static final class SingleUseBody extends RequestBody {
 
