--- a/src/main/java/org/magnoliahub/enginehttp/HttpEndpointClient.java
+++ b/src/main/java/org/magnoliahub/enginehttp/HttpEndpointClient.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.reactivex.rxjava3.core.Emitter;
 import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Notification;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.core.SingleEmitter;
@@ -107,7 +108,7 @@
 	@Override
 	public Flowable<EndpointEvent> call(StageCall call, Duration budget, int priority) {
 		Arguments.requireRange(budget.toMillis(), 1, Long.MAX_VALUE, "budget in ms");
-		return Flowable.defer(() -> {
+		return Flowable.<Notification<EndpointEvent>>defer(() -> {
 			StageRequest stageRequest;
 			Exchange exchange;
 			try {
@@ -118,11 +119,15 @@
 				return Flowable.error(new EndpointException("call cannot be sent: " + ex.getMessage(), false));
 			}
 			JsonNode documents = stageRequest.documents();
+			// Errors travel as values past the cancellation, because an error that is
+			// raised
+			// by the cancellation itself has no receiver.
 			return Flowable
 				.generate(() -> open(call.type(), documents, exchange), HttpEndpointClient::emit, ResponseReader::close)
 				.subscribeOn(Schedulers.io())
+				.materialize()
 				.doOnCancel(exchange::cancel);
-		}).observeOn(this.eventLoop, false, PREFETCHED_EVENTS);
+		}).observeOn(this.eventLoop, false, PREFETCHED_EVENTS).dematerialize((notification) -> notification);
 	}
 
 	private Request.Builder request(StageCall call, StageRequest stageRequest, int priority)
@@ -151,10 +156,16 @@
 
 	private static void emit(ResponseReader reader, Emitter<EndpointEvent> emitter) throws EndpointException {
 		EndpointEvent event = reader.next();
-		emitter.onNext(event);
 		if (event instanceof EndpointEvent.Finished) {
+			// The receiver cancels after the last event, which would close a connection
+			// that
+			// is still in use.
+			reader.close();
+			emitter.onNext(event);
 			emitter.onComplete();
+			return;
 		}
+		emitter.onNext(event);
 	}
 
 	@Override
@@ -166,8 +177,8 @@
 		Request.Builder request = new Request.Builder().url(this.baseUrl.newBuilder().encodedPath("/load").build());
 		Exchange exchange = Exchange.create(this.client, request, LOAD_TIMEOUT);
 		emitter.setCancellable(exchange::cancel);
-		try (Response response = exchange.execute()) {
-			emitter.onSuccess(loadReport(response));
+		try {
+			emitter.onSuccess(loadReport(exchange));
 		}
 		catch (IOException ex) {
 			emitter.tryOnError(exchange.failure(ex));
@@ -177,11 +188,14 @@
 		}
 	}
 
-	private Message.LoadReport loadReport(Response response) throws IOException, EndpointException {
-		if (response.body() == null) {
-			throw new EndpointException("load report has no body", true);
+	private Message.LoadReport loadReport(Exchange exchange) throws IOException, EndpointException {
+		JsonNode load;
+		try (Response response = exchange.execute()) {
+			if (response.body() == null) {
+				throw new EndpointException("load report has no body", true);
+			}
+			load = this.mapper.readTree(ResponseReader.readAll(response.body().source()));
 		}
-		JsonNode load = this.mapper.readTree(ResponseReader.readAll(response.body().source()));
 		JsonNode running = load.path("running");
 		JsonNode waiting = load.path("waiting");
 		if (!running.canConvertToInt() || !waiting.canConvertToInt()) {
--- a/src/main/java/org/magnoliahub/standin/StandInServer.java
+++ b/src/main/java/org/magnoliahub/standin/StandInServer.java
@@ -53,6 +53,7 @@
 		this.random = new Random(seed);
 		this.javalin = Javalin.create((config) -> {
 			config.showJavalinBanner = false;
+			config.startupWatcherEnabled = false;
 			config.http.disableCompression();
 			config.http.maxRequestSize = MAXIMUM_REQUEST_BYTES;
 			config.jetty.threadPool = new QueuedThreadPool(slots + maximumWaiting + CONTROL_THREADS);
--- a/src/test/java/org/magnoliahub/enginehttp/HttpEndpointClientTests.java
+++ b/src/test/java/org/magnoliahub/enginehttp/HttpEndpointClientTests.java
@@ -5,8 +5,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +16,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.plugins.RxJavaPlugins;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.reactivex.rxjava3.subscribers.TestSubscriber;
 import okhttp3.mockwebserver.MockResponse;
@@ -59,6 +62,7 @@
 	void stopServer() throws Exception {
 		this.server.shutdown();
 		this.executor.shutdownNow();
+		RxJavaPlugins.setErrorHandler(null);
 	}
 
 	static List<Arguments> forms() {
@@ -160,9 +164,12 @@
 			.assertError((error) -> error instanceof EndpointException failure && !failure.isEffectPossible());
 	}
 
-	// Guards against a back end that keeps working for a caller that is gone.
+	// Guards against a back end that keeps working for a caller that is gone, and against
+	// errors that reach nobody.
 	@Test
 	void disposalClosesTheConnection() throws Exception {
+		Queue<Throwable> undelivered = new ConcurrentLinkedQueue<>();
+		RxJavaPlugins.setErrorHandler(undelivered::add);
 		this.server.enqueue(
 				new MockResponse().setBody(event("a").repeat(20) + DONE).throttleBody(100, 50, TimeUnit.MILLISECONDS));
 		TestSubscriber<EndpointEvent> subscriber = client()
@@ -176,6 +183,21 @@
 		this.server.takeRequest();
 		assertThat(this.server.takeRequest().getSequenceNumber()).isZero();
 		assertThat(subscriber.values()).hasSizeBetween(seen, 19);
+		assertThat(undelivered).isEmpty();
+	}
+
+	// Guards against a new connection for each call.
+	@Test
+	void connectionIsReused() throws Exception {
+		HttpEndpointClient client = client();
+		for (int i = 0; i < 20; i++) {
+			this.server.enqueue(new MockResponse().setBody(event("a") + DONE));
+			client.call(call(StageType.GENERATE, List.of()), Duration.ofSeconds(20), 0)
+				.test()
+				.awaitDone(10, TimeUnit.SECONDS)
+				.assertComplete();
+			assertThat(this.server.takeRequest().getSequenceNumber()).isEqualTo(i);
+		}
 	}
 
 	// Guards against events that overtake a slow reader, get lost while it pauses, or
