--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 
+<<<<<<<HEAD
 import org.magnoliahub.standin.EngineStandInCommand;
-import org.magnoliahub.standin.ServiceStandInCommand;
+import org.magnoliahub.standin.ServiceStandInCommand;=======
+import org.magnoliahub.experiment.ExperimentCommand;>>>>>>>routing
 
 /**
  * All subcommands of the binary.
@@ -14,7 +16,7 @@
 	}
 
 	static List<Command> all() {
-		return List.of(new EngineStandInCommand(), new ServiceStandInCommand());
+		return List.of(new EngineStandInCommand(), new ExperimentCommand(), new ServiceStandInCommand());
 	}
 
 }
