Add configuration versions, commit, propagation and audit trail

A commit is a compare-and-set on the head row that also writes the change, its id and an audit row. The head is read before the id, so that a delayed write cannot be reported as a conflict. Holders poll the store, exchange versions and changes with peers and never lower their version.

--- /dev/null
+++ b/src/main/java/org/magnoliahub/configuration/ConfigurationRepository.java
@@ -0,0 +1,377 @@
+package org.magnoliahub.configuration;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Single;
+import org.magnoliahub.model.Configuration;
+import org.magnoliahub.platform.Condition;
+import org.magnoliahub.platform.ObjectStore;
+import org.magnoliahub.platform.PutCondition;
+import org.magnoliahub.platform.Row;
+import org.magnoliahub.platform.RowKey;
+import org.magnoliahub.platform.StoreException;
+import org.magnoliahub.platform.TableStore;
+import org.magnoliahub.platform.Transaction;
+import org.magnoliahub.platform.TransactionResult;
+import org.magnoliahub.platform.Write;
+
+/**
+ * Configuration versions in the table service, with snapshots in the object store. Every
+ * result can be a {@link StoreException}.
+ */
+public final class ConfigurationRepository {
+
+	/** Most changes of one read. */
+	public static final int MAXIMUM_CHANGES = 100;
+
+	/**
+	 * Largest JSON form of a change, in characters. In UTF-8 it is at most three times as
+	 * large, which fits into one message of 1 MiB between processes.
+	 */
+	public static final int MAXIMUM_CHARACTERS = 256 * 1024;
+
+	/** Versions from one snapshot to the next. */
+	static final int SNAPSHOT_INTERVAL = 100;
+
+	/** Most versions that are rebuilt from changes alone when no snapshot can be read. */
+	static final int MAXIMUM_CHANGES_WITHOUT_SNAPSHOT = 5_000;
+
+	/** Range of versions below the wanted one in which a snapshot is looked for. */
+	private static final int SNAPSHOT_SEARCH_RANGE = 20 * SNAPSHOT_INTERVAL;
+
+	private static final int MAXIMUM_ATTEMPTS = 3;
+
+	private static final RowKey HEAD = new RowKey("configuration_head", "head");
+
+	private static final String CHANGES = "configuration_changes";
+
+	private static final String CHANGE_IDS = "configuration_change_ids";
+
+	private static final String AUDIT = "configuration_audit";
+
+	private static final String SNAPSHOTS = "configuration/snapshots/";
+
+	private final TableStore tableStore;
+
+	private final ObjectStore objectStore;
+
+	private ConfigurationRepository(TableStore tableStore, ObjectStore objectStore) {
+		this.tableStore = tableStore;
+		this.objectStore = objectStore;
+	}
+
+	/**
+	 * Creates a repository.
+	 * @param tableStore the table service
+	 * @param objectStore the object store
+	 * @return the repository
+	 */
+	public static ConfigurationRepository of(TableStore tableStore, ObjectStore objectStore) {
+		return new ConfigurationRepository(tableStore, objectStore);
+	}
+
+	private static String padded(long number) {
+		return String.format("%019d", number);
+	}
+
+	private static RowKey changeKey(long version) {
+		return new RowKey(CHANGES, padded(version));
+	}
+
+	private static String snapshotKey(long version) {
+		return SNAPSHOTS + padded(version) + ".json";
+	}
+
+	private static long snapshotVersion(String key) {
+		return Long.parseLong(key.substring(SNAPSHOTS.length(), key.length() - ".json".length()));
+	}
+
+	private static <T> Single<T> decode(String text, Class<T> type) {
+		return Single.fromCallable(() -> ConfigurationCodec.decode(text, type));
+	}
+
+	/**
+	 * Reads the newest version.
+	 * @return the head
+	 */
+	public Single<ConfigurationHead> head() {
+		return this.tableStore.read(HEAD).flatMap((row) -> {
+			if (row.isEmpty()) {
+				return Single.just(new ConfigurationHead(0, "", 0));
+			}
+			return decode(row.get().value(), HeadRow.class)
+				.map((head) -> new ConfigurationHead(head.version(), head.changeId(), row.get().revision()));
+		});
+	}
+
+	/**
+	 * Commits a change if its base version is still the newest. Repeating a commit with
+	 * the same id is safe and gives the same answer.
+	 * @param change the change
+	 * @return the answer; a {@link StoreException} with a possible effect means that the
+	 * same change must be committed again to learn the answer
+	 */
+	public Single<CommitResult> commit(ConfigurationChange change) {
+		int characters = ConfigurationCodec.encode(change).length();
+		if (characters > MAXIMUM_CHARACTERS) {
+			return refuse(change, AuditEntry.Result.TOO_LARGE, change.baseVersion(),
+					List.of(characters + " characters"), new CommitResult.TooLarge(characters));
+		}
+		return attempt(change, MAXIMUM_ATTEMPTS);
+	}
+
+	/**
+	 * Reads consecutive changes.
+	 * @param version changes after this version are wanted
+	 * @param limit most changes wanted, 1 to {@value #MAXIMUM_CHANGES}
+	 * @return the changes, oldest first, possibly none
+	 */
+	public Single<List<ConfigurationChange>> changesSince(long version, int limit) {
+		return this.tableStore.scan(CHANGES, padded(version + 1), Math.min(limit, MAXIMUM_CHANGES)).map((rows) -> {
+			List<ConfigurationChange> changes = new ArrayList<>();
+			for (Row row : rows) {
+				ConfigurationChange change = ConfigurationCodec.decode(row.value(), ConfigurationChange.class);
+				if (change.version() != version + changes.size() + 1) {
+					throw new StoreException("expected the change of version " + (version + changes.size() + 1)
+							+ " in the table " + CHANGES + ", but found version " + change.version(), false);
+				}
+				changes.add(change);
+			}
+			return changes;
+		});
+	}
+
+	/**
+	 * Finds the change that created a version.
+	 * @param version the version
+	 * @return the change, empty if there is no such version
+	 */
+	public Single<Optional<ConfigurationChange>> change(long version) {
+		return this.tableStore.read(changeKey(version)).flatMap((row) -> {
+			if (row.isEmpty()) {
+				return Single.just(Optional.empty());
+			}
+			return decode(row.get().value(), ConfigurationChange.class).map(Optional::of);
+		});
+	}
+
+	/**
+	 * Loads the newest version.
+	 * @return the configuration, the empty one before the first commit
+	 */
+	public Single<Configuration> load() {
+		return head().flatMap((head) -> load(head.version()));
+	}
+
+	/**
+	 * Loads a version that exists.
+	 * @param version the version, at least 0
+	 * @return its content; a {@link StoreException} if there is no such version
+	 */
+	public Single<Configuration> load(long version) {
+		return loadWithSnapshot(version).map(Loaded::configuration);
+	}
+
+	/**
+	 * Finds the newest snapshot near a version.
+	 * @param version the version
+	 * @return the version of the newest snapshot that is not newer, 0 if none was found
+	 */
+	public Single<Long> newestSnapshot(long version) {
+		String startAfter = snapshotKey(Math.max(0, version - SNAPSHOT_SEARCH_RANGE));
+		return this.objectStore.list(SNAPSHOTS, startAfter, SNAPSHOT_SEARCH_RANGE)
+			.map((keys) -> keys.stream()
+				.mapToLong(ConfigurationRepository::snapshotVersion)
+				.filter((candidate) -> candidate <= version)
+				.max()
+				.orElse(0));
+	}
+
+	/**
+	 * Reads the audit trail.
+	 * @param from entries from this time on
+	 * @param after key of the last entry already read, empty text for the start
+	 * @param limit most entries wanted, at least 1
+	 * @return entries with their keys, in order of time
+	 */
+	public Single<List<AuditRow>> audit(Instant from, String after, int limit) {
+		// The smallest key greater than a known one is that key with a zero appended.
+		String fromKey = after.isEmpty() ? padded(from.toEpochMilli()) : after + '\0';
+		return this.tableStore.scan(AUDIT, fromKey, limit).map((rows) -> {
+			List<AuditRow> entries = new ArrayList<>();
+			for (Row row : rows) {
+				entries.add(new AuditRow(row.key().key(), ConfigurationCodec.decode(row.value(), AuditEntry.class)));
+			}
+			return entries;
+		});
+	}
+
+	private Single<CommitResult> attempt(ConfigurationChange change, int attempts) {
+		// The head is read before the id. In the other order, a delayed write of this
+		// change that commits between the two reads would look like a conflict.
+		return head().flatMap((head) -> recorded(change.id()).flatMap((recorded) -> {
+			if (recorded.isPresent()) {
+				return answer(change, recorded.get());
+			}
+			if (head.version() != change.baseVersion()) {
+				return conflict(change, head);
+			}
+			return loadWithSnapshot(head.version()).flatMap((base) -> validateAndWrite(change, head, base, attempts));
+		}));
+	}
+
+	private Single<Optional<ConfigurationChange>> recorded(String id) {
+		return this.tableStore.read(new RowKey(CHANGE_IDS, id)).flatMap((row) -> {
+			if (row.isEmpty()) {
+				return Single.just(Optional.empty());
+			}
+			return decode(row.get().value(), IdRow.class).flatMap((idRow) -> change(idRow.version()));
+		});
+	}
+
+	private Single<CommitResult> answer(ConfigurationChange change, ConfigurationChange recorded) {
+		if (recorded.hasSameEffectAs(change)) {
+			return Single.just(new CommitResult.Accepted(recorded.version()));
+		}
+		return refuse(change, AuditEntry.Result.ID_REUSED, recorded.version(),
+				List.of("the id belongs to version " + recorded.version()),
+				new CommitResult.IdReused(recorded.version()));
+	}
+
+	private Single<CommitResult> conflict(ConfigurationChange change, ConfigurationHead head) {
+		return changesSince(change.baseVersion(), MAXIMUM_CHANGES).flatMap((changes) -> refuse(change,
+				AuditEntry.Result.CONFLICT, head.version(), List.of("the newest version is " + head.version()),
+				new CommitResult.Conflict(head.version(), changes)));
+	}
+
+	private Single<CommitResult> validateAndWrite(ConfigurationChange change, ConfigurationHead head, Loaded base,
+			int attempts) {
+		List<ConfigurationFault> faults = ConfigurationValidator.validate(base.configuration(), change);
+		if (!faults.isEmpty()) {
+			return refuse(change, AuditEntry.Result.INVALID, head.version(),
+					faults.stream().map(ConfigurationFault::toString).toList(), new CommitResult.Invalid(faults));
+		}
+		return this.tableStore.commit(transaction(change, head))
+			.map(TransactionResult.Committed.class::isInstance)
+			.onErrorResumeNext((error) -> mayHaveTakenEffect(error) ? Single.just(false) : Single.error(error))
+			.flatMap((committed) -> committed ? Single.just(new CommitResult.Accepted(change.version()))
+					: retry(change, attempts))
+			.flatMap((result) -> (result instanceof CommitResult.Accepted)
+					? writeSnapshot(change, base).andThen(Single.just(result)) : Single.just(result));
+	}
+
+	private Single<CommitResult> retry(ConfigurationChange change, int attempts) {
+		StoreException unknown = new StoreException("no answer about change " + change.id()
+				+ "; it may or may not have been committed, repeat it with the same id", true);
+		if (attempts <= 1) {
+			return Single.error(unknown);
+		}
+		return attempt(change, attempts - 1).onErrorResumeNext((error) -> Single.error(unknown));
+	}
+
+	private static boolean mayHaveTakenEffect(Throwable error) {
+		return !(error instanceof StoreException storeException) || storeException.isEffectPossible();
+	}
+
+	private Transaction transaction(ConfigurationChange change, ConfigurationHead head) {
+		RowKey id = new RowKey(CHANGE_IDS, change.id());
+		AuditEntry entry = AuditEntry.of(change, AuditEntry.Result.ACCEPTED, change.version(), List.of());
+		RowKey audit = auditKey(entry);
+		Condition headUnchanged = (head.revision() == 0) ? new Condition.Absent(HEAD)
+				: new Condition.RevisionEquals(HEAD, head.revision());
+		return new Transaction(
+				List.of(headUnchanged, new Condition.Absent(id), new Condition.Absent(changeKey(change.version())),
+						new Condition.Absent(audit)),
+				List.of(new Write.Put(HEAD, ConfigurationCodec.encode(new HeadRow(change.version(), change.id()))),
+						new Write.Put(id, ConfigurationCodec.encode(new IdRow(change.version()))),
+						new Write.Put(changeKey(change.version()), ConfigurationCodec.encode(change)),
+						new Write.Put(audit, ConfigurationCodec.encode(entry))));
+	}
+
+	private static RowKey auditKey(AuditEntry entry) {
+		return new RowKey(AUDIT,
+				padded(entry.time().toEpochMilli()) + "-" + entry.changeId() + "-" + entry.result().name());
+	}
+
+	private Single<CommitResult> refuse(ConfigurationChange change, AuditEntry.Result result, long version,
+			List<String> faults, CommitResult answer) {
+		AuditEntry entry = AuditEntry.of(change, result, version, faults);
+		RowKey key = auditKey(entry);
+		Transaction insert = new Transaction(List.of(new Condition.Absent(key)),
+				List.of(new Write.Put(key, ConfigurationCodec.encode(entry))));
+		// A row that is already present was written by an earlier attempt whose answer
+		// was lost.
+		return this.tableStore.commit(insert).retry(MAXIMUM_ATTEMPTS - 1).map((inserted) -> answer);
+	}
+
+	private Completable writeSnapshot(ConfigurationChange change, Loaded base) {
+		if (change.version() % SNAPSHOT_INTERVAL != 0 && change.version() - base.snapshot() < SNAPSHOT_INTERVAL) {
+			return Completable.complete();
+		}
+		Configuration configuration = ConfigurationEdits.applyAll(base.configuration(), List.of(change));
+		// The change is committed already; a later commit writes the missing snapshot.
+		return this.objectStore
+			.put(snapshotKey(change.version()), ConfigurationCodec.encodeSnapshot(configuration),
+					new PutCondition.IfAbsent())
+			.ignoreElement()
+			.onErrorComplete();
+	}
+
+	private Single<Loaded> loadWithSnapshot(long version) {
+		if (version == 0) {
+			return Single.just(new Loaded(Configuration.empty(), 0));
+		}
+		return newestSnapshot(version).flatMap(this::readSnapshot)
+			.onErrorResumeNext((error) -> (version <= MAXIMUM_CHANGES_WITHOUT_SNAPSHOT)
+					? Single.just(Configuration.empty()) : Single.error(error))
+			.flatMap((snapshot) -> applyUpTo(snapshot, version)
+				.map((configuration) -> new Loaded(configuration, snapshot.version())));
+	}
+
+	private Single<Configuration> readSnapshot(long version) {
+		if (version == 0) {
+			return Single.just(Configuration.empty());
+		}
+		return this.objectStore.get(snapshotKey(version))
+			.map((object) -> ConfigurationCodec.decodeSnapshot(
+					object.orElseThrow(() -> new StoreException("snapshot " + version + " is missing", false))
+						.content()));
+	}
+
+	private Single<Configuration> applyUpTo(Configuration configuration, long version) {
+		long missing = version - configuration.version();
+		if (missing == 0) {
+			return Single.just(configuration);
+		}
+		return changesSince(configuration.version(), (int) Math.min(missing, MAXIMUM_CHANGES)).flatMap((changes) -> {
+			if (changes.isEmpty()) {
+				return Single.error(new StoreException(
+						"version " + version + " does not exist, the newest is " + configuration.version(), false));
+			}
+			return applyUpTo(ConfigurationEdits.applyAll(configuration, changes), version);
+		});
+	}
+
+	/**
+	 * An audit entry with its key.
+	 *
+	 * @param key the key
+	 * @param entry the entry
+	 */
+	public record AuditRow(String key, AuditEntry entry) {
+	}
+
+	private record HeadRow(long version, String changeId) {
+	}
+
+	private record IdRow(long version) {
+	}
+
+	private record Loaded(Configuration configuration, long snapshot) {
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/configuration/ConfigurationHolderTests.java
@@ -0,0 +1,335 @@
+package org.magnoliahub.configuration;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.magnoliahub.model.Configuration;
+import org.magnoliahub.model.Workspace;
+import org.magnoliahub.protocol.Message;
+import org.magnoliahub.time.SchedulerTimerService;
+import org.magnoliahub.time.TimerService;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ConfigurationHolderTests {
+
+	private static final int PROCESSES = 5;
+
+	private static final int OPERATORS = 3;
+
+	/** Guards against versions that revert, diverge, spread too late or get lost. */
+	@Property(tries = 40)
+	void convergesWithinTheLimitAndNeverReverts(@ForAll long seed) {
+		Simulation simulation = new Simulation(seed);
+		for (int index = 0; index < OPERATORS; index++) {
+			new Operator(simulation, index).start();
+		}
+		for (int second = 0; second < 60; second++) {
+			simulation.injectFaults();
+			simulation.advance(Duration.ofSeconds(1));
+		}
+		simulation.heal();
+		simulation.advance(Duration.ofSeconds(15));
+		simulation.stopped = true;
+		simulation.advance(Duration.ofSeconds(15));
+		simulation.check();
+	}
+
+	/** Guards against a start without content, and against a peer that floods. */
+	@Test
+	void startsFromPeersWhileTheStoreIsDown() {
+		Simulation simulation = new Simulation(1);
+		ItemChange[] items = new ItemChange[2_000];
+		for (int index = 0; index < items.length; index++) {
+			items[index] = Samples.put("workspace-" + index, 1);
+		}
+		simulation.commit(Samples.change("large", 0, items));
+		simulation.advance(Duration.ofSeconds(12));
+		simulation.processes.forEach((process) -> process.connection.down = true);
+		simulation.lossless = false;
+		Process alone = simulation.restart(0, true);
+		simulation.advance(Duration.ofSeconds(27));
+		assertThat(alone.holder.status().ready()).isFalse();
+		assertThat(alone.holder.status().stale()).isTrue();
+		assertThat(simulation.processes.get(1).holder.status()).matches(ConfigurationStatus::ready)
+			.matches(ConfigurationStatus::stale)
+			.extracting(ConfigurationStatus::version)
+			.isEqualTo(1L);
+		simulation.lossless = true;
+		simulation.advance(Duration.ofSeconds(5));
+		assertThat(alone.holder.status().ready()).isTrue();
+		assertThat(alone.holder.status().stale()).isFalse();
+		assertThat(alone.holder.configuration()).isEqualTo(simulation.processes.get(1).holder.configuration());
+		assertThat(simulation.largestMessage).isLessThan(ConfigurationRepository.MAXIMUM_CHARACTERS);
+	}
+
+	/** Guards against a merge of damaged or misplaced updates and an endless exchange. */
+	@Test
+	void ignoresUpdatesThatItCannotUse() {
+		Simulation simulation = new Simulation(2);
+		simulation.commit(Samples.change("one", 0, Samples.put("a", 1)));
+		simulation.advance(Duration.ofSeconds(12));
+		ConfigurationHolder holder = simulation.processes.get(0).holder;
+		simulation.processes.get(0).connection.down = true;
+		for (ConfigurationUpdate update : List.<ConfigurationUpdate>of(Samples.change("old", 0, Samples.put("a", 9)),
+				Samples.change("gap", 2, Samples.put("a", 9)), new ConfigurationUpdate.SnapshotPart(1, 0, 1, List.of()),
+				new ConfigurationUpdate.SnapshotPart(7, 1, 2, List.of()))) {
+			holder.receive("process-1",
+					new Message.ConfigurationChanges(8, List.of(ConfigurationCodec.encode(update), "{")));
+		}
+		simulation.advance(Duration.ofSeconds(12));
+		assertThat(holder.configuration().workspaces()).containsExactly(Map.entry("a", Samples.workspace("a", 1)));
+		assertThat(holder.status().refusedUpdates()).isEqualTo(4);
+		assertThat(simulation.messages).isLessThan(200);
+	}
+
+	private static final class Simulation {
+
+		final TestScheduler scheduler = new TestScheduler();
+
+		final TimerService timers = SchedulerTimerService.virtual(this.scheduler);
+
+		final Random random;
+
+		final FakeTableStore store = new FakeTableStore();
+
+		final FakeObjectStore objectStore = new FakeObjectStore();
+
+		final List<Process> processes = new ArrayList<>();
+
+		final Map<String, CommitResult> answers = new HashMap<>();
+
+		final Set<String> violations = new HashSet<>();
+
+		boolean lossless = true;
+
+		boolean healed;
+
+		boolean stopped;
+
+		double messageLoss;
+
+		int messages;
+
+		int largestMessage;
+
+		Simulation(long seed) {
+			this.random = new Random(seed);
+			for (int index = 0; index < PROCESSES; index++) {
+				this.processes.add(new Process(this, index, false));
+			}
+		}
+
+		Process restart(int index, boolean down) {
+			this.processes.get(index).holder.stop();
+			this.processes.set(index, new Process(this, index, down));
+			return this.processes.get(index);
+		}
+
+		void commit(ConfigurationChange change) {
+			CommitResult result = ConfigurationRepository.of(this.store, this.objectStore).commit(change).blockingGet();
+			assertThat(result).isEqualTo(new CommitResult.Accepted(change.version()));
+		}
+
+		void injectFaults() {
+			this.messageLoss = this.random.nextDouble();
+			this.objectStore.down = this.random.nextInt(4) == 0;
+			for (int index = 0; index < PROCESSES; index++) {
+				if (this.random.nextInt(20) == 0) {
+					restart(index, this.random.nextBoolean());
+				}
+				FakeTableStore.Connection connection = this.processes.get(index).connection;
+				connection.down = this.random.nextInt(3) == 0;
+				connection.hanging = this.random.nextInt(6) == 0;
+				connection.nextAnswerDelay = Duration.ofMillis(this.random.nextInt(1_900));
+			}
+		}
+
+		void heal() {
+			this.healed = true;
+			this.messageLoss = 0;
+			this.objectStore.down = false;
+			for (Process process : this.processes) {
+				process.connection.down = false;
+				process.connection.hanging = false;
+			}
+		}
+
+		void advance(Duration duration) {
+			this.scheduler.advanceTimeBy(duration.toNanos(), TimeUnit.NANOSECONDS);
+		}
+
+		void send(int from, String to, Message.ConfigurationChanges message) {
+			this.messages++;
+			this.largestMessage = Math.max(this.largestMessage,
+					message.changes().stream().mapToInt(String::length).sum());
+			if (!this.lossless || this.random.nextDouble() < this.messageLoss) {
+				return;
+			}
+			int index = Integer.parseInt(to.substring("process-".length()));
+			this.timers.after(Duration.ofMillis(1 + this.random.nextInt(50)))
+				.subscribe(() -> this.processes.get(index).holder.receive("process-" + from, message));
+		}
+
+		void accepted(long version) {
+			if (!this.healed) {
+				return;
+			}
+			this.timers.after(Duration.ofSeconds(13)).subscribe(() -> {
+				for (Process process : this.processes) {
+					if (process.holder.configuration().version() < version) {
+						this.violations.add("version " + version + " at process " + process.index);
+					}
+				}
+			});
+		}
+
+		void check() {
+			ConfigurationRepository repository = ConfigurationRepository.of(this.store, this.objectStore);
+			Configuration newest = repository.load().blockingGet();
+			Map<String, Long> committed = new HashMap<>();
+			for (long version = 1; version <= newest.version(); version++) {
+				committed.put(repository.change(version).blockingGet().orElseThrow().id(), version);
+			}
+			assertThat(newest.version()).isGreaterThan(3);
+			this.answers.forEach((id, answer) -> assertThat(Optional.ofNullable(committed.get(id))).as(id)
+				.isEqualTo((answer instanceof CommitResult.Accepted accepted) ? Optional.of(accepted.version())
+						: Optional.empty()));
+			assertThat(this.answers.keySet()).containsAll(committed.keySet());
+			assertThat(this.violations).isEmpty();
+			assertThat(this.store.auditRewritten).isFalse();
+			for (Process process : this.processes) {
+				assertThat(process.holder.status().ready()).isTrue();
+				assertThat(process.holder.configuration()).isEqualTo(newest);
+				process.seen.forEach(
+						(version, content) -> assertThat(content).isEqualTo(repository.load(version).blockingGet()));
+			}
+		}
+
+	}
+
+	private static final class Process implements ConfigurationPeers {
+
+		final Simulation simulation;
+
+		final int index;
+
+		final FakeTableStore.Connection connection;
+
+		final ConfigurationHolder holder;
+
+		final Map<Long, Configuration> seen = new HashMap<>();
+
+		long highest;
+
+		Process(Simulation simulation, int index, boolean down) {
+			this.simulation = simulation;
+			this.index = index;
+			this.connection = new FakeTableStore.Connection(simulation.store, simulation.timers, simulation.random);
+			this.connection.down = down;
+			this.holder = ConfigurationHolder.of(ConfigurationRepository.of(this.connection, simulation.objectStore),
+					this, simulation.timers, simulation.random);
+			this.holder.configurations().subscribe((configuration) -> {
+				if (configuration.version() < this.highest) {
+					simulation.violations.add("process " + index + " went from version " + this.highest + " to "
+							+ configuration.version());
+				}
+				this.highest = configuration.version();
+				this.seen.put(configuration.version(), configuration);
+			});
+			this.holder.start();
+		}
+
+		@Override
+		public List<String> connected() {
+			return this.simulation.processes.stream()
+				.filter((process) -> process.index != this.index)
+				.map((process) -> "process-" + process.index)
+				.toList();
+		}
+
+		@Override
+		public void send(String peer, Message.ConfigurationChanges message) {
+			this.simulation.send(this.index, peer, message);
+		}
+
+	}
+
+	/**
+	 * Commits changes on what it last saw and repeats each until it has an answer.
+	 */
+	private static final class Operator {
+
+		final Simulation simulation;
+
+		final int index;
+
+		final FakeTableStore.Connection connection;
+
+		final ConfigurationRepository repository;
+
+		int changes;
+
+		Operator(Simulation simulation, int index) {
+			this.simulation = simulation;
+			this.index = index;
+			this.connection = new FakeTableStore.Connection(simulation.store, simulation.timers, simulation.random);
+			this.connection.lostAnswers = 0.3;
+			this.repository = ConfigurationRepository.of(this.connection, simulation.objectStore);
+		}
+
+		void start() {
+			pause().subscribe(this::next);
+		}
+
+		private io.reactivex.rxjava3.core.Completable pause() {
+			return this.simulation.timers.after(Duration.ofMillis(this.simulation.random.nextInt(1_500)));
+		}
+
+		private void next() {
+			if (this.simulation.stopped) {
+				return;
+			}
+			this.connection.down = !this.simulation.healed && this.simulation.random.nextInt(5) == 0;
+			this.repository.head().subscribe((head) -> submit(change(head.version())), (error) -> start());
+		}
+
+		private ConfigurationChange change(long base) {
+			String id = this.index + "-" + this.changes++;
+			Workspace own = Samples.workspace("w" + this.simulation.random.nextInt(4), this.changes);
+			Workspace shared = Samples.workspace("shared", 1 + this.index);
+			return ConfigurationChange.on(id, base, "operator",
+					Instant.ofEpochMilli(this.simulation.timers.milliTime()), "",
+					List.of(new ItemChange.PutWorkspace(own), new ItemChange.PutWorkspace(shared)));
+		}
+
+		private void submit(ConfigurationChange change) {
+			this.connection.nextAnswerDelay = Duration.ofMillis(this.simulation.random.nextInt(400));
+			this.repository.commit(change).subscribe((result) -> {
+				this.simulation.answers.put(change.id(), result);
+				if (result instanceof CommitResult.Accepted accepted) {
+					this.simulation.accepted(accepted.version());
+				}
+				start();
+			}, (error) -> pause().subscribe(() -> {
+				this.connection.down = false;
+				submit(change);
+			}));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/configuration/ConfigurationRepositoryTests.java
@@ -0,0 +1,109 @@
+package org.magnoliahub.configuration;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Random;
+
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import org.junit.jupiter.api.Test;
+import org.magnoliahub.model.Configuration;
+import org.magnoliahub.platform.StoreException;
+import org.magnoliahub.time.SchedulerTimerService;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class ConfigurationRepositoryTests {
+
+	private final FakeTableStore tableStore = new FakeTableStore();
+
+	private final FakeObjectStore objectStore = new FakeObjectStore();
+
+	private final ConfigurationRepository repository = ConfigurationRepository.of(this.tableStore, this.objectStore);
+
+	private CommitResult commit(String id, long base, ItemChange... items) {
+		return this.repository.commit(Samples.change(id, base, items)).blockingGet();
+	}
+
+	/** Guards against a lost update by two operators, and a repeat that commits twice. */
+	@Test
+	void answersEachCommitOnceAndForAll() {
+		for (int repeat = 0; repeat < 2; repeat++) {
+			assertThat(commit("one", 0, Samples.put("a", 1))).isEqualTo(new CommitResult.Accepted(1));
+			assertThat(commit("two", 0, Samples.put("a", 2)))
+				.isEqualTo(new CommitResult.Conflict(1, List.of(Samples.change("one", 0, Samples.put("a", 1)))));
+			assertThat(commit("one", 1, Samples.put("a", 3))).isEqualTo(new CommitResult.IdReused(1));
+			assertThat(commit("bad", 1, Samples.put("a/", 3))).isInstanceOf(CommitResult.Invalid.class);
+		}
+		assertThat(this.repository.head().blockingGet().version()).isEqualTo(1);
+		assertThat(this.repository.audit(Instant.EPOCH, "", 10).blockingGet())
+			.extracting((row) -> row.entry().changeId() + " " + row.entry().result())
+			.containsExactlyInAnyOrder("one ACCEPTED", "two CONFLICT", "one ID_REUSED", "bad INVALID");
+		assertThat(this.tableStore.auditRewritten).isFalse();
+	}
+
+	/** Guards against a committed change that is reported as failed, or applied twice. */
+	@Test
+	void resolvesLostAnswers() {
+		for (int seed = 0; seed < 30; seed++) {
+			FakeTableStore store = new FakeTableStore();
+			TestScheduler scheduler = new TestScheduler();
+			FakeTableStore.Connection connection = new FakeTableStore.Connection(store,
+					SchedulerTimerService.virtual(scheduler), new Random(seed));
+			connection.lostAnswers = 1;
+			ConfigurationRepository faulty = ConfigurationRepository.of(connection, this.objectStore);
+			Single<CommitResult> commit = faulty.commit(Samples.change("one", 0, Samples.put("a", 1)));
+			var first = commit.test();
+			scheduler.advanceTimeBy(5, java.util.concurrent.TimeUnit.SECONDS);
+			if (first.values().isEmpty()) {
+				first.assertError((error) -> error instanceof StoreException ex && ex.isEffectPossible());
+			}
+			connection.lostAnswers = 0;
+			var second = commit.test();
+			scheduler.advanceTimeBy(5, java.util.concurrent.TimeUnit.SECONDS);
+			second.assertValue(new CommitResult.Accepted(1));
+			assertThat(ConfigurationRepository.of(store, this.objectStore).head().blockingGet().version()).isEqualTo(1);
+		}
+	}
+
+	/**
+	 * Guards against a snapshot that differs from the changes, a missed snapshot that is
+	 * never repaired, and a start that needs the object store.
+	 */
+	@Test
+	void loadsTheSameContentWithAndWithoutSnapshots() {
+		for (int version = 0; version < 205; version++) {
+			this.objectStore.down = version == 199;
+			commit("c" + version, version, Samples.put("w" + version % 7, 1 + version));
+		}
+		assertThat(this.repository.newestSnapshot(205).blockingGet()).isEqualTo(201);
+		Configuration loaded = this.repository.load().blockingGet();
+		assertThat(loaded.version()).isEqualTo(205);
+		assertThat(loaded.workspaces()).hasSize(7).containsEntry("w1", Samples.workspace("w1", 205));
+		for (long version : new long[] { 1, 100, 101, 199, 205 }) {
+			this.objectStore.down = false;
+			Configuration withSnapshot = this.repository.load(version).blockingGet();
+			this.objectStore.down = true;
+			assertThat(this.repository.load(version).blockingGet()).isEqualTo(withSnapshot);
+		}
+		assertThatThrownBy(() -> this.repository.load(206).blockingGet()).hasMessageContaining("does not exist");
+	}
+
+	/** Guards against rows that a later process cannot read. */
+	@Test
+	void decodesWhatItEncodes() throws ConfigurationFormatException {
+		List<ItemChange> items = ConfigurationEdits.difference(Configuration.empty(), Samples.configuration());
+		ConfigurationChange change = Samples.change("c", 4, items.toArray(ItemChange[]::new));
+		String text = ConfigurationCodec.encode(change);
+		assertThat(ConfigurationCodec.decode(text, ConfigurationUpdate.class)).isEqualTo(change);
+		assertThat(ConfigurationCodec.decode(text.replaceFirst("\\{", "{\"later\":1,"), ConfigurationChange.class))
+			.isEqualTo(change);
+		assertThat(ConfigurationCodec.decodeSnapshot(ConfigurationCodec.encodeSnapshot(Samples.configuration())))
+			.isEqualTo(Samples.configuration());
+		assertThatThrownBy(
+				() -> ConfigurationCodec.decode(text.replace("\"baseVersion\":4,", ""), ConfigurationChange.class))
+			.isInstanceOf(ConfigurationFormatException.class);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/configuration/FakeObjectStore.java
@@ -0,0 +1,53 @@
+package org.magnoliahub.configuration;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.reactivex.rxjava3.core.Single;
+import org.magnoliahub.platform.ObjectStore;
+import org.magnoliahub.platform.PutCondition;
+import org.magnoliahub.platform.StoreException;
+import org.magnoliahub.platform.StoredObject;
+
+/**
+ * Object store in memory.
+ */
+public final class FakeObjectStore implements ObjectStore {
+
+	private final TreeMap<String, byte[]> objects = new TreeMap<>();
+
+	/** Calls fail, without effect. */
+	public boolean down;
+
+	@Override
+	public Single<Optional<StoredObject>> get(String key) {
+		return call(() -> Optional.ofNullable(this.objects.get(key)).map((content) -> new StoredObject(content, key)));
+	}
+
+	@Override
+	public Single<Optional<String>> put(String key, byte[] content, PutCondition condition) {
+		return call(() -> {
+			if (condition instanceof PutCondition.IfAbsent && this.objects.containsKey(key)) {
+				return Optional.empty();
+			}
+			this.objects.put(key, content);
+			return Optional.of(key);
+		});
+	}
+
+	@Override
+	public Single<List<String>> list(String prefix, String startAfter, int limit) {
+		return call(() -> this.objects.keySet()
+			.stream()
+			.filter((key) -> key.startsWith(prefix) && key.compareTo(startAfter) > 0)
+			.limit(limit)
+			.toList());
+	}
+
+	private <T> Single<T> call(java.util.concurrent.Callable<T> effect) {
+		return Single.defer(() -> this.down ? Single.error(new StoreException("store is down", false))
+				: Single.fromCallable(effect));
+	}
+
+}
