--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -2,10 +2,9 @@
 
 import java.util.List;
 
-<<<<<<<HEAD
+import org.magnoliahub.experiment.ExperimentCommand;
 import org.magnoliahub.standin.EngineStandInCommand;
-import org.magnoliahub.standin.ServiceStandInCommand;=======
-import org.magnoliahub.experiment.ExperimentCommand;>>>>>>>routing
+import org.magnoliahub.standin.ServiceStandInCommand;
 
 /**
  * All subcommands of the binary.
--- /dev/null
+++ b/src/main/java/org/magnoliahub/gateway/ClaimGrant.java
@@ -0,0 +1,29 @@
+package org.magnoliahub.gateway;
+
+import java.util.Optional;
+
+import org.magnoliahub.model.Outcome;
+import org.magnoliahub.model.StageOutput;
+
+/**
+ * What a request with an idempotency key may do.
+ */
+sealed interface ClaimGrant {
+
+	/**
+	 * The request owns its claim and may run.
+	 *
+	 * @param recovered result of the non-idempotent stage if an earlier submission ran it
+	 */
+	record Granted(Optional<StageOutput> recovered) implements ClaimGrant {
+	}
+
+	/**
+	 * An earlier submission decided the outcome.
+	 *
+	 * @param outcome the outcome
+	 */
+	record Answered(Outcome outcome) implements ClaimGrant {
+	}
+
+}
--- a/src/main/java/org/magnoliahub/model/Outcome.java
+++ b/src/main/java/org/magnoliahub/model/Outcome.java
@@ -16,6 +16,21 @@
 		return !(this instanceof Unknown);
 	}
 
+	/**
+	 * Returns the name of the outcome in answers, records and reports.
+	 * @return {@code complete}, {@code not_run}, {@code failed} or
+	 * {@code outcome_unknown}
+	 */
+	default String label() {
+		if (this instanceof Complete) {
+			return "complete";
+		}
+		if (this instanceof NotRun) {
+			return "not_run";
+		}
+		return (this instanceof Failed) ? "failed" : "outcome_unknown";
+	}
+
 	/**
 	 * The request ran and this is its whole answer.
 	 *
--- a/src/main/java/org/magnoliahub/protocol/Message.java
+++ b/src/main/java/org/magnoliahub/protocol/Message.java
@@ -114,8 +114,10 @@
 	 *
 	 * @param attempt the attempt
 	 * @param targetIncarnation incarnation of the agent that it was meant for
+	 * @param agentMillisSeen agent's monotonic time recorded with the attempt, in
+	 * milliseconds
 	 */
-	record Revoke(AttemptId attempt, long targetIncarnation) implements AboutAttempt {
+	record Revoke(AttemptId attempt, long targetIncarnation, long agentMillisSeen) implements AboutAttempt {
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/routing/StageScheduler.java
+++ b/src/main/java/org/magnoliahub/routing/StageScheduler.java
@@ -1,6 +1,7 @@
 package org.magnoliahub.routing;
 
 import io.reactivex.rxjava3.core.Single;
+import org.magnoliahub.protocol.Message;
 
 /**
  * Decides whether a request is admitted and which endpoint runs each of its stages.
@@ -28,4 +29,21 @@
 	 */
 	void release(AdmissionRequest request);
 
+	/**
+	 * Records whether an endpoint can take new work, as its connection and its agent say.
+	 * An endpoint of which nothing was recorded can take work.
+	 * @param endpoint name of the endpoint
+	 * @param usable {@code false} while it is disconnected or drains
+	 */
+	default void setUsable(String endpoint, boolean usable) {
+	}
+
+	/**
+	 * Takes a load report that came apart from a result.
+	 * @param endpoint name of the endpoint
+	 * @param load the report, which lags behind the truth
+	 */
+	default void loadReported(String endpoint, Message.LoadReport load) {
+	}
+
 }
--- /dev/null
+++ b/src/main/java/org/magnoliahub/server/EndpointConnections.java
@@ -0,0 +1,152 @@
+package org.magnoliahub.server;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import org.magnoliahub.configuration.ConfigurationHolder;
+import org.magnoliahub.configuration.ConfigurationPeers;
+import org.magnoliahub.gateway.AgentConnection;
+import org.magnoliahub.model.AvailabilityZone;
+import org.magnoliahub.model.Configuration;
+import org.magnoliahub.model.Endpoint;
+import org.magnoliahub.protocol.Message;
+import org.magnoliahub.routing.EndpointSubset;
+import org.magnoliahub.routing.StageScheduler;
+import org.magnoliahub.transport.TcpAgentConnections;
+
+/**
+ * Keeps a gateway connected to its subset of each pool, and hands on what agents say
+ * about their state and about configuration versions. All methods run on the event loop.
+ */
+final class EndpointConnections implements ConfigurationPeers {
+
+	private static final Logger LOGGER = System.getLogger(EndpointConnections.class.getName());
+
+	private final TcpAgentConnections connections;
+
+	private final String gateway;
+
+	private final AvailabilityZone availabilityZone;
+
+	private final Map<String, Open> open = new HashMap<>();
+
+	EndpointConnections(TcpAgentConnections connections, String gateway, AvailabilityZone availabilityZone) {
+		this.connections = connections;
+		this.gateway = gateway;
+		this.availabilityZone = availabilityZone;
+	}
+
+	/**
+	 * Opens and closes connections so that they fit a configuration.
+	 * @param configuration the configuration in force
+	 * @param scheduler learns which endpoints are usable
+	 * @param holder learns configuration versions of agents
+	 */
+	void apply(Configuration configuration, StageScheduler scheduler, ConfigurationHolder holder) {
+		Map<String, Endpoint> wanted = subset(configuration);
+		for (Open present : List.copyOf(this.open.values())) {
+			if (!present.endpoint().equals(wanted.get(present.endpoint().name()))) {
+				close(present);
+			}
+		}
+		for (Endpoint endpoint : wanted.values()) {
+			if (!this.open.containsKey(endpoint.name())) {
+				open(endpoint, scheduler, holder);
+			}
+		}
+	}
+
+	/**
+	 * Closes all connections.
+	 */
+	void closeAll() {
+		List.copyOf(this.open.values()).forEach(this::close);
+		this.connections.closeAll();
+	}
+
+	private Map<String, Endpoint> subset(Configuration configuration) {
+		Map<String, List<Endpoint>> pools = configuration.endpoints()
+			.values()
+			.stream()
+			.collect(Collectors.groupingBy(Endpoint::pool));
+		return pools.values()
+			.stream()
+			.flatMap((pool) -> EndpointSubset.choose(pool, this.gateway, this.availabilityZone).stream())
+			.collect(Collectors.toMap(Endpoint::name, Function.identity()));
+	}
+
+	private void open(Endpoint endpoint, StageScheduler scheduler, ConfigurationHolder holder) {
+		AgentConnection connection = this.connections.open(endpoint);
+		CompositeDisposable subscriptions = new CompositeDisposable();
+		this.open.put(endpoint.name(), new Open(endpoint, connection, subscriptions));
+		scheduler.setUsable(endpoint.name(), false);
+		subscriptions.add(connection.connected()
+			.subscribe((connected) -> connectionChanged(connection, connected, scheduler, holder)));
+		subscriptions
+			.add(connection.messages().subscribe((message) -> receive(endpoint.name(), message, scheduler, holder)));
+	}
+
+	private void close(Open present) {
+		this.open.remove(present.endpoint().name());
+		present.subscriptions().dispose();
+		this.connections.close(present.endpoint());
+	}
+
+	private static void connectionChanged(AgentConnection connection, boolean connected, StageScheduler scheduler,
+			ConfigurationHolder holder) {
+		String name = connection.endpoint().name();
+		Message.Hello peer = connection.peer().orElse(null);
+		boolean usable = connected && peer != null && !peer.draining();
+		LOGGER.log(Level.INFO, "agent connection changed endpoint={0} connected={1} usable={2}", name, connected,
+				usable);
+		scheduler.setUsable(name, usable);
+		if (connected && peer != null) {
+			holder.peerConnected(name, peer.configurationVersion());
+		}
+	}
+
+	private static void receive(String endpoint, Message message, StageScheduler scheduler,
+			ConfigurationHolder holder) {
+		if (message instanceof Message.Draining) {
+			LOGGER.log(Level.INFO, "endpoint draining endpoint={0}", endpoint);
+			scheduler.setUsable(endpoint, false);
+		}
+		else if (message instanceof Message.LoadReport load) {
+			scheduler.loadReported(endpoint, load);
+		}
+		else if (message instanceof Message.ConfigurationChanges changes) {
+			holder.receive(endpoint, changes);
+		}
+	}
+
+	@Override
+	public List<String> connected() {
+		List<String> names = new ArrayList<>();
+		for (Open present : this.open.values()) {
+			if (present.connection().peer().isPresent()) {
+				names.add(present.endpoint().name());
+			}
+		}
+		return names;
+	}
+
+	@Override
+	public void send(String peer, Message.ConfigurationChanges message) {
+		Open present = this.open.get(peer);
+		if (present != null) {
+			present.connection().send(message);
+		}
+	}
+
+	private record Open(Endpoint endpoint, AgentConnection connection, CompositeDisposable subscriptions) {
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/server/GatewaySettings.java
@@ -0,0 +1,21 @@
+package org.magnoliahub.server;
+
+import org.magnoliahub.gateway.GatewayLimits;
+import org.magnoliahub.model.AvailabilityZone;
+
+/**
+ * Settings of a gateway process.
+ *
+ * @param name name of the gateway, unique among gateways
+ * @param availabilityZone the zone it runs in
+ * @param host local address
+ * @param port local port for callers, 0 for any free one
+ * @param adminPort local port for operators, 0 for any free one
+ * @param maximumConnections most open connections of callers
+ * @param maximumStreams most answers that are streamed at a time
+ * @param limits limits of requests and retries
+ */
+public record GatewaySettings(String name, AvailabilityZone availabilityZone, String host, int port, int adminPort,
+		int maximumConnections, int maximumStreams, GatewayLimits limits) {
+
+}
