--- a/src/main/java/org/magnoliahub/claim/AcquireResult.java
+++ b/src/main/java/org/magnoliahub/claim/AcquireResult.java
@@ -14,7 +14,8 @@
 	}
 
 	/**
-	 * The key was claimed before.
+	 * Another owner has the claim. If an answer was lost, the caller may have had it for
+	 * a time before the present owner took it over.
 	 *
 	 * @param stored the present claim
 	 */
