--- /dev/null
+++ b/src/test/java/org/magnoliahub/platform/InMemoryObjectStoreTests.java
@@ -0,0 +1,18 @@
+package org.magnoliahub.platform;
+
+import java.time.Duration;
+
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import org.magnoliahub.time.SchedulerTimerService;
+
+class InMemoryObjectStoreTests extends ObjectStoreContractTests {
+
+	private final InMemoryObjectStore store = InMemoryObjectStore
+		.of(SchedulerTimerService.of(Schedulers.trampoline(), () -> 0), Duration.ZERO);
+
+	@Override
+	protected ObjectStore store() {
+		return this.store;
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/platform/InMemoryTableStoreTests.java
@@ -0,0 +1,18 @@
+package org.magnoliahub.platform;
+
+import java.time.Duration;
+
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import org.magnoliahub.time.SchedulerTimerService;
+
+class InMemoryTableStoreTests extends TableStoreContractTests {
+
+	private final InMemoryTableStore store = InMemoryTableStore
+		.of(SchedulerTimerService.of(Schedulers.trampoline(), () -> 0), Duration.ZERO);
+
+	@Override
+	protected TableStore store() {
+		return this.store;
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/platformhttp/EtcdTableStoreTests.java
@@ -0,0 +1,21 @@
+package org.magnoliahub.platformhttp;
+
+import java.time.Duration;
+
+import org.junit.jupiter.api.extension.RegisterExtension;
+import org.magnoliahub.platform.TableStore;
+import org.magnoliahub.platform.TableStoreContractTests;
+
+class EtcdTableStoreTests extends TableStoreContractTests {
+
+	@RegisterExtension
+	final StandInExtension standIn = new StandInExtension();
+
+	private final TableStore store = this.standIn.tableStore(Duration.ofSeconds(10));
+
+	@Override
+	protected TableStore store() {
+		return this.store;
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/platformhttp/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Contract and fault tests of the adapters to the platform.
+ */
+@NullMarked
+package org.magnoliahub.platformhttp;
+
+import org.jspecify.annotations.NullMarked;
