--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -4,6 +4,7 @@
 
 import org.magnoliahub.experiment.ExperimentCommand;
 import org.magnoliahub.standin.EngineStandInCommand;
+import org.magnoliahub.standin.PlatformStandInCommand;
 import org.magnoliahub.standin.ServiceStandInCommand;
 
 /**
@@ -15,7 +16,8 @@
 	}
 
 	static List<Command> all() {
-		return List.of(new EngineStandInCommand(), new ExperimentCommand(), new ServiceStandInCommand());
+		return List.of(new EngineStandInCommand(), new ExperimentCommand(), new PlatformStandInCommand(),
+				new ServiceStandInCommand());
 	}
 
 }
