--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -16,8 +16,8 @@
 	}
 
 	static List<Command> all() {
-		return List.of(new EngineStandInCommand(), new ExperimentCommand(), new PlatformStandInCommand(),
-				new ServiceStandInCommand());
+		return List.of(new AgentCommand(), new DemoCommand(), new EngineStandInCommand(), new ExperimentCommand(),
+				new GatewayCommand(), new PlatformStandInCommand(), new ServiceStandInCommand());
 	}
 
 }
--- a/src/main/java/org/magnoliahub/command/Main.java
+++ b/src/main/java/org/magnoliahub/command/Main.java
@@ -1,9 +1,13 @@
 package org.magnoliahub.command;
 
 import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Map;
 
+import io.reactivex.rxjava3.plugins.RxJavaPlugins;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -16,6 +20,8 @@
  */
 public final class Main {
 
+	private static final Logger LOGGER = System.getLogger(Main.class.getName());
+
 	private static final String COMMAND_ATTRIBUTE = "command_to_run";
 
 	private Main() {
@@ -26,6 +32,8 @@
 	 * @param arguments the command line
 	 */
 	public static void main(String[] arguments) {
+		// Results of calls that were given up arrive late and have nobody to go to.
+		RxJavaPlugins.setErrorHandler((failure) -> LOGGER.log(Level.DEBUG, "result of a cancelled call", failure));
 		ExitCode code = run(Commands.all(), arguments, System.getenv(), System.out, System.err);
 		System.out.flush();
 		System.exit(code.value());
@@ -52,7 +60,7 @@
 			return ExitCode.SUCCESS;
 		}
 		catch (ArgumentParserException ex) {
-			ex.getParser().printUsage(new java.io.PrintWriter(errors, true));
+			ex.getParser().printUsage(new PrintWriter(errors, true));
 			errors.println("magnoliahub: error: " + ex.getMessage());
 			return ExitCode.USAGE;
 		}
--- a/src/main/java/org/magnoliahub/server/EndpointConnections.java
+++ b/src/main/java/org/magnoliahub/server/EndpointConnections.java
@@ -6,9 +6,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import org.magnoliahub.configuration.ConfigurationHolder;
 import org.magnoliahub.configuration.ConfigurationPeers;
@@ -37,10 +39,14 @@
 
 	private final Map<String, Open> open = new HashMap<>();
 
-	EndpointConnections(TcpAgentConnections connections, String gateway, AvailabilityZone availabilityZone) {
+	private final AtomicInteger connectedCount = new AtomicInteger();
+
+	EndpointConnections(TcpAgentConnections connections, String gateway, AvailabilityZone availabilityZone,
+			MeterRegistry meters) {
 		this.connections = connections;
 		this.gateway = gateway;
 		this.availabilityZone = availabilityZone;
+		meters.gauge("magnoliahub.gateway.agents.connected", this.connectedCount);
 	}
 
 	/**
@@ -99,7 +105,7 @@
 		this.connections.close(present.endpoint());
 	}
 
-	private static void connectionChanged(AgentConnection connection, boolean connected, StageScheduler scheduler,
+	private void connectionChanged(AgentConnection connection, boolean connected, StageScheduler scheduler,
 			ConfigurationHolder holder) {
 		String name = connection.endpoint().name();
 		Message.Hello peer = connection.peer().orElse(null);
@@ -107,6 +113,7 @@
 		LOGGER.log(Level.INFO, "agent connection changed endpoint={0} connected={1} usable={2}", name, connected,
 				usable);
 		scheduler.setUsable(name, usable);
+		this.connectedCount.set(connected().size());
 		if (connected && peer != null) {
 			holder.peerConnected(name, peer.configurationVersion());
 		}
--- a/src/main/java/org/magnoliahub/server/EventLoop.java
+++ b/src/main/java/org/magnoliahub/server/EventLoop.java
@@ -2,8 +2,9 @@
 
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -26,11 +27,12 @@
 	private final TimerService timers;
 
 	private EventLoop(String name) {
-		this.executor = Executors.newSingleThreadScheduledExecutor((task) -> {
+		// Tasks that arrive after the stop, such as closed connections, are dropped.
+		this.executor = new ScheduledThreadPoolExecutor(1, (task) -> {
 			Thread thread = new Thread(task, name);
 			thread.setDaemon(true);
 			return thread;
-		});
+		}, new ThreadPoolExecutor.DiscardPolicy());
 		this.scheduler = Schedulers.from(this.executor);
 		this.timers = SchedulerTimerService.of(this.scheduler, System::nanoTime);
 	}
--- a/src/main/java/org/magnoliahub/server/GatewayProcess.java
+++ b/src/main/java/org/magnoliahub/server/GatewayProcess.java
@@ -6,6 +6,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -72,7 +73,7 @@
 		this.transport = Transport.create(loop.scheduler(), loop.timers(), this.meters);
 		TcpAgentConnections agents = TcpAgentConnections.create(this.transport, this::greeting, this::versionInForce,
 				this.random);
-		this.connections = new EndpointConnections(agents, settings.name(), settings.availabilityZone());
+		this.connections = new EndpointConnections(agents, settings.name(), settings.availabilityZone(), this.meters);
 		this.holder = ConfigurationHolder.of(ConfigurationRepository.of(platform.tableStore(), platform.objectStore()),
 				this.connections, loop.timers(), this.random);
 		StageScheduler scheduler = BaselineScheduler.leastOutstanding(this.holder::configuration, this.random);
@@ -181,7 +182,7 @@
 	}
 
 	private Message.ConfigurationChanges versionInForce() {
-		return new Message.ConfigurationChanges(this.holder.configuration().version(), java.util.List.of());
+		return new Message.ConfigurationChanges(this.holder.configuration().version(), List.of());
 	}
 
 }
