--- a/src/main/java/org/magnoliahub/platformhttp/HttpCalls.java
+++ b/src/main/java/org/magnoliahub/platformhttp/HttpCalls.java
@@ -27,6 +27,9 @@
 	// host would let a few slow calls hold up all others.
 	private static final int MAXIMUM_CONCURRENT_CALLS = 64;
 
+	// A conflict shows up to 50 claims, each with an answer of up to 1 MiB.
+	private static final long MAXIMUM_ANSWER_BYTES = 64L * 1024 * 1024;
+
 	private static final int TOO_MANY_REQUESTS = 429;
 
 	private static final int REQUEST_TIMEOUT = 408;
@@ -90,6 +93,9 @@
 				public void onResponse(Call answered, Response response) {
 					try (response) {
 						ResponseBody body = response.body();
+						if (body != null && body.source().request(MAXIMUM_ANSWER_BYTES + 1)) {
+							throw new IOException("answer is longer than " + MAXIMUM_ANSWER_BYTES + " bytes");
+						}
 						byte[] content = (body != null) ? body.bytes() : new byte[0];
 						emitter.onSuccess(new HttpAnswer(response.code(), response.header("ETag", ""), content));
 					}
