--- a/src/test/java/org/magnoliahub/transport/TransportMeasurement.java
+++ b/src/test/java/org/magnoliahub/transport/TransportMeasurement.java
@@ -35,7 +35,7 @@
  */
 public final class TransportMeasurement {
 
-	private static final int IDLE_SECONDS = 20;
+	private static final int IDLE_SECONDS = 30;
 
 	private static final int MESSAGES = 200_000;
 
@@ -68,18 +68,20 @@
 	public static void main(String[] arguments) throws Exception {
 		System.out.println("connections | heap bytes each | idle bytes/s each | idle processor us/s each "
 				+ "| bytes per message | processor us per message");
+		// The first round loads classes and compiles code; its figures are not printed.
+		new TransportMeasurement().measure(50, 1);
 		for (int connections : new int[] { 50, 200, 800 }) {
-			new TransportMeasurement().measure(connections);
+			System.out.println(new TransportMeasurement().measure(connections, IDLE_SECONDS));
 		}
 	}
 
-	private void measure(int count) throws Exception {
+	private String measure(int count, int idleSeconds) throws Exception {
 		AgentServer server = startServer();
 		TcpAgentConnections connections = TcpAgentConnections.create(this.transport, TransportMeasurement::hello,
 				() -> new Message.ConfigurationChanges(1, List.of()), new Random(1));
-		// Loads all classes before the first reading of the heap.
-		AgentConnection first = open(connections, server, "warm-up");
-		sendAll(List.of(first), WARM_UP_MESSAGES);
+		open(connections, server, "warm-up");
+		// Lets the threads of the previous round end.
+		Thread.sleep(3_000);
 		long heap = usedHeap();
 		List<AgentConnection> opened = new ArrayList<>();
 		for (int i = 0; i < count; i++) {
@@ -87,20 +89,24 @@
 		}
 		long heapEach = (usedHeap() - heap) / count;
 		Sample idle = Sample.take(this.meters);
-		Thread.sleep(Duration.ofSeconds(IDLE_SECONDS).toMillis());
+		Thread.sleep(Duration.ofSeconds(idleSeconds).toMillis());
 		Sample afterIdle = Sample.take(this.meters);
+		sendAll(opened, WARM_UP_MESSAGES);
+		Sample beforeMessages = Sample.take(this.meters);
 		sendAll(opened, MESSAGES);
 		Sample afterMessages = Sample.take(this.meters);
-		double perConnection = (double) IDLE_SECONDS * count;
-		System.out.printf("%d | %d | %.1f | %.1f | %.1f | %.2f%n", count, heapEach,
+		double perConnection = (double) idleSeconds * count;
+		String line = String.format("%d | %d | %.1f | %.1f | %.1f | %.2f", count, heapEach,
 				(afterIdle.bytes - idle.bytes) / perConnection, (afterIdle.cpuMicros - idle.cpuMicros) / perConnection,
-				(afterMessages.bytes - afterIdle.bytes) / (afterMessages.messages - afterIdle.messages),
-				(afterMessages.cpuMicros - afterIdle.cpuMicros) / (afterMessages.messages - afterIdle.messages));
+				(afterMessages.bytes - beforeMessages.bytes) / (afterMessages.messages - beforeMessages.messages),
+				(afterMessages.cpuMicros - beforeMessages.cpuMicros)
+						/ (afterMessages.messages - beforeMessages.messages));
 		this.loop.scheduleDirect(connections::closeAll);
 		Thread.sleep(500);
 		server.close();
 		this.transport.close();
 		this.executor.shutdownNow();
+		return line;
 	}
 
 	private AgentServer startServer() throws IOException {
