--- a/src/test/java/org/magnoliahub/simulation/CoreFaultProperties.java
+++ b/src/test/java/org/magnoliahub/simulation/CoreFaultPropertyTests.java
@@ -17,7 +17,7 @@
  * of faults: kills, freezes, cuts, duplicates, store outages, slow stores and lost
  * answers, alone and together. A failure prints the seed of the schedule.
  */
-class CoreFaultProperties {
+class CoreFaultPropertyTests {
 
 	private static final int ACTIONS = 40;
 
