--- a/src/main/java/org/magnoliahub/agent/EndpointClient.java
+++ b/src/main/java/org/magnoliahub/agent/EndpointClient.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import org.magnoliahub.model.StageCall;
+import org.magnoliahub.protocol.ControlAction;
 import org.magnoliahub.protocol.Message;
 
 /**
@@ -29,4 +31,16 @@
 	 */
 	Single<Message.LoadReport> load();
 
+	/**
+	 * Passes a control command to the back end.
+	 * @param action what to do
+	 * @param argument name of the model or adapter, not blank
+	 * @param fencingNumber number of the sender's lease, at least 1
+	 * @return completes when the back end has carried it out; {@link EndpointException}
+	 * if it refuses or fails
+	 */
+	default Completable control(ControlAction action, String argument, long fencingNumber) {
+		return Completable.error(new EndpointException("the back end takes no control commands", false));
+	}
+
 }
--- a/src/main/java/org/magnoliahub/enginehttp/HttpEndpointClient.java
+++ b/src/main/java/org/magnoliahub/enginehttp/HttpEndpointClient.java
@@ -2,10 +2,12 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Map;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Emitter;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Notification;
@@ -28,6 +30,7 @@
 import org.magnoliahub.model.AttemptId;
 import org.magnoliahub.model.StageCall;
 import org.magnoliahub.model.StageType;
+import org.magnoliahub.protocol.ControlAction;
 import org.magnoliahub.protocol.Message;
 
 /**
@@ -65,6 +68,9 @@
 
 	private static final Duration LOAD_TIMEOUT = Duration.ofSeconds(2);
 
+	// Loading a model moves many gigabytes from a rate-limited store.
+	private static final Duration CONTROL_TIMEOUT = Duration.ofMinutes(10);
+
 	private static final int PREFETCHED_EVENTS = 16;
 
 	private static final MediaType JSON = MediaType.get("application/json");
@@ -119,9 +125,8 @@
 				return Flowable.error(new EndpointException("call cannot be sent: " + ex.getMessage(), false));
 			}
 			JsonNode documents = stageRequest.documents();
-			// Errors travel as values past the cancellation, because an error that is
-			// raised
-			// by the cancellation itself has no receiver.
+			// Errors travel as values past the cancellation, because an error that
+			// the cancellation itself raises has no receiver.
 			return Flowable
 				.generate(() -> open(call.type(), documents, exchange), HttpEndpointClient::emit, ResponseReader::close)
 				.subscribeOn(Schedulers.io())
@@ -157,9 +162,8 @@
 	private static void emit(ResponseReader reader, Emitter<EndpointEvent> emitter) throws EndpointException {
 		EndpointEvent event = reader.next();
 		if (event instanceof EndpointEvent.Finished) {
-			// The receiver cancels after the last event, which would close a connection
-			// that
-			// is still in use.
+			// The receiver cancels after the last event, which would close a
+			// connection that is still in use.
 			reader.close();
 			emitter.onNext(event);
 			emitter.onComplete();
@@ -188,6 +192,31 @@
 		}
 	}
 
+	@Override
+	public Completable control(ControlAction action, String argument, long fencingNumber) {
+		return Completable.fromAction(() -> sendControl(action, argument, fencingNumber))
+			.subscribeOn(Schedulers.io())
+			.observeOn(this.eventLoop);
+	}
+
+	private void sendControl(ControlAction action, String argument, long fencingNumber)
+			throws IOException, EndpointException {
+		HttpUrl.Builder url = this.baseUrl.newBuilder();
+		byte[] body = this.mapper.writeValueAsBytes(Map.of("lora_name", argument));
+		switch (action) {
+			case LOAD_MODEL ->
+				url.addPathSegments("v2/repository/models").addPathSegment(argument).addPathSegment("load");
+			case UNLOAD_MODEL ->
+				url.addPathSegments("v2/repository/models").addPathSegment(argument).addPathSegment("unload");
+			case LOAD_ADAPTER -> url.addPathSegments("v1/load_lora_adapter");
+			case UNLOAD_ADAPTER -> url.addPathSegments("v1/unload_lora_adapter");
+		}
+		Request.Builder request = new Request.Builder().url(url.build())
+			.header("Fencing-Number", Long.toString(fencingNumber))
+			.post(new SingleUseBody(body));
+		Exchange.create(this.client, request, CONTROL_TIMEOUT).execute().close();
+	}
+
 	private Message.LoadReport loadReport(Exchange exchange) throws IOException, EndpointException {
 		JsonNode load;
 		try (Response response = exchange.execute()) {
--- a/src/main/java/org/magnoliahub/protocol/Message.java
+++ b/src/main/java/org/magnoliahub/protocol/Message.java
@@ -175,4 +175,30 @@
 	record Credit(AttemptId attempt, int chunks) implements AboutAttempt {
 	}
 
+	/**
+	 * Asks an agent to pass a control command to its engine.
+	 *
+	 * @param commandId id of the command, for the answer
+	 * @param targetIncarnation incarnation of the agent that it is meant for, since a
+	 * restarted agent has forgotten the fencing numbers that it saw
+	 * @param duty name of the duty that the sender's lease is for
+	 * @param fencingNumber number of the sender's lease
+	 * @param action what to do
+	 * @param argument name of the model or adapter
+	 */
+	record Control(String commandId, long targetIncarnation, String duty, long fencingNumber, ControlAction action,
+			String argument) implements Message {
+	}
+
+	/**
+	 * Answer to {@link Control}.
+	 *
+	 * @param commandId id of the command
+	 * @param incarnation the agent's incarnation
+	 * @param status how it ended
+	 * @param detail what happened, empty text if done
+	 */
+	record ControlResult(String commandId, long incarnation, ControlStatus status, String detail) implements Message {
+	}
+
 }
--- a/src/main/java/org/magnoliahub/server/AgentProcess.java
+++ b/src/main/java/org/magnoliahub/server/AgentProcess.java
@@ -11,6 +11,7 @@
 import io.javalin.Javalin;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.magnoliahub.agent.ControlHandler;
 import org.magnoliahub.agent.EndpointAgent;
 import org.magnoliahub.agent.EndpointClient;
 import org.magnoliahub.agent.GatewayLink;
@@ -41,6 +42,8 @@
 
 	private final EndpointAgent agent;
 
+	private final ControlHandler control;
+
 	private final AgentServer server;
 
 	private final Javalin admin;
@@ -52,6 +55,7 @@
 		long incarnation = new SecureRandom().nextLong(1, Long.MAX_VALUE);
 		EndpointClient client = clients.create(settings, loop);
 		this.agent = EndpointAgent.of(incarnation, client, loop.timers(), settings.limits(), this.meters);
+		this.control = ControlHandler.of(incarnation, client, this.meters);
 		this.server = AgentServer.start(this.transport, new InetSocketAddress(settings.host(), settings.port()),
 				AgentServer.DEFAULT_MAXIMUM_CONNECTIONS, this::greeting, this.agent::load, this::accept);
 		this.admin = HttpServers.start("admin", settings.host(), settings.adminPort(), ADMIN_THREADS, ADMIN_CONNECTIONS,
@@ -123,10 +127,18 @@
 		this.agent.connected(link);
 		session.messages()
 			.onBackpressureBuffer()
-			.subscribe((message) -> this.agent.receive(link, message), (failure) -> session.close(),
+			.subscribe((message) -> receive(link, message), (failure) -> session.close(),
 					() -> this.agent.disconnected(link));
 	}
 
+	private void receive(GatewayLink link, Message message) {
+		if (message instanceof Message.Control command) {
+			this.control.receive(link, command);
+			return;
+		}
+		this.agent.receive(link, message);
+	}
+
 	private void addAdminRoutes(Javalin javalin) {
 		AdminRoutes.add(javalin, () -> !this.loop.call(this.agent::isDraining), this.meters);
 		javalin.post("/drain", (context) -> {
--- a/src/main/java/org/magnoliahub/standin/EngineStandIn.java
+++ b/src/main/java/org/magnoliahub/standin/EngineStandIn.java
@@ -31,6 +31,10 @@
 		this.server.serve("/v1/embeddings", answering(EngineStandIn::embed));
 		this.server.serve("/v1/retrieve", answering(EngineStandIn::retrieve));
 		this.server.serve("/v1/rerank", answering(EngineStandIn::rerank));
+		this.server.serveControl("/v2/repository/models/{name}/load");
+		this.server.serveControl("/v2/repository/models/{name}/unload");
+		this.server.serveControl("/v1/load_lora_adapter");
+		this.server.serveControl("/v1/unload_lora_adapter");
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/standin/StandInServer.java
+++ b/src/main/java/org/magnoliahub/standin/StandInServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -40,6 +41,8 @@
 
 	private final long startedNanos = System.nanoTime();
 
+	private final List<String> controls = new ArrayList<>();
+
 	private final RunSlots slots;
 
 	private final Random random;
@@ -61,6 +64,11 @@
 		this.javalin.get("/runs", (context) -> json(context, runs()));
 		this.javalin.get("/load",
 				(context) -> json(context, Map.of("running", this.slots.running(), "waiting", this.slots.waiting())));
+		this.javalin.get("/controls", (context) -> {
+			synchronized (this.controls) {
+				json(context, this.controls);
+			}
+		});
 		this.javalin.post("/faults", this::changeFaults);
 	}
 
@@ -106,6 +114,21 @@
 		this.javalin.post(path, (context) -> run(context, work));
 	}
 
+	/**
+	 * Serves control commands on a path. Fencing numbers are logged and ignored, as some
+	 * engines do.
+	 * @param path the path
+	 */
+	void serveControl(String path) {
+		this.javalin.post(path, (context) -> {
+			String number = Objects.requireNonNullElse(context.header("Fencing-Number"), "");
+			synchronized (this.controls) {
+				this.controls.add(number + " " + context.path() + " " + context.body());
+			}
+			context.result("{}");
+		});
+	}
+
 	private void run(Context context, Work work) throws InterruptedException {
 		JsonNode body;
 		try {
--- a/src/main/java/org/magnoliahub/transport/MessageCodec.java
+++ b/src/main/java/org/magnoliahub/transport/MessageCodec.java
@@ -34,7 +34,8 @@
 			Map.entry("revoke", Message.Revoke.class), Map.entry("revoke_result", Message.RevokeResult.class),
 			Map.entry("load_report", Message.LoadReport.class), Map.entry("draining", Message.Draining.class),
 			Map.entry("configuration_changes", Message.ConfigurationChanges.class),
-			Map.entry("credit", Message.Credit.class));
+			Map.entry("credit", Message.Credit.class), Map.entry("control", Message.Control.class),
+			Map.entry("control_result", Message.ControlResult.class));
 
 	private static final Map<Class<? extends Message>, String> NAMES = TYPES.entrySet()
 		.stream()
--- /dev/null
+++ b/src/test/java/org/magnoliahub/agent/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the core of the agent.
+ */
+@NullMarked
+package org.magnoliahub.agent;
+
+import org.jspecify.annotations.NullMarked;
