--- a/src/main/java/org/magnoliahub/server/AgentProcess.java
+++ b/src/main/java/org/magnoliahub/server/AgentProcess.java
@@ -44,6 +44,8 @@
 
 	private final ControlHandler control;
 
+	private final ConfigurationRelay relay;
+
 	private final AgentServer server;
 
 	private final Javalin admin;
@@ -56,8 +58,10 @@
 		EndpointClient client = clients.create(settings, loop);
 		this.agent = EndpointAgent.of(incarnation, client, loop.timers(), settings.limits(), this.meters);
 		this.control = ControlHandler.of(incarnation, client, this.meters);
+		this.relay = ConfigurationRelay.create(loop.timers());
 		this.server = AgentServer.start(this.transport, new InetSocketAddress(settings.host(), settings.port()),
 				AgentServer.DEFAULT_MAXIMUM_CONNECTIONS, this::greeting, this.agent::load, this::accept);
+		loop.call(this.relay::start);
 		this.admin = HttpServers.start("admin", settings.host(), settings.adminPort(), ADMIN_THREADS, ADMIN_CONNECTIONS,
 				(config) -> {
 				}, this::addAdminRoutes);
@@ -125,17 +129,24 @@
 	private void accept(GatewaySession session) {
 		GatewayLink link = session::send;
 		this.agent.connected(link);
+		this.relay.connected(session);
 		session.messages()
 			.onBackpressureBuffer()
-			.subscribe((message) -> receive(link, message), (failure) -> session.close(),
-					() -> this.agent.disconnected(link));
+			.subscribe((message) -> receive(session, link, message), (failure) -> session.close(), () -> {
+				this.agent.disconnected(link);
+				this.relay.disconnected(session);
+			});
 	}
 
-	private void receive(GatewayLink link, Message message) {
+	private void receive(GatewaySession session, GatewayLink link, Message message) {
 		if (message instanceof Message.Control command) {
 			this.control.receive(link, command);
 			return;
 		}
+		if (message instanceof Message.ConfigurationChanges changes) {
+			this.relay.receive(session, changes);
+			return;
+		}
 		this.agent.receive(link, message);
 	}
 
--- /dev/null
+++ b/src/main/java/org/magnoliahub/server/ConfigurationRelay.java
@@ -0,0 +1,124 @@
+package org.magnoliahub.server;
+
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.reactivex.rxjava3.core.Single;
+import org.magnoliahub.configuration.ConfigurationHolder;
+import org.magnoliahub.configuration.ConfigurationPeers;
+import org.magnoliahub.configuration.ConfigurationRepository;
+import org.magnoliahub.platform.ObjectStore;
+import org.magnoliahub.platform.PutCondition;
+import org.magnoliahub.platform.Row;
+import org.magnoliahub.platform.RowKey;
+import org.magnoliahub.platform.StoreException;
+import org.magnoliahub.platform.StoredObject;
+import org.magnoliahub.platform.TableStore;
+import org.magnoliahub.platform.Transaction;
+import org.magnoliahub.platform.TransactionResult;
+import org.magnoliahub.protocol.Message;
+import org.magnoliahub.time.TimerService;
+import org.magnoliahub.transport.GatewaySession;
+
+/**
+ * An agent's part in the spreading of configuration versions. Gateways are connected only
+ * to agents, so agents pass versions on between them; 2,600 agents do not poll the table
+ * service themselves.
+ */
+final class ConfigurationRelay implements ConfigurationPeers {
+
+	private final Map<String, GatewaySession> sessions = new HashMap<>();
+
+	private final ConfigurationHolder holder;
+
+	private ConfigurationRelay(TimerService timers) {
+		this.holder = ConfigurationHolder.of(ConfigurationRepository.of(new NoTableStore(), new NoObjectStore()), this,
+				timers, new SecureRandom());
+	}
+
+	static ConfigurationRelay create(TimerService timers) {
+		return new ConfigurationRelay(timers);
+	}
+
+	boolean start() {
+		this.holder.start();
+		return true;
+	}
+
+	long version() {
+		return this.holder.configuration().version();
+	}
+
+	void connected(GatewaySession session) {
+		String gateway = session.peer().process();
+		this.sessions.put(gateway, session);
+		this.holder.peerConnected(gateway, session.peer().configurationVersion());
+	}
+
+	void disconnected(GatewaySession session) {
+		this.sessions.remove(session.peer().process(), session);
+	}
+
+	void receive(GatewaySession session, Message.ConfigurationChanges changes) {
+		this.holder.receive(session.peer().process(), changes);
+	}
+
+	@Override
+	public List<String> connected() {
+		return List.copyOf(this.sessions.keySet());
+	}
+
+	@Override
+	public void send(String peer, Message.ConfigurationChanges message) {
+		GatewaySession session = this.sessions.get(peer);
+		if (session != null) {
+			session.send(message);
+		}
+	}
+
+	private static <T> Single<T> unavailable() {
+		return Single.error(new StoreException("agents do not use the platform's services", false));
+	}
+
+	private static final class NoTableStore implements TableStore {
+
+		@Override
+		public Single<Optional<Row>> read(RowKey key) {
+			return unavailable();
+		}
+
+		@Override
+		public Single<List<Row>> scan(String table, String fromKey, int limit) {
+			return unavailable();
+		}
+
+		@Override
+		public Single<TransactionResult> commit(Transaction transaction) {
+			return unavailable();
+		}
+
+	}
+
+	private static final class NoObjectStore implements ObjectStore {
+
+		@Override
+		public Single<Optional<StoredObject>> get(String key) {
+			return unavailable();
+		}
+
+		@Override
+		public Single<Optional<String>> put(String key, byte[] content, PutCondition condition) {
+			return unavailable();
+		}
+
+		@Override
+		public Single<List<String>> list(String prefix, String startAfter, int limit) {
+			return unavailable();
+		}
+
+	}
+
+}
--- a/src/main/java/org/magnoliahub/server/EndpointConnections.java
+++ b/src/main/java/org/magnoliahub/server/EndpointConnections.java
@@ -4,8 +4,10 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -39,8 +41,12 @@
 
 	private final Map<String, Open> open = new HashMap<>();
 
+	private final Set<String> draining = new HashSet<>();
+
 	private final AtomicInteger connectedCount = new AtomicInteger();
 
+	private Set<String> leavingAddresses = Set.of();
+
 	EndpointConnections(TcpAgentConnections connections, String gateway, AvailabilityZone availabilityZone,
 			MeterRegistry meters) {
 		this.connections = connections;
@@ -96,7 +102,7 @@
 		subscriptions.add(connection.connected()
 			.subscribe((connected) -> connectionChanged(connection, connected, scheduler, holder)));
 		subscriptions
-			.add(connection.messages().subscribe((message) -> receive(endpoint.name(), message, scheduler, holder)));
+			.add(connection.messages().subscribe((message) -> receive(connection, message, scheduler, holder)));
 	}
 
 	private void close(Open present) {
@@ -105,25 +111,48 @@
 		this.connections.close(present.endpoint());
 	}
 
+	/**
+	 * Takes the addresses of leaving VMs, whose endpoints get no new work.
+	 * @param addresses addresses of agents
+	 * @param scheduler learns which endpoints are usable
+	 */
+	void vmsLeaving(Set<String> addresses, StageScheduler scheduler) {
+		if (addresses.equals(this.leavingAddresses)) {
+			return;
+		}
+		this.leavingAddresses = Set.copyOf(addresses);
+		this.open.values().forEach((present) -> updateUsable(present.connection(), scheduler));
+	}
+
 	private void connectionChanged(AgentConnection connection, boolean connected, StageScheduler scheduler,
 			ConfigurationHolder holder) {
 		String name = connection.endpoint().name();
 		Message.Hello peer = connection.peer().orElse(null);
-		boolean usable = connected && peer != null && !peer.draining();
-		LOGGER.log(Level.INFO, "agent connection changed endpoint={0} connected={1} usable={2}", name, connected,
-				usable);
-		scheduler.setUsable(name, usable);
+		this.draining.remove(name);
+		if (peer != null && peer.draining()) {
+			this.draining.add(name);
+		}
+		LOGGER.log(Level.INFO, "agent connection changed endpoint={0} connected={1}", name, connected);
+		updateUsable(connection, scheduler);
 		this.connectedCount.set(connected().size());
 		if (connected && peer != null) {
 			holder.peerConnected(name, peer.configurationVersion());
 		}
 	}
 
-	private static void receive(String endpoint, Message message, StageScheduler scheduler,
+	private void updateUsable(AgentConnection connection, StageScheduler scheduler) {
+		Endpoint endpoint = connection.endpoint();
+		scheduler.setUsable(endpoint.name(), connection.peer().isPresent() && !this.draining.contains(endpoint.name())
+				&& !this.leavingAddresses.contains(endpoint.agentAddress()));
+	}
+
+	private void receive(AgentConnection connection, Message message, StageScheduler scheduler,
 			ConfigurationHolder holder) {
+		String endpoint = connection.endpoint().name();
 		if (message instanceof Message.Draining) {
 			LOGGER.log(Level.INFO, "endpoint draining endpoint={0}", endpoint);
-			scheduler.setUsable(endpoint, false);
+			this.draining.add(endpoint);
+			updateUsable(connection, scheduler);
 		}
 		else if (message instanceof Message.LoadReport load) {
 			scheduler.loadReported(endpoint, load);
--- a/src/main/java/org/magnoliahub/server/GatewayProcess.java
+++ b/src/main/java/org/magnoliahub/server/GatewayProcess.java
@@ -60,6 +60,10 @@
 
 	private final ConfigurationHolder holder;
 
+	private final ClaimCleanupDuty cleanup;
+
+	private final VmWatcher vmWatcher;
+
 	private final RequestCoordinator coordinator;
 
 	private final Javalin callers;
@@ -81,6 +85,9 @@
 				ClaimSettings.defaults());
 		this.coordinator = RequestCoordinator.of(settings.name(), this.holder::configuration, scheduler, agents, claims,
 				loop.timers(), this.random, settings.limits(), Instant::now, recorder, this.meters);
+		this.cleanup = new ClaimCleanupDuty(settings.name(), platform.tableStore(), loop.timers(),
+				ClaimSettings.defaults(), this.meters);
+		this.vmWatcher = new VmWatcher(platform.vmInventory(), loop.timers(), this.random, this.meters);
 		loop.call(() -> startCore(scheduler));
 		this.callers = HttpServers.start("callers", settings.host(), settings.port(),
 				settings.maximumStreams() + EXTRA_THREADS, settings.maximumConnections(), (config) -> {
@@ -157,6 +164,8 @@
 		this.admin.stop();
 		this.loop.call(() -> {
 			this.holder.stop();
+			this.cleanup.stop();
+			this.vmWatcher.stop();
 			this.subscriptions.dispose();
 			this.connections.closeAll();
 			return true;
@@ -172,6 +181,8 @@
 			this.connections.apply(configuration, scheduler, this.holder);
 		}));
 		this.holder.start();
+		this.cleanup.start();
+		this.vmWatcher.start((leaving) -> this.connections.vmsLeaving(leaving, scheduler));
 		return true;
 	}
 
--- /dev/null
+++ b/src/main/java/org/magnoliahub/server/VmWatcher.java
@@ -0,0 +1,70 @@
+package org.magnoliahub.server;
+
+import java.time.Duration;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.disposables.Disposable;
+import org.magnoliahub.model.Vm;
+import org.magnoliahub.model.VmState;
+import org.magnoliahub.platform.VmInventory;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * Polls the platform's list of VMs for those that are leaving. The list lags, so it only
+ * backs up what agents say themselves; while it cannot be read, the last list stands.
+ */
+final class VmWatcher {
+
+	private static final Duration PERIOD = Duration.ofSeconds(10);
+
+	private static final double JITTER = 0.2;
+
+	private final VmInventory inventory;
+
+	private final TimerService timers;
+
+	private final RandomGenerator random;
+
+	private final Counter failures;
+
+	private Disposable polls = Disposable.disposed();
+
+	VmWatcher(VmInventory inventory, TimerService timers, RandomGenerator random, MeterRegistry meters) {
+		this.inventory = inventory;
+		this.timers = timers;
+		this.random = random;
+		this.failures = meters.counter("magnoliahub.inventory.failures");
+	}
+
+	/**
+	 * Starts to poll.
+	 * @param leaving receives the addresses of leaving VMs after each successful poll
+	 */
+	void start(Consumer<Set<String>> leaving) {
+		this.polls = Completable.defer(() -> poll(leaving)).repeat().subscribe();
+	}
+
+	void stop() {
+		this.polls.dispose();
+	}
+
+	private Completable poll(Consumer<Set<String>> leaving) {
+		Duration pause = Duration.ofNanos((long) (PERIOD.toNanos() * (1 - JITTER * this.random.nextDouble())));
+		return this.inventory.list()
+			.doOnSuccess((vms) -> leaving.accept(vms.stream()
+				.filter((vm) -> vm.state() == VmState.LEAVING)
+				.map(Vm::address)
+				.collect(Collectors.toSet())))
+			.doOnError((failure) -> this.failures.increment())
+			.ignoreElement()
+			.onErrorComplete()
+			.andThen(this.timers.after(pause));
+	}
+
+}
