--- a/src/main/java/org/magnoliahub/server/EndpointConnections.java
+++ b/src/main/java/org/magnoliahub/server/EndpointConnections.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 import io.micrometer.core.instrument.MeterRegistry;
@@ -20,6 +21,8 @@
 import org.magnoliahub.model.AvailabilityZone;
 import org.magnoliahub.model.Configuration;
 import org.magnoliahub.model.Endpoint;
+import org.magnoliahub.model.Vm;
+import org.magnoliahub.model.VmState;
 import org.magnoliahub.protocol.Message;
 import org.magnoliahub.routing.EndpointSubset;
 import org.magnoliahub.routing.StageScheduler;
@@ -33,12 +36,18 @@
 
 	private static final Logger LOGGER = System.getLogger(EndpointConnections.class.getName());
 
+	private static final int SEEDS = 5;
+
+	private static final String SEED_POOL = "seed";
+
 	private final TcpAgentConnections connections;
 
 	private final String gateway;
 
 	private final AvailabilityZone availabilityZone;
 
+	private final RandomGenerator random;
+
 	private final Map<String, Open> open = new HashMap<>();
 
 	private final Set<String> draining = new HashSet<>();
@@ -48,10 +57,11 @@
 	private Set<String> leavingAddresses = Set.of();
 
 	EndpointConnections(TcpAgentConnections connections, String gateway, AvailabilityZone availabilityZone,
-			MeterRegistry meters) {
+			RandomGenerator random, MeterRegistry meters) {
 		this.connections = connections;
 		this.gateway = gateway;
 		this.availabilityZone = availabilityZone;
+		this.random = random;
 		meters.gauge("magnoliahub.gateway.agents.connected", this.connectedCount);
 	}
 
@@ -112,16 +122,35 @@
 	}
 
 	/**
-	 * Takes the addresses of leaving VMs, whose endpoints get no new work.
-	 * @param addresses addresses of agents
+	 * Takes the list of VMs. Endpoints on leaving VMs get no new work. A gateway without
+	 * a configuration connects to a few VMs, whose agents may know one.
+	 * @param vms the VMs
 	 * @param scheduler learns which endpoints are usable
+	 * @param holder learns configuration versions of agents
 	 */
-	void vmsLeaving(Set<String> addresses, StageScheduler scheduler) {
-		if (addresses.equals(this.leavingAddresses)) {
-			return;
+	void vmsListed(List<Vm> vms, StageScheduler scheduler, ConfigurationHolder holder) {
+		Set<String> leaving = vms.stream()
+			.filter((vm) -> vm.state() == VmState.LEAVING)
+			.map(Vm::address)
+			.collect(Collectors.toSet());
+		if (!leaving.equals(this.leavingAddresses)) {
+			this.leavingAddresses = leaving;
+			this.open.values().forEach((present) -> updateUsable(present.connection(), scheduler));
+		}
+		if (holder.configuration().version() == 0 && connected().isEmpty()) {
+			List.copyOf(this.open.values()).forEach(this::close);
+			seeds(vms).forEach((seed) -> open(seed, scheduler, holder));
+		}
+	}
+
+	private List<Endpoint> seeds(List<Vm> vms) {
+		List<Vm> live = new ArrayList<>(vms.stream().filter((vm) -> vm.state() == VmState.LIVE).toList());
+		List<Endpoint> seeds = new ArrayList<>();
+		while (!live.isEmpty() && seeds.size() < SEEDS) {
+			Vm vm = live.remove(this.random.nextInt(live.size()));
+			seeds.add(new Endpoint(vm.name(), SEED_POOL, vm.availabilityZone(), vm.address(), false));
 		}
-		this.leavingAddresses = Set.copyOf(addresses);
-		this.open.values().forEach((present) -> updateUsable(present.connection(), scheduler));
+		return seeds;
 	}
 
 	private void connectionChanged(AgentConnection connection, boolean connected, StageScheduler scheduler,
--- a/src/main/java/org/magnoliahub/server/GatewayProcess.java
+++ b/src/main/java/org/magnoliahub/server/GatewayProcess.java
@@ -77,7 +77,8 @@
 		this.transport = Transport.create(loop.scheduler(), loop.timers(), this.meters);
 		TcpAgentConnections agents = TcpAgentConnections.create(this.transport, this::greeting, this::versionInForce,
 				this.random);
-		this.connections = new EndpointConnections(agents, settings.name(), settings.availabilityZone(), this.meters);
+		this.connections = new EndpointConnections(agents, settings.name(), settings.availabilityZone(), this.random,
+				this.meters);
 		this.holder = ConfigurationHolder.of(ConfigurationRepository.of(platform.tableStore(), platform.objectStore()),
 				this.connections, loop.timers(), this.random);
 		StageScheduler scheduler = BaselineScheduler.leastOutstanding(this.holder::configuration, this.random);
@@ -176,13 +177,16 @@
 	}
 
 	private boolean startCore(StageScheduler scheduler) {
+		this.meters.gauge("magnoliahub.configuration.version", this.holder,
+				(source) -> source.configuration().version());
+		this.meters.gauge("magnoliahub.configuration.stale", this.holder, (source) -> source.status().stale() ? 1 : 0);
 		this.subscriptions.add(this.holder.configurations().subscribe((configuration) -> {
 			LOGGER.log(Level.INFO, "configuration in force version={0}", String.valueOf(configuration.version()));
 			this.connections.apply(configuration, scheduler, this.holder);
 		}));
 		this.holder.start();
 		this.cleanup.start();
-		this.vmWatcher.start((leaving) -> this.connections.vmsLeaving(leaving, scheduler));
+		this.vmWatcher.start((vms) -> this.connections.vmsListed(vms, scheduler, this.holder));
 		return true;
 	}
 
--- a/src/main/java/org/magnoliahub/server/VmWatcher.java
+++ b/src/main/java/org/magnoliahub/server/VmWatcher.java
@@ -1,23 +1,21 @@
 package org.magnoliahub.server;
 
 import java.time.Duration;
-import java.util.Set;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.magnoliahub.model.Vm;
-import org.magnoliahub.model.VmState;
 import org.magnoliahub.platform.VmInventory;
 import org.magnoliahub.time.TimerService;
 
 /**
- * Polls the platform's list of VMs for those that are leaving. The list lags, so it only
- * backs up what agents say themselves; while it cannot be read, the last list stands.
+ * Polls the platform's list of VMs. The list lags, so it only backs up what agents say
+ * themselves; while it cannot be read, the last list stands.
  */
 final class VmWatcher {
 
@@ -44,23 +42,20 @@
 
 	/**
 	 * Starts to poll.
-	 * @param leaving receives the addresses of leaving VMs after each successful poll
+	 * @param listed receives the list after each successful poll
 	 */
-	void start(Consumer<Set<String>> leaving) {
-		this.polls = Completable.defer(() -> poll(leaving)).repeat().subscribe();
+	void start(Consumer<List<Vm>> listed) {
+		this.polls = Completable.defer(() -> poll(listed)).repeat().subscribe();
 	}
 
 	void stop() {
 		this.polls.dispose();
 	}
 
-	private Completable poll(Consumer<Set<String>> leaving) {
+	private Completable poll(Consumer<List<Vm>> listed) {
 		Duration pause = Duration.ofNanos((long) (PERIOD.toNanos() * (1 - JITTER * this.random.nextDouble())));
 		return this.inventory.list()
-			.doOnSuccess((vms) -> leaving.accept(vms.stream()
-				.filter((vm) -> vm.state() == VmState.LEAVING)
-				.map(Vm::address)
-				.collect(Collectors.toSet())))
+			.doOnSuccess(listed::accept)
 			.doOnError((failure) -> this.failures.increment())
 			.ignoreElement()
 			.onErrorComplete()
--- a/src/test/java/org/magnoliahub/process/ProcessSystem.java
+++ b/src/test/java/org/magnoliahub/process/ProcessSystem.java
@@ -99,7 +99,12 @@
 						String.valueOf(port), "--admin-port", "0"));
 	}
 
-	private void startGateway(int index) throws IOException {
+	/**
+	 * Starts a gateway and waits until it is connected to all agents.
+	 * @param index index of the gateway, the number of gateways so far
+	 * @throws IOException if it does not start
+	 */
+	void startGateway(int index) throws IOException {
 		String base = "http://" + HOST + ":" + this.platform.port();
 		RunningProcess gateway = RunningProcess.start("gateway-" + index, "gateway", "--name", "gateway-" + index,
 				"--availability-zone", "zone-a", "--listen-port", "0", "--admin-port", "0", "--table-store-url", base,
@@ -111,8 +116,19 @@
 	}
 
 	private long connectedAgents(RunningProcess gateway) throws IOException {
-		return get(gateway.adminPort(), "/metrics").lines()
-			.filter((line) -> line.startsWith("magnoliahub_gateway_agents_connected"))
+		return metric(gateway, "magnoliahub_gateway_agents_connected");
+	}
+
+	/**
+	 * Reads a metric.
+	 * @param process the process
+	 * @param name name of the metric
+	 * @return its value, 0 if it is absent
+	 * @throws IOException if the process does not answer
+	 */
+	long metric(RunningProcess process, String name) throws IOException {
+		return get(process.adminPort(), "/metrics").lines()
+			.filter((line) -> line.startsWith(name))
 			.mapToLong((line) -> (long) Double.parseDouble(line.substring(line.lastIndexOf(' '))))
 			.sum();
 	}
@@ -214,6 +230,20 @@
 		this.client.newCall(request).execute().close();
 	}
 
+	/**
+	 * Lists the agents as live VMs in the platform's inventory.
+	 * @throws IOException if the platform does not answer
+	 */
+	void listAgentsInInventory() throws IOException {
+		List<Map<String, Object>> groups = new ArrayList<>();
+		this.agents.forEach((name, agent) -> groups.add(Map.of("targets", List.of(HOST + ":" + agent.port()), "labels",
+				Map.of("vm", name, "availability_zone", "zone-a", "state", "live"))));
+		Request request = new Request.Builder().url("http://" + HOST + ":" + this.platform.port() + "/inventory")
+			.put(RequestBody.create(MAPPER.writeValueAsString(groups), JSON))
+			.build();
+		this.client.newCall(request).execute().close();
+	}
+
 	/**
 	 * Counts the runs of orders at the far end.
 	 * @return number of runs by idempotency key
