Add YAML declarations with faults by file and line

Items may be split over files in any way. A service stage must state whether it is idempotent, because a default could run a call twice. A faulty field is replaced by a placeholder so that one run reports the remaining faults and references too.

--- a/src/main/java/org/magnoliahub/configuration/ConfigurationValidator.java
+++ b/src/main/java/org/magnoliahub/configuration/ConfigurationValidator.java
@@ -150,12 +150,12 @@
 		}
 		Duration minimum = MINIMUM_DEADLINE_PER_STAGE.multipliedBy(pipeline.stages().size());
 		if (requestClass.deadline().compareTo(minimum) < 0) {
-			fault(ItemKind.REQUEST_CLASS, requestClass.name(), "deadline",
+			fault(ItemKind.REQUEST_CLASS, requestClass.name(), "deadline-ms",
 					"expected at least " + minimum.toMillis() + " ms for " + pipeline.stages().size()
 							+ " stages, but it is " + requestClass.deadline().toMillis() + " ms; raise it");
 		}
 		if (!pipeline.isIdempotent() && requestClass.deadline().compareTo(MAXIMUM_NON_IDEMPOTENT_DEADLINE) > 0) {
-			fault(ItemKind.REQUEST_CLASS, requestClass.name(), "deadline",
+			fault(ItemKind.REQUEST_CLASS, requestClass.name(), "deadline-ms",
 					"expected at most " + MAXIMUM_NON_IDEMPOTENT_DEADLINE.toMillis()
 							+ " ms because the pipeline has a non-idempotent stage, but it is "
 							+ requestClass.deadline().toMillis() + " ms; lower it");
--- /dev/null
+++ b/src/main/java/org/magnoliahub/declaration/DeclarationReader.java
@@ -0,0 +1,281 @@
+package org.magnoliahub.declaration;
+
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import java.util.stream.Stream;
+
+import org.magnoliahub.configuration.ConfigurationFault;
+import org.magnoliahub.configuration.ConfigurationValidator;
+import org.magnoliahub.configuration.ItemKind;
+import org.magnoliahub.model.AvailabilityZone;
+import org.magnoliahub.model.Configuration;
+import org.magnoliahub.model.Endpoint;
+import org.magnoliahub.model.Objective;
+import org.magnoliahub.model.PipelineDefinition;
+import org.magnoliahub.model.RequestClass;
+import org.magnoliahub.model.StageDefinition;
+import org.magnoliahub.model.StageType;
+import org.magnoliahub.model.Workspace;
+
+/**
+ * Reads the declarations of a directory. Items may be split over files in any way.
+ */
+public final class DeclarationReader {
+
+	/** Priority of a request class that declares none. */
+	public static final int DEFAULT_PRIORITY = 5;
+
+	/** Weight of a workspace that declares none. */
+	public static final int DEFAULT_WEIGHT = 1;
+
+	/** Limit of requests in flight of a workspace that declares none. */
+	public static final int DEFAULT_CONCURRENT_REQUESTS = 100;
+
+	private static final int MAXIMUM_FILES = 1_000;
+
+	private static final long MAXIMUM_DEADLINE_MILLIS = 3_600_000;
+
+	private static final int MAXIMUM_WEIGHT = 1_000_000;
+
+	/** Stands for a missing text, so that the rest of the item is checked. */
+	private static final String MISSING = "missing";
+
+	private final List<DeclarationFault> faults = new ArrayList<>();
+
+	private final Map<String, SourceLocation> locations = new HashMap<>();
+
+	private final Set<String> faultyFields = new HashSet<>();
+
+	private final List<PipelineDefinition> pipelines = new ArrayList<>();
+
+	private final List<RequestClass> requestClasses = new ArrayList<>();
+
+	private final List<Endpoint> endpoints = new ArrayList<>();
+
+	private final List<Workspace> workspaces = new ArrayList<>();
+
+	private boolean incomplete;
+
+	private DeclarationReader() {
+	}
+
+	/**
+	 * Reads all files named {@code *.yaml} or {@code *.yml} below a directory.
+	 * @param directory the directory
+	 * @return the declarations with all faults
+	 * @throws IOException if the directory or a file cannot be read
+	 */
+	public static Declarations read(Path directory) throws IOException {
+		DeclarationReader reader = new DeclarationReader();
+		List<Path> files = files(directory);
+		for (Path file : files) {
+			reader.readFile(directory.relativize(file).toString(), file);
+		}
+		return reader.finish(files.size());
+	}
+
+	private static List<Path> files(Path directory) throws IOException {
+		try (Stream<Path> paths = Files.walk(directory)) {
+			List<Path> files = paths.filter(Files::isRegularFile)
+				.filter((path) -> path.toString().endsWith(".yaml") || path.toString().endsWith(".yml"))
+				.sorted()
+				.limit(MAXIMUM_FILES + 1)
+				.toList();
+			if (files.size() > MAXIMUM_FILES) {
+				throw new IOException("expected at most " + MAXIMUM_FILES + " files below " + directory);
+			}
+			return files;
+		}
+	}
+
+	private void readFile(String name, Path file) throws IOException {
+		String content;
+		try {
+			content = Files.readString(file);
+		}
+		catch (CharacterCodingException ex) {
+			fault(new SourceLocation(name, 1), "expected text in UTF-8; convert the file");
+			return;
+		}
+		Optional<YamlNode> root = YamlReader.read(name, content, this.faults);
+		if (root.isEmpty()) {
+			this.incomplete |= !this.faults.isEmpty();
+			return;
+		}
+		if (!(root.get() instanceof YamlNode.Mapping mapping)) {
+			fault(root.get().location(), "expected a mapping with the fields pipelines, request-classes, endpoints"
+					+ " and workspaces, but it is " + root.get().describe() + "; start with one of these fields");
+			return;
+		}
+		FieldReader reader = FieldReader.of(mapping, this::fault);
+		reader.mappings("pipelines").forEach(this::readPipeline);
+		reader.mappings("request-classes").forEach(this::readRequestClass);
+		reader.mappings("endpoints").forEach(this::readEndpoint);
+		reader.mappings("workspaces").forEach(this::readWorkspace);
+		reader.checkUnknown();
+	}
+
+	private void readPipeline(YamlNode.Mapping mapping) {
+		Item item = item(ItemKind.PIPELINE, mapping);
+		List<StageDefinition> stages = new ArrayList<>();
+		for (YamlNode.Mapping stage : item.reader().mappings("stages")) {
+			stages.add(readStage(item, stage, stages.size()));
+		}
+		if (stages.isEmpty() || stages.size() > PipelineDefinition.MAXIMUM_STAGES) {
+			item.reader()
+				.fault("stages", "expected 1 to " + PipelineDefinition.MAXIMUM_STAGES + " stages, but there are "
+						+ stages.size() + "; correct the list");
+			this.incomplete = true;
+		}
+		item.reader().checkUnknown();
+		add(item, this.pipelines, () -> new PipelineDefinition(item.name(), stages));
+	}
+
+	private StageDefinition readStage(Item pipeline, YamlNode.Mapping mapping, int index) {
+		String prefix = "stages[" + index + "].";
+		FieldReader reader = FieldReader.of(mapping, (location, message) -> pipeline.fault(location, prefix + message));
+		String name = reader.text("name", "stage-" + index);
+		StageType type = reader.choice("type", StageType.class, null);
+		// A default could run a service call twice; model stages have no side effect.
+		boolean idempotent = (type == StageType.SERVICE)
+				? reader.requiredFlag("idempotent", "false if a call must not run twice")
+				: reader.flag("idempotent", true);
+		String path = reader.text("path", "/");
+		if (!path.startsWith("/")) {
+			reader.fault("path", "expected an HTTP path that starts with /, but it is '" + path + "'; correct it");
+			path = "/";
+		}
+		StageDefinition stage = new StageDefinition(name, type, reader.text("pool", MISSING), idempotent, path,
+				reader.price("price-per-second"));
+		reader.checkUnknown();
+		locate(pipeline, reader, prefix);
+		return stage;
+	}
+
+	private void readRequestClass(YamlNode.Mapping mapping) {
+		Item item = item(ItemKind.REQUEST_CLASS, mapping);
+		FieldReader reader = item.reader();
+		String pipeline = reader.text("pipeline", MISSING);
+		Duration deadline = Duration.ofMillis(reader.requiredNumber("deadline-ms", 1, MAXIMUM_DEADLINE_MILLIS));
+		Objective objective = reader.choice("objective", Objective.class, Objective.ATTAINMENT);
+		int priority = (int) reader.number("priority", 0, 9, DEFAULT_PRIORITY);
+		reader.checkUnknown();
+		add(item, this.requestClasses, () -> new RequestClass(item.name(), pipeline, deadline, objective, priority));
+	}
+
+	private void readEndpoint(YamlNode.Mapping mapping) {
+		Item item = item(ItemKind.ENDPOINT, mapping);
+		FieldReader reader = item.reader();
+		String pool = reader.text("pool", MISSING);
+		AvailabilityZone zone = new AvailabilityZone(reader.text("zone", MISSING));
+		String agent = reader.text("agent", MISSING);
+		boolean authenticatesCommands = reader.flag("authenticates-commands", false);
+		reader.checkUnknown();
+		add(item, this.endpoints, () -> new Endpoint(item.name(), pool, zone, agent, authenticatesCommands));
+	}
+
+	private void readWorkspace(YamlNode.Mapping mapping) {
+		Item item = item(ItemKind.WORKSPACE, mapping);
+		int weight = (int) item.reader().number("weight", 1, MAXIMUM_WEIGHT, DEFAULT_WEIGHT);
+		int limit = (int) item.reader()
+			.number("maximum-concurrent-requests", 1, MAXIMUM_WEIGHT, DEFAULT_CONCURRENT_REQUESTS);
+		item.reader().checkUnknown();
+		add(item, this.workspaces, () -> new Workspace(item.name(), weight, limit));
+	}
+
+	private Item item(ItemKind kind, YamlNode.Mapping mapping) {
+		YamlNode.Field field = mapping.fields().get("name");
+		String label = (field != null && field.value() instanceof YamlNode.Scalar scalar)
+				? kind.label() + " " + scalar.text() : kind.label();
+		BiConsumer<SourceLocation, String> itemFaults = (location, message) -> fault(location, label + ", " + message);
+		FieldReader reader = FieldReader.of(mapping, itemFaults);
+		return new Item(kind, reader.text("name", MISSING), mapping.location(), reader, itemFaults);
+	}
+
+	private <T> void add(Item item, List<T> items, java.util.function.Supplier<T> supplier) {
+		if (item.reader().faulty().contains("name")) {
+			this.incomplete = true;
+			return;
+		}
+		SourceLocation previous = this.locations.putIfAbsent(item.key(""), item.location());
+		if (previous != null) {
+			item.fault(item.location(), "expected distinct names, but it is also declared at " + previous
+					+ "; rename or remove one of them");
+			return;
+		}
+		locate(item, item.reader(), "");
+		if (!item.reader().faulty().contains("stages")) {
+			items.add(supplier.get());
+		}
+	}
+
+	private void locate(Item item, FieldReader reader, String prefix) {
+		reader.fields()
+			.keySet()
+			.forEach((field) -> this.locations.putIfAbsent(item.key(prefix + field), reader.location(field)));
+		reader.faulty().forEach((field) -> this.faultyFields.add(item.key(prefix + field)));
+	}
+
+	private void fault(SourceLocation location, String message) {
+		this.faults.add(new DeclarationFault(location, message));
+	}
+
+	private Declarations finish(int files) {
+		Configuration configuration = Configuration.of(0, this.pipelines, this.requestClasses, this.endpoints,
+				this.workspaces);
+		ConfigurationValidator.validate(configuration)
+			.stream()
+			.filter((fault) -> !isConsequence(fault))
+			.forEach((fault) -> fault(locationOf(fault), fault.toString()));
+		this.faults.sort(Comparator.comparing((DeclarationFault fault) -> fault.location().file())
+			.thenComparing((fault) -> fault.location().line()));
+		return new Declarations(configuration, this.faults, files);
+	}
+
+	/**
+	 * Tells whether a fault follows from one that has been reported.
+	 * @param fault the fault
+	 * @return whether its field is faulty, or an item it refers to may be missing
+	 */
+	private boolean isConsequence(ConfigurationFault fault) {
+		boolean isReference = fault.field().equals("pipeline") || fault.field().endsWith(".pool");
+		return this.faultyFields.contains(key(fault, fault.field())) || (this.incomplete && isReference);
+	}
+
+	private SourceLocation locationOf(ConfigurationFault fault) {
+		Function<String, Optional<SourceLocation>> find = (field) -> Optional
+			.ofNullable(this.locations.get(key(fault, field)));
+		return find.apply(fault.field()).or(() -> find.apply("")).orElse(new SourceLocation("", 1));
+	}
+
+	private static String key(ConfigurationFault fault, String field) {
+		return fault.kind() + "/" + fault.name() + "#" + field;
+	}
+
+	private record Item(ItemKind kind, String name, SourceLocation location, FieldReader reader,
+			BiConsumer<SourceLocation, String> faults) {
+
+		String key(String field) {
+			return DeclarationReader.key(new ConfigurationFault(this.kind, this.name, field, ""), field);
+		}
+
+		void fault(SourceLocation location, String message) {
+			this.faults.accept(location, message);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/declaration/DeclarationWriter.java
@@ -0,0 +1,107 @@
+package org.magnoliahub.declaration;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import org.magnoliahub.model.Configuration;
+import org.magnoliahub.model.Endpoint;
+import org.magnoliahub.model.PipelineDefinition;
+import org.magnoliahub.model.RequestClass;
+import org.magnoliahub.model.StageDefinition;
+import org.magnoliahub.model.Workspace;
+
+/**
+ * Writes a configuration in the form that {@link DeclarationReader} reads.
+ */
+public final class DeclarationWriter {
+
+	private static final YAMLMapper MAPPER = YAMLMapper.builder()
+		.disable(YAMLGenerator.Feature.WRITE_DOC_START_MARKER)
+		.enable(YAMLGenerator.Feature.MINIMIZE_QUOTES, YAMLGenerator.Feature.ALWAYS_QUOTE_NUMBERS_AS_STRINGS,
+				YAMLGenerator.Feature.INDENT_ARRAYS_WITH_INDICATOR)
+		.build();
+
+	private DeclarationWriter() {
+	}
+
+	/**
+	 * Writes all items with all their fields, in order of name.
+	 * @param configuration the configuration
+	 * @return the YAML text
+	 */
+	public static String write(Configuration configuration) {
+		try {
+			return MAPPER
+				.writeValueAsString(new File(sorted(configuration.pipelines()).stream().map(PipelineForm::of).toList(),
+						sorted(configuration.requestClasses()).stream().map(RequestClassForm::of).toList(),
+						sorted(configuration.endpoints()).stream().map(EndpointForm::of).toList(),
+						sorted(configuration.workspaces()).stream().map(WorkspaceForm::of).toList()));
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("cannot write a configuration", ex);
+		}
+	}
+
+	private static <T> List<T> sorted(Map<String, T> items) {
+		return List.copyOf(new TreeMap<>(items).values());
+	}
+
+	private record File(List<PipelineForm> pipelines,
+			@JsonProperty("request-classes") List<RequestClassForm> requestClasses, List<EndpointForm> endpoints,
+			List<WorkspaceForm> workspaces) {
+	}
+
+	private record PipelineForm(String name, List<StageForm> stages) {
+
+		static PipelineForm of(PipelineDefinition pipeline) {
+			return new PipelineForm(pipeline.name(), pipeline.stages().stream().map(StageForm::of).toList());
+		}
+
+	}
+
+	private record StageForm(String name, String type, String pool, String path, boolean idempotent,
+			@JsonProperty("price-per-second") double pricePerSecond) {
+
+		static StageForm of(StageDefinition stage) {
+			return new StageForm(stage.name(), FieldReader.word(stage.type()), stage.pool(), stage.path(),
+					stage.idempotent(), stage.pricePerSecond());
+		}
+
+	}
+
+	private record RequestClassForm(String name, String pipeline, @JsonProperty("deadline-ms") long deadlineMillis,
+			String objective, int priority) {
+
+		static RequestClassForm of(RequestClass requestClass) {
+			return new RequestClassForm(requestClass.name(), requestClass.pipeline(),
+					requestClass.deadline().toMillis(), FieldReader.word(requestClass.objective()),
+					requestClass.priority());
+		}
+
+	}
+
+	private record EndpointForm(String name, String pool, String zone, String agent,
+			@JsonProperty("authenticates-commands") boolean authenticatesCommands) {
+
+		static EndpointForm of(Endpoint endpoint) {
+			return new EndpointForm(endpoint.name(), endpoint.pool(), endpoint.availabilityZone().name(),
+					endpoint.agentAddress(), endpoint.authenticatesCommands());
+		}
+
+	}
+
+	private record WorkspaceForm(String name, int weight,
+			@JsonProperty("maximum-concurrent-requests") int maximumConcurrentRequests) {
+
+		static WorkspaceForm of(Workspace workspace) {
+			return new WorkspaceForm(workspace.name(), workspace.weight(), workspace.maximumConcurrentRequests());
+		}
+
+	}
+
+}
