--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -11,7 +11,13 @@
 	}
 
 	static List<Command> all() {
-		return List.of();
+		return configuration(CommandContext.create());
+	}
+
+	static List<Command> configuration(CommandContext context) {
+		return List.of(new ValidateCommand(), new PlanCommand(context), new ApplyCommand(context),
+				new HistoryCommand(context), new ShowCommand(context), new RollbackCommand(context),
+				new StatusCommand(context));
 	}
 
 }
--- a/src/main/java/org/magnoliahub/declaration/DeclarationWriter.java
+++ b/src/main/java/org/magnoliahub/declaration/DeclarationWriter.java
@@ -2,12 +2,16 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import org.magnoliahub.configuration.ItemKind;
 import org.magnoliahub.model.Configuration;
 import org.magnoliahub.model.Endpoint;
 import org.magnoliahub.model.PipelineDefinition;
@@ -47,6 +51,17 @@
 		}
 	}
 
+	static JsonNode tree(Configuration configuration, ItemKind kind, String name) {
+		Optional<?> form = switch (kind) {
+			case PIPELINE -> Optional.ofNullable(configuration.pipelines().get(name)).map(PipelineForm::of);
+			case REQUEST_CLASS ->
+				Optional.ofNullable(configuration.requestClasses().get(name)).map(RequestClassForm::of);
+			case ENDPOINT -> Optional.ofNullable(configuration.endpoints().get(name)).map(EndpointForm::of);
+			case WORKSPACE -> Optional.ofNullable(configuration.workspaces().get(name)).map(WorkspaceForm::of);
+		};
+		return form.map((value) -> (JsonNode) MAPPER.valueToTree(value)).orElseGet(MissingNode::getInstance);
+	}
+
 	private static <T> List<T> sorted(Map<String, T> items) {
 		return List.copyOf(new TreeMap<>(items).values());
 	}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/command/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the package, and fakes that they need.
+ */
+@NullMarked
+package org.magnoliahub.command;
+
+import org.jspecify.annotations.NullMarked;
