--- a/src/main/java/org/magnoliahub/command/ChangeCommit.java
+++ b/src/main/java/org/magnoliahub/command/ChangeCommit.java
@@ -1,6 +1,7 @@
 package org.magnoliahub.command;
 
 import java.io.PrintStream;
+import java.time.temporal.ChronoUnit;
 import java.util.List;
 
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -58,7 +59,7 @@
 	ExitCode run(ConfigurationRepository repository, String changeId, long baseVersion, List<ItemChange> items,
 			PrintStream output) throws CommandException {
 		ConfigurationChange change = ConfigurationChange.on(changeId, baseVersion, this.author,
-				this.context.clock().instant(), this.comment, items);
+				this.context.clock().instant().truncatedTo(ChronoUnit.MILLIS), this.comment, items);
 		CommitResult result = this.context.await(repository.commit(change));
 		if (result instanceof CommitResult.Accepted accepted) {
 			output.println("version " + accepted.version() + " is committed, change " + changeId);
--- a/src/main/java/org/magnoliahub/configuration/ConfigurationHolder.java
+++ b/src/main/java/org/magnoliahub/configuration/ConfigurationHolder.java
@@ -9,6 +9,7 @@
 
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.disposables.SerialDisposable;
 import io.reactivex.rxjava3.processors.BehaviorProcessor;
 import org.magnoliahub.model.Configuration;
@@ -40,8 +41,12 @@
 	/** Peers that are asked or told at once. */
 	private static final int PEERS_PER_ROUND = 2;
 
-	/** Bounds the bandwidth spent on peers that need the whole content. */
-	private static final Duration SNAPSHOT_SPACING = Duration.ofSeconds(1);
+	/**
+	 * Time between the parts of a snapshot. It bounds the share of the event loop and of
+	 * the network that peers without a configuration can use; at target size a snapshot
+	 * has about 20 parts of 130 KB.
+	 */
+	private static final Duration PART_SPACING = Duration.ofMillis(100);
 
 	/** Polls start at a random point of the last part of the period, given by this. */
 	private static final double JITTER = 0.2;
@@ -76,7 +81,7 @@
 
 	private OptionalLong peerHeardNanos = OptionalLong.empty();
 
-	private OptionalLong snapshotSentNanos = OptionalLong.empty();
+	private Disposable snapshotSending = Disposable.disposed();
 
 	private long failedPolls;
 
@@ -117,6 +122,7 @@
 	public void stop() {
 		this.poll.dispose();
 		this.nextPoll.dispose();
+		this.snapshotSending.dispose();
 	}
 
 	/**
@@ -232,13 +238,15 @@
 			this.peers.send(peer, new Message.ConfigurationChanges(version, changes));
 			return;
 		}
-		if (age(this.snapshotSentNanos).filter((age) -> age.compareTo(SNAPSHOT_SPACING) < 0).isPresent()) {
+		// A peer that gets no answer asks again or asks another peer.
+		if (!this.snapshotSending.isDisposed()) {
 			return;
 		}
-		this.snapshotSentNanos = OptionalLong.of(this.timers.nanoTime());
-		for (String part : SnapshotTransfer.split(this.configuration)) {
-			this.peers.send(peer, new Message.ConfigurationChanges(version, List.of(part)));
-		}
+		List<ConfigurationUpdate.SnapshotPart> parts = SnapshotTransfer.split(this.configuration);
+		this.snapshotSending = Flowable.fromIterable(parts)
+			.concatMapSingle((part) -> this.timers.after(PART_SPACING).andThen(Single.just(part)))
+			.subscribe((part) -> this.peers.send(peer,
+					new Message.ConfigurationChanges(version, List.of(ConfigurationCodec.encode(part)))));
 	}
 
 	private void poll() {
--- a/src/main/java/org/magnoliahub/configuration/SnapshotTransfer.java
+++ b/src/main/java/org/magnoliahub/configuration/SnapshotTransfer.java
@@ -13,11 +13,12 @@
  */
 final class SnapshotTransfer {
 
-	/**
-	 * Half of the size of a message, because items are measured before they are wrapped.
-	 */
+	/** Half of the size of a message, because the length of an item is an estimate. */
 	private static final int PART_CHARACTERS = ConfigurationRepository.MAXIMUM_CHARACTERS / 2;
 
+	/** Field names in the JSON form of an item that its text form lacks. */
+	private static final int ITEM_OVERHEAD_CHARACTERS = 100;
+
 	private long version;
 
 	private int parts;
@@ -31,12 +32,18 @@
 		return new SnapshotTransfer();
 	}
 
-	static List<String> split(Configuration configuration) {
+	/**
+	 * Splits a configuration. The parts are not encoded yet, because that takes up to 200
+	 * ms in all at target size and would delay requests if done at once.
+	 * @param configuration the configuration
+	 * @return the parts
+	 */
+	static List<ConfigurationUpdate.SnapshotPart> split(Configuration configuration) {
 		List<List<ItemChange>> groups = new ArrayList<>();
 		List<ItemChange> group = new ArrayList<>();
 		int characters = 0;
 		for (ItemChange item : ConfigurationEdits.difference(Configuration.empty(), configuration)) {
-			int length = ConfigurationCodec.encode(item).length();
+			int length = item.toString().length() + ITEM_OVERHEAD_CHARACTERS;
 			if (!group.isEmpty() && characters + length > PART_CHARACTERS) {
 				groups.add(group);
 				group = new ArrayList<>();
@@ -46,12 +53,12 @@
 			characters += length;
 		}
 		groups.add(group);
-		List<String> texts = new ArrayList<>();
+		List<ConfigurationUpdate.SnapshotPart> result = new ArrayList<>();
 		for (int part = 0; part < groups.size(); part++) {
-			texts.add(ConfigurationCodec.encode(new ConfigurationUpdate.SnapshotPart(configuration.version(), part,
-					groups.size(), groups.get(part))));
+			result.add(new ConfigurationUpdate.SnapshotPart(configuration.version(), part, groups.size(),
+					groups.get(part)));
 		}
-		return texts;
+		return result;
 	}
 
 	/**
