--- a/src/main/java/org/magnoliahub/configuration/ConfigurationHolder.java
+++ b/src/main/java/org/magnoliahub/configuration/ConfigurationHolder.java
@@ -44,7 +44,7 @@
 	/**
 	 * Time between the parts of a snapshot. It bounds the share of the event loop and of
 	 * the network that peers without a configuration can use; at target size a snapshot
-	 * has about 20 parts of 130 KB.
+	 * has about 50 parts.
 	 */
 	private static final Duration PART_SPACING = Duration.ofMillis(100);
 
@@ -242,11 +242,11 @@
 		if (!this.snapshotSending.isDisposed()) {
 			return;
 		}
-		List<ConfigurationUpdate.SnapshotPart> parts = SnapshotTransfer.split(this.configuration);
-		this.snapshotSending = Flowable.fromIterable(parts)
+		Configuration snapshot = this.configuration;
+		this.snapshotSending = Flowable.range(0, SnapshotTransfer.parts(snapshot))
 			.concatMapSingle((part) -> this.timers.after(PART_SPACING).andThen(Single.just(part)))
-			.subscribe((part) -> this.peers.send(peer,
-					new Message.ConfigurationChanges(version, List.of(ConfigurationCodec.encode(part)))));
+			.map((part) -> ConfigurationCodec.encode(SnapshotTransfer.part(snapshot, part)))
+			.subscribe((text) -> this.peers.send(peer, new Message.ConfigurationChanges(version, List.of(text))));
 	}
 
 	private void poll() {
--- a/src/main/java/org/magnoliahub/configuration/ConfigurationValidator.java
+++ b/src/main/java/org/magnoliahub/configuration/ConfigurationValidator.java
@@ -39,10 +39,14 @@
 	/** Names occur in URL paths and row keys. */
 	private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
 
-	private static final Pattern ADDRESS = Pattern.compile("(\\[[0-9A-Fa-f:.]+]|[A-Za-z0-9.-]+):([0-9]{1,5})");
+	private static final Pattern ADDRESS = Pattern
+		.compile("(\\[[0-9A-Fa-f:.]{2,45}]|[A-Za-z0-9.-]{1,253}):([0-9]{1,5})");
 
 	private static final int MAXIMUM_PORT = 65_535;
 
+	/** Bounds the size of an item in messages between processes. */
+	private static final int MAXIMUM_PATH_LENGTH = 256;
+
 	private final Configuration configuration;
 
 	private final Set<String> pools;
@@ -117,6 +121,10 @@
 						"expected a pool with at least one endpoint, but no endpoint is in pool '" + stage.pool()
 								+ "'; declare one or correct the name");
 			}
+			if (stage.path().length() > MAXIMUM_PATH_LENGTH) {
+				fault(ItemKind.PIPELINE, pipeline.name(), path + "path", "expected at most " + MAXIMUM_PATH_LENGTH
+						+ " characters, but it has " + stage.path().length() + "; shorten it");
+			}
 			checkIdempotence(pipeline, index, path);
 		}
 	}
@@ -167,6 +175,7 @@
 		for (Endpoint endpoint : new TreeMap<>(this.configuration.endpoints()).values()) {
 			checkName(ItemKind.ENDPOINT, endpoint.name(), "", endpoint.name());
 			checkName(ItemKind.ENDPOINT, endpoint.name(), "pool", endpoint.pool());
+			checkName(ItemKind.ENDPOINT, endpoint.name(), "zone", endpoint.availabilityZone().name());
 			if (!isAddress(endpoint.agentAddress())) {
 				fault(ItemKind.ENDPOINT, endpoint.name(), "agent", "expected host:port with a port from 1 to "
 						+ MAXIMUM_PORT + ", but it is '" + endpoint.agentAddress() + "'; correct it");
--- a/src/main/java/org/magnoliahub/configuration/SnapshotTransfer.java
+++ b/src/main/java/org/magnoliahub/configuration/SnapshotTransfer.java
@@ -5,19 +5,21 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 import org.magnoliahub.model.Configuration;
+import org.magnoliahub.model.PipelineDefinition;
 
 /**
  * Splits a configuration into parts that fit into one message each, and joins parts.
  */
 final class SnapshotTransfer {
 
-	/** Half of the size of a message, because the length of an item is an estimate. */
-	private static final int PART_CHARACTERS = ConfigurationRepository.MAXIMUM_CHARACTERS / 2;
-
-	/** Field names in the JSON form of an item that its text form lacks. */
-	private static final int ITEM_OVERHEAD_CHARACTERS = 100;
+	/**
+	 * Items per part on average. An item has at most about 500 characters in JSON form,
+	 * so that a part fits into one message of 1 MiB.
+	 */
+	private static final int ITEMS_PER_PART = 500;
 
 	private long version;
 
@@ -33,32 +35,42 @@
 	}
 
 	/**
-	 * Splits a configuration. The parts are not encoded yet, because that takes up to 200
-	 * ms in all at target size and would delay requests if done at once.
+	 * Returns the number of parts of a configuration.
+	 * @param configuration the configuration
+	 * @return the number, which depends on nothing but the content
+	 */
+	static int parts(Configuration configuration) {
+		int items = configuration.pipelines().size() * PipelineDefinition.MAXIMUM_STAGES
+				+ configuration.requestClasses().size() + configuration.endpoints().size()
+				+ configuration.workspaces().size();
+		return 1 + items / ITEMS_PER_PART;
+	}
+
+	/**
+	 * Builds one part. Items are distributed by the hash of their names, so that no part
+	 * needs the whole content to be sorted or encoded, which takes up to 500 ms at target
+	 * size.
 	 * @param configuration the configuration
-	 * @return the parts
+	 * @param part number of the part, from 0
+	 * @return the part
 	 */
-	static List<ConfigurationUpdate.SnapshotPart> split(Configuration configuration) {
-		List<List<ItemChange>> groups = new ArrayList<>();
-		List<ItemChange> group = new ArrayList<>();
-		int characters = 0;
-		for (ItemChange item : ConfigurationEdits.difference(Configuration.empty(), configuration)) {
-			int length = item.toString().length() + ITEM_OVERHEAD_CHARACTERS;
-			if (!group.isEmpty() && characters + length > PART_CHARACTERS) {
-				groups.add(group);
-				group = new ArrayList<>();
-				characters = 0;
+	static ConfigurationUpdate.SnapshotPart part(Configuration configuration, int part) {
+		int parts = parts(configuration);
+		List<ItemChange> items = new ArrayList<>();
+		collect(configuration.pipelines(), part, parts, ItemChange.PutPipeline::new, items);
+		collect(configuration.requestClasses(), part, parts, ItemChange.PutRequestClass::new, items);
+		collect(configuration.endpoints(), part, parts, ItemChange.PutEndpoint::new, items);
+		collect(configuration.workspaces(), part, parts, ItemChange.PutWorkspace::new, items);
+		return new ConfigurationUpdate.SnapshotPart(configuration.version(), part, parts, items);
+	}
+
+	private static <T> void collect(Map<String, T> all, int part, int parts, Function<T, ItemChange> put,
+			List<ItemChange> items) {
+		all.forEach((name, item) -> {
+			if (Math.floorMod(name.hashCode(), parts) == part) {
+				items.add(put.apply(item));
 			}
-			group.add(item);
-			characters += length;
-		}
-		groups.add(group);
-		List<ConfigurationUpdate.SnapshotPart> result = new ArrayList<>();
-		for (int part = 0; part < groups.size(); part++) {
-			result.add(new ConfigurationUpdate.SnapshotPart(configuration.version(), part, groups.size(),
-					groups.get(part)));
-		}
-		return result;
+		});
 	}
 
 	/**
