--- a/src/main/java/org/magnoliahub/configuration/ConfigurationHolder.java
+++ b/src/main/java/org/magnoliahub/configuration/ConfigurationHolder.java
@@ -83,6 +83,8 @@
 
 	private Disposable snapshotSending = Disposable.disposed();
 
+	private int pollLimit = ConfigurationRepository.MAXIMUM_CHANGES;
+
 	private long failedPolls;
 
 	private long refusedUpdates;
@@ -267,16 +269,18 @@
 				return false;
 			});
 		}
+		int limit = this.pollLimit;
 		return this.repository.changesSince(this.configuration.version(), ConfigurationRepository.MAXIMUM_CHANGES)
 			.map((changes) -> {
 				merge(changes, this.configuration);
-				return changes.size() == ConfigurationRepository.MAXIMUM_CHANGES;
+				return changes.size() == limit;
 			});
 	}
 
 	private void pollSucceeded(long versionBefore, long startNanos, boolean full) {
 		this.storeHeardNanos = OptionalLong.of(this.timers.nanoTime());
 		this.failedPolls = 0;
+		this.pollLimit = Math.min(ConfigurationRepository.MAXIMUM_CHANGES, this.pollLimit * 2);
 		this.ready = true;
 		if (this.configuration.version() > versionBefore) {
 			sendVersion();
@@ -287,6 +291,8 @@
 
 	private void pollFailed() {
 		this.failedPolls++;
+		// Large changes may take longer to read than the time-out allows.
+		this.pollLimit = Math.max(1, this.pollLimit / 2);
 		sendVersion();
 		schedule(jittered(RETRY_PERIOD));
 	}
--- a/src/main/java/org/magnoliahub/configuration/ConfigurationRepository.java
+++ b/src/main/java/org/magnoliahub/configuration/ConfigurationRepository.java
@@ -40,9 +40,17 @@
 	/** Most versions that are rebuilt from changes alone when no snapshot can be read. */
 	static final int MAXIMUM_CHANGES_WITHOUT_SNAPSHOT = 5_000;
 
-	/** Range of versions below the wanted one in which a snapshot is looked for. */
+	/**
+	 * Versions that one listing of snapshots covers, counted down from the wanted one.
+	 */
 	private static final int SNAPSHOT_SEARCH_RANGE = 20 * SNAPSHOT_INTERVAL;
 
+	/** More than the number of snapshots that one listing can cover. */
+	private static final int SNAPSHOT_SEARCH_LIMIT = 100;
+
+	/** Changes per read while loading; bounds the answer if changes are large. */
+	private static final int LOAD_BATCH = 20;
+
 	private static final int MAXIMUM_ATTEMPTS = 3;
 
 	private static final RowKey HEAD = new RowKey("configuration_head", "head");
@@ -59,6 +67,9 @@
 
 	private final ObjectStore objectStore;
 
+	/** The newest content loaded, so that a commit needs few reads and no snapshot. */
+	private Loaded latest = new Loaded(Configuration.empty(), 0);
+
 	private ConfigurationRepository(TableStore tableStore, ObjectStore objectStore) {
 		this.tableStore = tableStore;
 		this.objectStore = objectStore;
@@ -177,18 +188,20 @@
 	}
 
 	/**
-	 * Finds the newest snapshot near a version.
+	 * Finds the newest snapshot up to a version.
 	 * @param version the version
-	 * @return the version of the newest snapshot that is not newer, 0 if none was found
+	 * @return the version of the newest snapshot that is not newer, 0 if there is none
 	 */
 	public Single<Long> newestSnapshot(long version) {
-		String startAfter = snapshotKey(Math.max(0, version - SNAPSHOT_SEARCH_RANGE));
-		return this.objectStore.list(SNAPSHOTS, startAfter, SNAPSHOT_SEARCH_RANGE)
-			.map((keys) -> keys.stream()
+		long lowest = Math.max(0, version - SNAPSHOT_SEARCH_RANGE);
+		return this.objectStore.list(SNAPSHOTS, snapshotKey(lowest), SNAPSHOT_SEARCH_LIMIT).flatMap((keys) -> {
+			long newest = keys.stream()
 				.mapToLong(ConfigurationRepository::snapshotVersion)
 				.filter((candidate) -> candidate <= version)
 				.max()
-				.orElse(0));
+				.orElse(0);
+			return (newest == 0 && lowest > 0) ? newestSnapshot(lowest) : Single.just(newest);
+		});
 	}
 
 	/**
@@ -317,6 +330,7 @@
 		return this.objectStore
 			.put(snapshotKey(change.version()), ConfigurationCodec.encodeSnapshot(configuration),
 					new PutCondition.IfAbsent())
+			.doOnSuccess((tag) -> this.latest = new Loaded(configuration, change.version()))
 			.ignoreElement()
 			.onErrorComplete();
 	}
@@ -325,11 +339,20 @@
 		if (version == 0) {
 			return Single.just(new Loaded(Configuration.empty(), 0));
 		}
-		return newestSnapshot(version).flatMap(this::readSnapshot)
-			.onErrorResumeNext((error) -> (version <= MAXIMUM_CHANGES_WITHOUT_SNAPSHOT)
-					? Single.just(Configuration.empty()) : Single.error(error))
-			.flatMap((snapshot) -> applyUpTo(snapshot, version)
-				.map((configuration) -> new Loaded(configuration, snapshot.version())));
+		long missing = version - this.latest.configuration().version();
+		Single<Loaded> start = (missing >= 0 && missing <= SNAPSHOT_INTERVAL) ? Single.just(this.latest)
+				: newestSnapshot(version).flatMap(this::readSnapshot)
+					.onErrorResumeNext((error) -> (version <= MAXIMUM_CHANGES_WITHOUT_SNAPSHOT)
+							? Single.just(Configuration.empty()) : Single.error(error))
+					.map((snapshot) -> new Loaded(snapshot, snapshot.version()));
+		return start
+			.flatMap((base) -> applyUpTo(base.configuration(), version)
+				.map((configuration) -> new Loaded(configuration, base.snapshot())))
+			.doOnSuccess((loaded) -> {
+				if (version > this.latest.configuration().version()) {
+					this.latest = loaded;
+				}
+			});
 	}
 
 	private Single<Configuration> readSnapshot(long version) {
@@ -347,7 +370,7 @@
 		if (missing == 0) {
 			return Single.just(configuration);
 		}
-		return changesSince(configuration.version(), (int) Math.min(missing, MAXIMUM_CHANGES)).flatMap((changes) -> {
+		return changesSince(configuration.version(), (int) Math.min(missing, LOAD_BATCH)).flatMap((changes) -> {
 			if (changes.isEmpty()) {
 				return Single.error(new StoreException(
 						"version " + version + " does not exist, the newest is " + configuration.version(), false));
--- a/src/test/java/org/magnoliahub/configuration/ConfigurationRepositoryTests.java
+++ b/src/test/java/org/magnoliahub/configuration/ConfigurationRepositoryTests.java
@@ -22,6 +22,10 @@
 
 	private final ConfigurationRepository repository = ConfigurationRepository.of(this.tableStore, this.objectStore);
 
+	private ConfigurationRepository restarted() {
+		return ConfigurationRepository.of(this.tableStore, this.objectStore);
+	}
+
 	private CommitResult commit(String id, long base, ItemChange... items) {
 		return this.repository.commit(Samples.change(id, base, items)).blockingGet();
 	}
@@ -83,13 +87,25 @@
 		assertThat(loaded.workspaces()).hasSize(7).containsEntry("w1", Samples.workspace("w1", 205));
 		for (long version : new long[] { 1, 100, 101, 199, 205 }) {
 			this.objectStore.down = false;
-			Configuration withSnapshot = this.repository.load(version).blockingGet();
+			Configuration withSnapshot = restarted().load(version).blockingGet();
 			this.objectStore.down = true;
-			assertThat(this.repository.load(version).blockingGet()).isEqualTo(withSnapshot);
+			assertThat(restarted().load(version).blockingGet()).isEqualTo(withSnapshot);
 		}
 		assertThatThrownBy(() -> this.repository.load(206).blockingGet()).hasMessageContaining("does not exist");
 	}
 
+	/** Guards against commits that need the object store, and a search that gives up. */
+	@Test
+	void commitsThroughALongOutageOfTheObjectStore() {
+		for (int version = 0; version < 2_150; version++) {
+			this.objectStore.down = version >= 100;
+			commit("c" + version, version, Samples.put("w" + version % 7, 1 + version));
+		}
+		this.objectStore.down = false;
+		assertThat(restarted().newestSnapshot(2_150).blockingGet()).isEqualTo(100);
+		assertThat(restarted().load().blockingGet()).isEqualTo(this.repository.load().blockingGet());
+	}
+
 	/** Guards against rows that a later process cannot read. */
 	@Test
 	void decodesWhatItEncodes() throws ConfigurationFormatException {
