--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -1,6 +1,7 @@
 package org.magnoliahub.command;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.magnoliahub.experiment.ExperimentCommand;
 import org.magnoliahub.standin.EngineStandInCommand;
@@ -16,8 +17,24 @@
 	}
 
 	static List<Command> all() {
-		return List.of(new AgentCommand(), new DemoCommand(), new EngineStandInCommand(), new ExperimentCommand(),
-				new GatewayCommand(), new PlatformStandInCommand(), new ServiceStandInCommand());
+		return Stream.of(processes(), configuration(CommandContext.create()), standIns())
+			.flatMap(List::stream)
+			.toList();
+	}
+
+	static List<Command> configuration(CommandContext context) {
+		return List.of(new ValidateCommand(), new PlanCommand(context), new ApplyCommand(context),
+				new HistoryCommand(context), new ShowCommand(context), new RollbackCommand(context),
+				new StatusCommand(context));
+	}
+
+	private static List<Command> processes() {
+		return List.of(new GatewayCommand(), new AgentCommand());
+	}
+
+	private static List<Command> standIns() {
+		return List.of(new DemoCommand(), new ExperimentCommand(), new PlatformStandInCommand(),
+				new EngineStandInCommand(), new ServiceStandInCommand());
 	}
 
 }
--- a/src/main/java/org/magnoliahub/configuration/ConfigurationHolder.java
+++ b/src/main/java/org/magnoliahub/configuration/ConfigurationHolder.java
@@ -9,6 +9,7 @@
 
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.disposables.SerialDisposable;
 import io.reactivex.rxjava3.processors.BehaviorProcessor;
 import org.magnoliahub.model.Configuration;
@@ -40,8 +41,12 @@
 	/** Peers that are asked or told at once. */
 	private static final int PEERS_PER_ROUND = 2;
 
-	/** Bounds the bandwidth spent on peers that need the whole content. */
-	private static final Duration SNAPSHOT_SPACING = Duration.ofSeconds(1);
+	/**
+	 * Time between the parts of a snapshot. It bounds the share of the event loop and of
+	 * the network that peers without a configuration can use; at target size a snapshot
+	 * has about 50 parts.
+	 */
+	private static final Duration PART_SPACING = Duration.ofMillis(100);
 
 	/** Polls start at a random point of the last part of the period, given by this. */
 	private static final double JITTER = 0.2;
@@ -76,7 +81,9 @@
 
 	private OptionalLong peerHeardNanos = OptionalLong.empty();
 
-	private OptionalLong snapshotSentNanos = OptionalLong.empty();
+	private Disposable snapshotSending = Disposable.disposed();
+
+	private int pollLimit = ConfigurationRepository.MAXIMUM_CHANGES;
 
 	private long failedPolls;
 
@@ -117,6 +124,7 @@
 	public void stop() {
 		this.poll.dispose();
 		this.nextPoll.dispose();
+		this.snapshotSending.dispose();
 	}
 
 	/**
@@ -232,13 +240,15 @@
 			this.peers.send(peer, new Message.ConfigurationChanges(version, changes));
 			return;
 		}
-		if (age(this.snapshotSentNanos).filter((age) -> age.compareTo(SNAPSHOT_SPACING) < 0).isPresent()) {
+		// A peer that gets no answer asks again or asks another peer.
+		if (!this.snapshotSending.isDisposed()) {
 			return;
 		}
-		this.snapshotSentNanos = OptionalLong.of(this.timers.nanoTime());
-		for (String part : SnapshotTransfer.split(this.configuration)) {
-			this.peers.send(peer, new Message.ConfigurationChanges(version, List.of(part)));
-		}
+		Configuration snapshot = this.configuration;
+		this.snapshotSending = Flowable.range(0, SnapshotTransfer.parts(snapshot))
+			.concatMapSingle((part) -> this.timers.after(PART_SPACING).andThen(Single.just(part)))
+			.map((part) -> ConfigurationCodec.encode(SnapshotTransfer.part(snapshot, part)))
+			.subscribe((text) -> this.peers.send(peer, new Message.ConfigurationChanges(version, List.of(text))));
 	}
 
 	private void poll() {
@@ -259,16 +269,18 @@
 				return false;
 			});
 		}
+		int limit = this.pollLimit;
 		return this.repository.changesSince(this.configuration.version(), ConfigurationRepository.MAXIMUM_CHANGES)
 			.map((changes) -> {
 				merge(changes, this.configuration);
-				return changes.size() == ConfigurationRepository.MAXIMUM_CHANGES;
+				return changes.size() == limit;
 			});
 	}
 
 	private void pollSucceeded(long versionBefore, long startNanos, boolean full) {
 		this.storeHeardNanos = OptionalLong.of(this.timers.nanoTime());
 		this.failedPolls = 0;
+		this.pollLimit = Math.min(ConfigurationRepository.MAXIMUM_CHANGES, this.pollLimit * 2);
 		this.ready = true;
 		if (this.configuration.version() > versionBefore) {
 			sendVersion();
@@ -279,6 +291,8 @@
 
 	private void pollFailed() {
 		this.failedPolls++;
+		// Large changes may take longer to read than the time-out allows.
+		this.pollLimit = Math.max(1, this.pollLimit / 2);
 		sendVersion();
 		schedule(jittered(RETRY_PERIOD));
 	}
