--- a/src/main/java/org/magnoliahub/platform/FaultyObjectStore.java
+++ b/src/main/java/org/magnoliahub/platform/FaultyObjectStore.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import org.magnoliahub.time.TimerService;
 
@@ -52,4 +53,9 @@
 		return this.injector.call(this.delegate.list(prefix, startAfter, limit), false);
 	}
 
+	@Override
+	public Completable delete(String key) {
+		return this.injector.call(this.delegate.delete(key).toSingleDefault(key), true).ignoreElement();
+	}
+
 }
--- a/src/main/java/org/magnoliahub/platform/InMemoryObjectStore.java
+++ b/src/main/java/org/magnoliahub/platform/InMemoryObjectStore.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.model.Arguments;
@@ -63,6 +64,11 @@
 			.toList());
 	}
 
+	@Override
+	public Completable delete(String key) {
+		return this.latency.call(() -> Optional.ofNullable(this.objects.remove(key))).ignoreElement();
+	}
+
 	private Optional<String> apply(String key, byte[] content, PutCondition condition) {
 		if (!holds(this.objects.get(key), condition)) {
 			return Optional.empty();
--- a/src/main/java/org/magnoliahub/platform/ObjectStore.java
+++ b/src/main/java/org/magnoliahub/platform/ObjectStore.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 
 /**
@@ -35,4 +36,11 @@
 	 */
 	Single<List<String>> list(String prefix, String startAfter, int limit);
 
+	/**
+	 * Removes an object, which may be absent.
+	 * @param key the object's key
+	 * @return completes when the object is gone
+	 */
+	Completable delete(String key);
+
 }
--- a/src/main/java/org/magnoliahub/platformhttp/S3ObjectStore.java
+++ b/src/main/java/org/magnoliahub/platformhttp/S3ObjectStore.java
@@ -11,6 +11,7 @@
 import javax.xml.stream.XMLStreamException;
 import javax.xml.stream.XMLStreamReader;
 
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import okhttp3.HttpUrl;
@@ -132,6 +133,17 @@
 		});
 	}
 
+	@Override
+	public Completable delete(String key) {
+		return this.calls.send(new Request.Builder().url(objectUrl(key)).delete(), true)
+			.flatMapCompletable((answer) -> {
+				// The protocol answers 204 whether or not the object existed.
+				boolean gone = answer.status() == HttpAnswer.OK || answer.status() == HttpAnswer.NO_CONTENT
+						|| answer.status() == HttpAnswer.NOT_FOUND;
+				return gone ? Completable.complete() : Completable.error(HttpCalls.unexpectedStatus(answer, true));
+			});
+	}
+
 	private HttpUrl objectUrl(String key) {
 		Arguments.requireText(key, "object key");
 		// Such segments would be resolved as a path.
--- a/src/main/java/org/magnoliahub/standin/PlatformStandIn.java
+++ b/src/main/java/org/magnoliahub/standin/PlatformStandIn.java
@@ -107,6 +107,7 @@
 			.get("/s3/{bucket}", handler(this::listObjects))
 			.get("/s3/{bucket}/<key>", handler(this::getObject))
 			.put("/s3/{bucket}/<key>", handler(this::putObject))
+			.delete("/s3/{bucket}/<key>", handler(this::deleteObject))
 			.get("/inventory", handler(this::listVms))
 			.put("/inventory", handler(this::replaceVms))
 			.post("/faults", handler(this::changeFaults));
@@ -311,6 +312,10 @@
 		});
 	}
 
+	private Single<Consumer<Context>> deleteObject(Context context) {
+		return this.objects.delete(objectKey(context)).toSingleDefault((answer) -> answer.status(204));
+	}
+
 	private static String objectKey(Context context) {
 		return context.pathParam("bucket") + "/" + context.pathParam("key");
 	}
--- a/src/test/java/org/magnoliahub/configuration/FakeObjectStore.java
+++ b/src/test/java/org/magnoliahub/configuration/FakeObjectStore.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import org.magnoliahub.platform.ObjectStore;
 import org.magnoliahub.platform.PutCondition;
@@ -45,6 +46,11 @@
 			.toList());
 	}
 
+	@Override
+	public Completable delete(String key) {
+		return call(() -> Optional.ofNullable(this.objects.remove(key))).ignoreElement();
+	}
+
 	private <T> Single<T> call(java.util.concurrent.Callable<T> effect) {
 		return Single.defer(() -> this.down ? Single.error(new StoreException("store is down", false))
 				: Single.fromCallable(effect));
--- a/src/test/java/org/magnoliahub/platform/ObjectStoreContractTests.java
+++ b/src/test/java/org/magnoliahub/platform/ObjectStoreContractTests.java
@@ -59,6 +59,15 @@
 		assertThat(store().list("x", "", 1).blockingGet()).isEmpty();
 	}
 
+	@Test
+	void deletedObjectIsGoneAndDeletionCanBeRepeated() {
+		put("d/1", "1", new PutCondition.Always());
+		put("d/2", "2", new PutCondition.Always());
+		store().delete("d/1").blockingAwait();
+		store().delete("d/1").blockingAwait();
+		assertThat(store().list("d/", "", 10).blockingGet()).containsExactly("d/2");
+	}
+
 	@Test
 	void listExceedsOnePageOfTheProtocol() {
 		Flowable.range(10_000, 1005)
