--- a/src/main/java/org/magnoliahub/server/AgentProcess.java
+++ b/src/main/java/org/magnoliahub/server/AgentProcess.java
@@ -11,6 +11,7 @@
 import io.javalin.Javalin;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.magnoliahub.agent.ControlHandler;
 import org.magnoliahub.agent.EndpointAgent;
 import org.magnoliahub.agent.EndpointClient;
 import org.magnoliahub.agent.GatewayLink;
@@ -41,6 +42,10 @@
 
 	private final EndpointAgent agent;
 
+	private final ControlHandler control;
+
+	private final ConfigurationRelay relay;
+
 	private final AgentServer server;
 
 	private final Javalin admin;
@@ -52,8 +57,11 @@
 		long incarnation = new SecureRandom().nextLong(1, Long.MAX_VALUE);
 		EndpointClient client = clients.create(settings, loop);
 		this.agent = EndpointAgent.of(incarnation, client, loop.timers(), settings.limits(), this.meters);
+		this.control = ControlHandler.of(incarnation, client, this.meters);
+		this.relay = ConfigurationRelay.create(loop.timers());
 		this.server = AgentServer.start(this.transport, new InetSocketAddress(settings.host(), settings.port()),
 				AgentServer.DEFAULT_MAXIMUM_CONNECTIONS, this::greeting, this.agent::load, this::accept);
+		loop.call(this.relay::start);
 		this.admin = HttpServers.start("admin", settings.host(), settings.adminPort(), ADMIN_THREADS, ADMIN_CONNECTIONS,
 				(config) -> {
 				}, this::addAdminRoutes);
@@ -121,10 +129,25 @@
 	private void accept(GatewaySession session) {
 		GatewayLink link = session::send;
 		this.agent.connected(link);
+		this.relay.connected(session);
 		session.messages()
 			.onBackpressureBuffer()
-			.subscribe((message) -> this.agent.receive(link, message), (failure) -> session.close(),
-					() -> this.agent.disconnected(link));
+			.subscribe((message) -> receive(session, link, message), (failure) -> session.close(), () -> {
+				this.agent.disconnected(link);
+				this.relay.disconnected(session);
+			});
+	}
+
+	private void receive(GatewaySession session, GatewayLink link, Message message) {
+		if (message instanceof Message.Control command) {
+			this.control.receive(link, command);
+			return;
+		}
+		if (message instanceof Message.ConfigurationChanges changes) {
+			this.relay.receive(session, changes);
+			return;
+		}
+		this.agent.receive(link, message);
 	}
 
 	private void addAdminRoutes(Javalin javalin) {
