--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.magnoliahub.experiment.ExperimentCommand;
+import org.magnoliahub.experiment.LoadCommand;
 import org.magnoliahub.standin.EngineStandInCommand;
 import org.magnoliahub.standin.PlatformStandInCommand;
 import org.magnoliahub.standin.ServiceStandInCommand;
@@ -17,7 +18,7 @@
 
 	static List<Command> all() {
 		return List.of(new AgentCommand(), new DemoCommand(), new EngineStandInCommand(), new ExperimentCommand(),
-				new GatewayCommand(), new PlatformStandInCommand(), new ServiceStandInCommand());
+				new GatewayCommand(), new LoadCommand(), new PlatformStandInCommand(), new ServiceStandInCommand());
 	}
 
 }
