--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -4,6 +4,7 @@
 import java.util.stream.Stream;
 
 import org.magnoliahub.experiment.ExperimentCommand;
+import org.magnoliahub.experiment.LoadCommand;
 import org.magnoliahub.standin.EngineStandInCommand;
 import org.magnoliahub.standin.PlatformStandInCommand;
 import org.magnoliahub.standin.ServiceStandInCommand;
@@ -33,7 +34,7 @@
 	}
 
 	private static List<Command> standIns() {
-		return List.of(new DemoCommand(), new ExperimentCommand(), new PlatformStandInCommand(),
+		return List.of(new DemoCommand(), new ExperimentCommand(), new LoadCommand(), new PlatformStandInCommand(),
 				new EngineStandInCommand(), new ServiceStandInCommand());
 	}
 
