Run the deadline-aware policy in gateways

Connections, draining agents and leaving VMs tell the scheduler which endpoints take work. When none of a pool is left, waiting requests are given back and wait at most a second for a reconnection.

--- a/src/main/java/org/magnoliahub/command/DemoCommand.java
+++ b/src/main/java/org/magnoliahub/command/DemoCommand.java
@@ -28,6 +28,7 @@
 import org.magnoliahub.platform.InMemoryTableStore;
 import org.magnoliahub.platform.InMemoryVmInventory;
 import org.magnoliahub.platform.PlatformServices;
+import org.magnoliahub.routing.RoutingPolicy;
 import org.magnoliahub.server.AgentProcess;
 import org.magnoliahub.server.AgentSettings;
 import org.magnoliahub.server.EventLoop;
@@ -109,7 +110,7 @@
 				InMemoryVmInventory.of(loop.timers(), Duration.ofMillis(2)));
 		declare(loop, platform, endpoints);
 		GatewaySettings settings = new GatewaySettings("gateway-demo", ZONE, HOST, port, 0, 200, 32,
-				GatewayLimits.defaults());
+				RoutingPolicy.DEADLINE_AWARE, GatewayLimits.defaults());
 		GatewayProcess gateway = opened(GatewayProcess.start(settings, loop, platform, (record) -> {
 		}));
 		awaitReady(gateway);
--- a/src/main/java/org/magnoliahub/command/GatewayCommand.java
+++ b/src/main/java/org/magnoliahub/command/GatewayCommand.java
@@ -13,6 +13,7 @@
 import org.magnoliahub.platform.PlatformServices;
 import org.magnoliahub.platform.VmInventory;
 import org.magnoliahub.platformhttp.HttpSdVmInventory;
+import org.magnoliahub.routing.RoutingPolicy;
 import org.magnoliahub.server.EventLoop;
 import org.magnoliahub.server.GatewayProcess;
 import org.magnoliahub.server.GatewaySettings;
@@ -39,6 +40,8 @@
 		Settings.declare(parser, "--maximum-connections", "most open connections of callers; default: 4000");
 		Settings.declare(parser, "--maximum-streams", "most answers streamed at a time; default: 200");
 		Settings.declare(parser, "--drain-timeout-ms", "longest wait for requests at a stop; default: 60000");
+		Settings.declare(parser, "--policy",
+				"deadline-aware, least-outstanding, round-robin or random; " + "default: deadline-aware");
 		PlatformSettings.declare(parser);
 		Settings.declare(parser, "--vm-inventory-url", "URL of the list of VMs; required");
 	}
@@ -56,11 +59,12 @@
 		int connections = (int) settings.number("--maximum-connections", 1, 100_000, 4_000);
 		int streams = (int) settings.number("--maximum-streams", 1, 2_000, 200);
 		Duration drainTimeout = Duration.ofMillis(settings.number("--drain-timeout-ms", 0, 3_600_000, 60_000));
+		RoutingPolicy policy = settings.choice("--policy", RoutingPolicy.DEADLINE_AWARE);
 		PlatformSettings platform = PlatformSettings.read(settings);
 		String inventoryUrl = PlatformSettings.url(settings, "--vm-inventory-url");
 		settings.check();
 		GatewaySettings gateway = new GatewaySettings(name, new AvailabilityZone(zone), host, port, adminPort,
-				connections, streams, GatewayLimits.defaults().withMaximumRequests(requests));
+				connections, streams, policy, GatewayLimits.defaults().withMaximumRequests(requests));
 		GatewayProcess process = start(gateway, platform, inventoryUrl);
 		output
 			.println("listening on " + host + ":" + process.port() + ", admin on " + host + ":" + process.adminPort());
--- a/src/main/java/org/magnoliahub/command/Settings.java
+++ b/src/main/java/org/magnoliahub/command/Settings.java
@@ -104,6 +104,31 @@
 		return text;
 	}
 
+	/**
+	 * Reads one of several words.
+	 * @param <E> type of the choice
+	 * @param flag the flag with its dashes
+	 * @param defaultValue value if the setting is absent
+	 * @return the choice, or the default if the setting is faulty; words are the names of
+	 * the constants in lower case with dashes
+	 */
+	public <E extends Enum<E>> E choice(String flag, E defaultValue) {
+		String text = find(flag);
+		if (text == null) {
+			return defaultValue;
+		}
+		List<String> words = new ArrayList<>();
+		for (E constant : defaultValue.getDeclaringClass().getEnumConstants()) {
+			String word = constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+			if (word.equals(text)) {
+				return constant;
+			}
+			words.add(word);
+		}
+		this.faults.add(flag + " must be one of " + String.join(", ", words) + ", but was '" + text + "'");
+		return defaultValue;
+	}
+
 	/**
 	 * Adds a fault that a caller found.
 	 * @param fault what was expected and what came
--- a/src/main/java/org/magnoliahub/routing/DeadlineAwareScheduler.java
+++ b/src/main/java/org/magnoliahub/routing/DeadlineAwareScheduler.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -14,6 +16,7 @@
 import org.magnoliahub.model.RequestId;
 import org.magnoliahub.model.StageDefinition;
 import org.magnoliahub.model.Workspace;
+import org.magnoliahub.protocol.Message;
 import org.magnoliahub.time.TimerService;
 
 /**
@@ -49,6 +52,8 @@
 
 	private final Map<String, Integer> inFlight = new HashMap<>();
 
+	private final Set<String> unusable = new HashSet<>();
+
 	private long appliedVersion = -1;
 
 	private long sequence;
@@ -93,9 +98,10 @@
 		Admitted plan = plan(request, now);
 		double excess = 0;
 		for (PlannedStage stage : plan.stages) {
-			if (stage.pool.endpoints().isEmpty()) {
+			if (!stage.pool.hasUsableEndpoint()) {
 				return new AdmissionDecision.Refused(RefusalReason.NO_ENDPOINT,
-						"a pool of pipeline " + request.pipeline().name() + " has no endpoints", retryAfter(1_000));
+						"a pool of pipeline " + request.pipeline().name() + " has no usable endpoint",
+						retryAfter(1_000));
 			}
 			excess = Math.max(excess,
 					stage.pool.excessMillis(workspace, stage.cost, now, Math.max(now, stage.latestStart)));
@@ -126,9 +132,9 @@
 			EndpointPool pool = poolOf(request.stage().pool());
 			if (pool.endpoints()
 				.stream()
-				.allMatch((statistics) -> request.excludedEndpoints().contains(statistics.endpoint().name()))) {
-				emitter.onError(new AssignmentException(RefusalReason.NO_ENDPOINT,
-						"no endpoint of pool " + request.stage().pool() + " is usable", retryAfter(1_000)));
+				.noneMatch((statistics) -> statistics.isUsable()
+						&& !request.excludedEndpoints().contains(statistics.endpoint().name()))) {
+				emitter.onError(pool.noEndpoint());
 				return;
 			}
 			Admitted plan = this.admitted.get(request.attempt().request());
@@ -161,6 +167,22 @@
 		this.inFlight.computeIfPresent(request.workspace().name(), (name, count) -> (count > 1) ? count - 1 : null);
 	}
 
+	@Override
+	public void setUsable(String endpoint, boolean usable) {
+		if (usable) {
+			this.unusable.remove(endpoint);
+		}
+		else {
+			this.unusable.add(endpoint);
+		}
+		this.pools.values().forEach((pool) -> pool.setUsable(endpoint, usable));
+	}
+
+	@Override
+	public void loadReported(String endpoint, Message.LoadReport load) {
+		this.pools.values().forEach((pool) -> pool.loadReported(endpoint, load));
+	}
+
 	private Admitted plan(AdmissionRequest request, double now) {
 		List<StageDefinition> definitions = request.pipeline().stages();
 		PlannedStage[] planned = new PlannedStage[definitions.size()];
@@ -182,6 +204,7 @@
 			return;
 		}
 		this.appliedVersion = current.version();
+		this.unusable.retainAll(current.endpoints().keySet());
 		this.pools.forEach((name, pool) -> update(pool, name, current));
 		this.stages.keySet()
 			.removeIf((stage) -> current.pipelines()
@@ -192,6 +215,7 @@
 
 	private void update(EndpointPool pool, String name, Configuration current) {
 		pool.update(EndpointSubset.choose(current.endpointsOf(name), this.gateway, this.zone), this.zone.name());
+		this.unusable.forEach((endpoint) -> pool.setUsable(endpoint, false));
 	}
 
 	private EndpointPool poolOf(String name) {
--- a/src/main/java/org/magnoliahub/routing/EndpointPool.java
+++ b/src/main/java/org/magnoliahub/routing/EndpointPool.java
@@ -144,6 +144,53 @@
 		return this.endpoints;
 	}
 
+	/**
+	 * Records whether an endpoint takes new work. When none is left, waiting requests are
+	 * given back, so that their gateway decides how long to wait.
+	 * @param endpoint name of the endpoint
+	 * @param usable whether it takes new work
+	 */
+	void setUsable(String endpoint, boolean usable) {
+		for (EndpointStatistics statistics : this.endpoints) {
+			if (statistics.endpoint().name().equals(endpoint)) {
+				statistics.setUsable(usable);
+				this.refreshedAtMillis = Double.NEGATIVE_INFINITY;
+			}
+		}
+		if (usable) {
+			drain();
+			return;
+		}
+		while (!hasUsableEndpoint() && this.queue.size() > 0) {
+			WaitingRequest waiting = this.queue.next(1, false, 0).get(0);
+			this.queue.remove(waiting, this.queue.shareOf(waiting.request().workspace(), millis()));
+			waiting.emitter().onError(noEndpoint());
+		}
+	}
+
+	boolean hasUsableEndpoint() {
+		return this.endpoints.stream().anyMatch(EndpointStatistics::isUsable);
+	}
+
+	AssignmentException noEndpoint() {
+		return new AssignmentException(RefusalReason.NO_ENDPOINT, "no endpoint of pool " + this.name + " is usable",
+				Duration.ofSeconds(1));
+	}
+
+	/**
+	 * Takes a load report that came apart from a result.
+	 * @param endpoint name of the endpoint
+	 * @param load the report
+	 */
+	void loadReported(String endpoint, Message.LoadReport load) {
+		for (EndpointStatistics statistics : this.endpoints) {
+			if (statistics.endpoint().name().equals(endpoint)) {
+				statistics.reported(millis(), load);
+				drain();
+			}
+		}
+	}
+
 	WaitQueue queue() {
 		return this.queue;
 	}
--- a/src/main/java/org/magnoliahub/routing/EndpointStatistics.java
+++ b/src/main/java/org/magnoliahub/routing/EndpointStatistics.java
@@ -112,6 +112,8 @@
 
 	private long reportAgentMillis = -1;
 
+	private boolean usable = true;
+
 	private int consecutiveFailures;
 
 	private double pausedUntilMillis = Double.NEGATIVE_INFINITY;
@@ -234,7 +236,19 @@
 	}
 
 	boolean isPaused(double now) {
-		return now < this.pausedUntilMillis;
+		return !this.usable || now < this.pausedUntilMillis;
+	}
+
+	boolean isUsable() {
+		return this.usable;
+	}
+
+	/**
+	 * Records whether the endpoint is connected and not draining.
+	 * @param nowUsable whether it takes new work
+	 */
+	void setUsable(boolean nowUsable) {
+		this.usable = nowUsable;
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/server/ConfigurationRelay.java
+++ b/src/main/java/org/magnoliahub/server/ConfigurationRelay.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import org.magnoliahub.configuration.ConfigurationHolder;
 import org.magnoliahub.configuration.ConfigurationPeers;
@@ -114,6 +115,11 @@
 			return unavailable();
 		}
 
+		@Override
+		public Completable delete(String key) {
+			return Completable.error(new StoreException("agents do not use the platform's services", false));
+		}
+
 		@Override
 		public Single<List<String>> list(String prefix, String startAfter, int limit) {
 			return unavailable();
--- a/src/main/java/org/magnoliahub/server/GatewayProcess.java
+++ b/src/main/java/org/magnoliahub/server/GatewayProcess.java
@@ -24,7 +24,6 @@
 import org.magnoliahub.platform.PlatformServices;
 import org.magnoliahub.protocol.Message;
 import org.magnoliahub.protocol.ProtocolVersion;
-import org.magnoliahub.routing.BaselineScheduler;
 import org.magnoliahub.routing.StageScheduler;
 import org.magnoliahub.transport.TcpAgentConnections;
 import org.magnoliahub.transport.Transport;
@@ -81,7 +80,9 @@
 				this.meters);
 		this.holder = ConfigurationHolder.of(ConfigurationRepository.of(platform.tableStore(), platform.objectStore()),
 				this.connections, loop.timers(), this.random);
-		StageScheduler scheduler = BaselineScheduler.leastOutstanding(this.holder::configuration, this.random);
+		StageScheduler scheduler = settings.policy()
+			.create(this.holder::configuration, loop.timers(), this.random, settings.availabilityZone(),
+					settings.name());
 		ClaimRepository claims = ClaimRepository.of(platform.tableStore(), loop.timers(), this.random,
 				ClaimSettings.defaults());
 		this.coordinator = RequestCoordinator.of(settings.name(), this.holder::configuration, scheduler, agents, claims,
--- a/src/main/java/org/magnoliahub/server/GatewaySettings.java
+++ b/src/main/java/org/magnoliahub/server/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import org.magnoliahub.gateway.GatewayLimits;
 import org.magnoliahub.model.AvailabilityZone;
+import org.magnoliahub.routing.RoutingPolicy;
 
 /**
  * Settings of a gateway process.
@@ -13,9 +14,10 @@
  * @param adminPort local port for operators, 0 for any free one
  * @param maximumConnections most open connections of callers
  * @param maximumStreams most answers that are streamed at a time
+ * @param policy how endpoints are chosen
  * @param limits limits of requests and retries
  */
 public record GatewaySettings(String name, AvailabilityZone availabilityZone, String host, int port, int adminPort,
-		int maximumConnections, int maximumStreams, GatewayLimits limits) {
+		int maximumConnections, int maximumStreams, RoutingPolicy policy, GatewayLimits limits) {
 
 }
