Fail attempts whose chunks cannot be sent, and prove the agent's promises

Cause: GatewayLink.send had no result, so a chunk that the session refused (too much waits to be written, or larger than a frame) was dropped and the gateway waited for it until the deadline. The agent now cancels the attempt for that gateway and sends Failed. Ruled out: dropping is not repaired by credits, since they count chunks and not bytes. Before: "expected: [Failed 1] but was: [Completed 1]".

Cause: drain() completed before the last result was sent, so the process could close its connections first. It now completes after the last message. Before: "Expecting ArrayList: [Draining] to contain: [Completed 1 a]".

Cause: each refused or revoked attempt got a ledger entry, without a limit. When the ledger is full, the agent now keeps the time instead, and refuses every attempt recorded up to it as stale. Before: "expected: 4 but was: 100" entries. With the time not checked: "expected: [Rejected 5 STALE] but was: []".

--- a/src/main/java/org/magnoliahub/agent/AttemptExecution.java
+++ b/src/main/java/org/magnoliahub/agent/AttemptExecution.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -138,7 +139,7 @@
 
 	private void acceptPart(String part) {
 		if (isStreamed()) {
-			broadcast(new Message.Chunk(attempt(), this.agent.incarnation(), this.chunks, part));
+			sendChunk(new Message.Chunk(attempt(), this.agent.incarnation(), this.chunks, part));
 			this.chunks++;
 			return;
 		}
@@ -148,6 +149,14 @@
 		}
 	}
 
+	private void sendChunk(Message.Chunk chunk) {
+		for (GatewayLink link : List.copyOf(this.listeners)) {
+			if (!link.send(chunk)) {
+				this.agent.chunkRefused(this, link);
+			}
+		}
+	}
+
 	private void finish(long units) {
 		if (this.disposed) {
 			return;
--- a/src/main/java/org/magnoliahub/agent/AttemptLedger.java
+++ b/src/main/java/org/magnoliahub/agent/AttemptLedger.java
@@ -30,6 +30,8 @@
 
 	private long bytes;
 
+	private long promisedMillis = Long.MIN_VALUE;
+
 	AttemptLedger(AgentLimits limits) {
 		this.limits = limits;
 	}
@@ -63,12 +65,28 @@
 	}
 
 	/**
-	 * Records a state without a result.
+	 * Returns whether an attempt without an entry may have been promised not to start
+	 * while the ledger was full.
+	 * @param agentMillisSeen agent's monotonic time recorded with the attempt
+	 * @return {@code true} if it must not start
+	 */
+	boolean mayHavePromised(long agentMillisSeen) {
+		return agentMillisSeen <= this.promisedMillis;
+	}
+
+	/**
+	 * Records a state without a result. If the ledger is full, an attempt that never
+	 * started gets no entry; instead all attempts recorded up to now are refused.
 	 * @param attempt the attempt
 	 * @param state its new state
 	 * @param nowMillis the agent's monotonic time
 	 */
 	void record(AttemptId attempt, AttemptState state, long nowMillis) {
+		boolean isNew = !this.entries.containsKey(attempt);
+		if (isNew && state == AttemptState.NEVER_STARTED && !hasRoom()) {
+			this.promisedMillis = nowMillis;
+			return;
+		}
 		put(attempt, new Entry(state, NO_OUTPUT, dueMillis(state, nowMillis)));
 	}
 
--- a/src/main/java/org/magnoliahub/agent/EndpointAgent.java
+++ b/src/main/java/org/magnoliahub/agent/EndpointAgent.java
@@ -209,13 +209,14 @@
 			return RejectionReason.DEADLINE_EXCEEDED;
 		}
 		if (!execute.idempotent()) {
-			long age = this.timers.milliTime() - execute.agentMillisSeen();
-			if (age < 0 || age > this.limits.maximumAge().toMillis()) {
-				return RejectionReason.STALE;
-			}
 			if (!this.ledger.hasRoom()) {
 				return RejectionReason.QUEUE_FULL;
 			}
+			long age = this.timers.milliTime() - execute.agentMillisSeen();
+			if (age < 0 || age > this.limits.maximumAge().toMillis()
+					|| this.ledger.mayHavePromised(execute.agentMillisSeen())) {
+				return RejectionReason.STALE;
+			}
 		}
 		if (this.running >= this.limits.maximumRunning() && this.waiting.size() >= this.limits.maximumWaiting()) {
 			return RejectionReason.QUEUE_FULL;
@@ -249,6 +250,7 @@
 			counter("cancelled").increment();
 			end(execution, AttemptState.FAILED);
 		}
+		completeIfIdle();
 	}
 
 	private void revoke(GatewayLink link, Message.Revoke revoke) {
@@ -300,6 +302,7 @@
 		counter("rejected").increment();
 		end(execution, AttemptState.NEVER_STARTED);
 		execution.broadcast(new Message.Rejected(execution.attempt(), this.incarnation, reason));
+		completeIfIdle();
 	}
 
 	private void startNext() {
@@ -321,12 +324,26 @@
 			this.ledger.recordCompleted(execution.attempt(), output, this.timers.milliTime());
 		}
 		execution.broadcast(new Message.Completed(execution.attempt(), this.incarnation, chunks, output, load()));
+		completeIfIdle();
 	}
 
 	void failed(AttemptExecution execution, String detail, boolean effectPossible) {
 		end(execution, effectPossible ? AttemptState.FAILED : AttemptState.NEVER_STARTED);
 		execution.broadcast(effectPossible ? new Message.Failed(execution.attempt(), this.incarnation, detail, load())
 				: new Message.Rejected(execution.attempt(), this.incarnation, RejectionReason.ENDPOINT_UNREACHABLE));
+		completeIfIdle();
+	}
+
+	// A result with a missing chunk is of no use, and the gateway would wait for the
+	// chunk
+	// until the deadline, so it is told at once.
+	void chunkRefused(AttemptExecution execution, GatewayLink link) {
+		counter("chunk_refused").increment();
+		link.send(new Message.Failed(execution.attempt(), this.incarnation,
+				"a part of the result could not be sent: too much waits to be written to the gateway", load()));
+		if (execution.removeListener(link) && !execution.hasListeners()) {
+			abandon(execution);
+		}
 	}
 
 	private void end(AttemptExecution execution, AttemptState state) {
@@ -340,9 +357,10 @@
 			this.running--;
 			startNext();
 		}
-		completeIfIdle();
 	}
 
+	// Called after the last message of an attempt was sent, since the process may close
+	// its connections as soon as the agent is idle.
 	private void completeIfIdle() {
 		if (this.draining && this.running == 0) {
 			this.idle.onComplete();
--- a/src/main/java/org/magnoliahub/agent/GatewayLink.java
+++ b/src/main/java/org/magnoliahub/agent/GatewayLink.java
@@ -9,9 +9,11 @@
 public interface GatewayLink {
 
 	/**
-	 * Sends a message, or drops it if the connection is lost.
+	 * Sends a message, or drops it if the connection is lost or, for a
+	 * {@link Message.Chunk}, if too much waits to be written.
 	 * @param message the message
+	 * @return whether it was handed to the connection; delivery is not certain
 	 */
-	void send(Message message);
+	boolean send(Message message);
 
 }
--- a/src/test/java/org/magnoliahub/simulation/SimulatedLink.java
+++ b/src/test/java/org/magnoliahub/simulation/SimulatedLink.java
@@ -174,14 +174,15 @@
 		}
 
 		@Override
-		public void send(Message message) {
+		public boolean send(Message message) {
 			if (this.agentTimer.isDead()) {
-				return;
+				return false;
 			}
 			deliverToGateway(message);
 			if (SimulatedLink.this.random.nextDouble() < SimulatedLink.this.duplicateProbability) {
 				deliverToGateway(message);
 			}
+			return true;
 		}
 
 		private void deliverToGateway(Message message) {
