--- a/src/main/java/org/magnoliahub/configuration/ConfigurationHolder.java
+++ b/src/main/java/org/magnoliahub/configuration/ConfigurationHolder.java
@@ -35,6 +35,9 @@
 	/** Time after which a poll without an answer counts as failed. */
 	public static final Duration POLL_TIMEOUT = Duration.ofSeconds(2);
 
+	/** Time after which the first load counts as failed; it may read a large snapshot. */
+	public static final Duration LOAD_TIMEOUT = Duration.ofSeconds(5);
+
 	/** Time without the store and without a peer after which the version is stale. */
 	public static final Duration STALE_AFTER = Duration.ofSeconds(26);
 
@@ -254,7 +257,10 @@
 	private void poll() {
 		long versionBefore = this.configuration.version();
 		long startNanos = this.timers.nanoTime();
-		this.poll.set(read().takeUntil(this.timers.after(POLL_TIMEOUT))
+		if (!this.ready) {
+			sendVersion();
+		}
+		this.poll.set(read().takeUntil(this.timers.after(this.ready ? POLL_TIMEOUT : LOAD_TIMEOUT))
 			.subscribe((full) -> pollSucceeded(versionBefore, startNanos, full), (error) -> pollFailed()));
 	}
 
