--- a/src/main/java/org/magnoliahub/experiment/LoadRun.java
+++ b/src/main/java/org/magnoliahub/experiment/LoadRun.java
@@ -21,6 +21,7 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import okhttp3.ResponseBody;
+import okio.Okio;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -160,7 +161,7 @@
 				reason = response.isSuccessful() ? reason : "status_" + response.code();
 				if (body != null && body.source().readUtf8Line() != null) {
 					firstPart = System.nanoTime();
-					body.source().skip(body.source().readAll(okio.Okio.blackhole()));
+					body.source().readAll(Okio.blackhole());
 				}
 			}
 			catch (IOException ex) {
--- a/src/test/java/org/magnoliahub/process/RunningProcess.java
+++ b/src/test/java/org/magnoliahub/process/RunningProcess.java
@@ -60,6 +60,10 @@
 		return this.ports.get(0);
 	}
 
+	long pid() {
+		return this.process.pid();
+	}
+
 	int adminPort() {
 		return this.ports.get(1);
 	}
