--- a/src/test/java/org/magnoliahub/simulation/SimulatedGateway.java
+++ b/src/test/java/org/magnoliahub/simulation/SimulatedGateway.java
@@ -14,6 +14,7 @@
 import org.magnoliahub.claim.ClaimSettings;
 import org.magnoliahub.gateway.GatewayLimits;
 import org.magnoliahub.gateway.RequestCoordinator;
+import org.magnoliahub.model.AvailabilityZone;
 import org.magnoliahub.model.Configuration;
 import org.magnoliahub.model.RequestRecord;
 import org.magnoliahub.platform.Row;
@@ -21,7 +22,8 @@
 import org.magnoliahub.platform.TableStore;
 import org.magnoliahub.platform.Transaction;
 import org.magnoliahub.platform.TransactionResult;
-import org.magnoliahub.routing.BaselineScheduler;
+import org.magnoliahub.routing.RoutingPolicy;
+import org.magnoliahub.routing.StageScheduler;
 import org.magnoliahub.time.TimerService;
 
 /**
@@ -38,14 +40,17 @@
 	private final RequestCoordinator coordinator;
 
 	SimulatedGateway(String name, Configuration configuration, List<SimulatedAgent> agents, TableStore store,
-			TimerService base, RandomGenerator random, GatewayLimits limits) {
+			TimerService base, RandomGenerator random, GatewayLimits limits, RoutingPolicy policy) {
 		this.timer = new ProcessTimer(base);
 		for (SimulatedAgent agent : agents) {
 			this.links.put(agent.endpoint().name(), new SimulatedLink(agent, this.timer, base, random));
 		}
 		ClaimRepository claims = ClaimRepository.of(gated(store), this.timer, random, ClaimSettings.defaults());
-		this.coordinator = RequestCoordinator.of(name, () -> configuration,
-				BaselineScheduler.leastOutstanding(() -> configuration, random),
+		StageScheduler scheduler = policy.create(() -> configuration, this.timer, random,
+				new AvailabilityZone("zone-a"), name);
+		this.links.forEach((endpoint, link) -> link.connected()
+			.subscribe((connected) -> scheduler.setUsable(endpoint, connected && link.peer().isPresent())));
+		this.coordinator = RequestCoordinator.of(name, () -> configuration, scheduler,
 				(endpoint) -> Optional.ofNullable(this.links.get(endpoint.name())), claims, this.timer, random, limits,
 				() -> Instant.EPOCH, this.records::add, new SimpleMeterRegistry());
 	}
--- a/src/test/java/org/magnoliahub/simulation/SimulatedSystem.java
+++ b/src/test/java/org/magnoliahub/simulation/SimulatedSystem.java
@@ -24,6 +24,7 @@
 import org.magnoliahub.platform.InMemoryTableStore;
 import org.magnoliahub.platform.StoreFaults;
 import org.magnoliahub.platform.TableStore;
+import org.magnoliahub.routing.RoutingPolicy;
 import org.magnoliahub.time.SchedulerTimerService;
 import org.magnoliahub.time.TimerService;
 
@@ -70,11 +71,16 @@
 		}
 		for (int i = 0; i < gatewayCount; i++) {
 			this.gateways.add(new SimulatedGateway("gateway-" + i, this.configuration, this.agents, this.store,
-					this.time, this.random.split(), GatewayLimits.defaults()));
+					this.time, this.random.split(), GatewayLimits.defaults(), policyOf(seed)));
 		}
 		advance(Duration.ofMillis(10));
 	}
 
+	// Half of the seeds run the product's policy, the others the simplest one.
+	private static RoutingPolicy policyOf(long seed) {
+		return ((seed & 1) == 0) ? RoutingPolicy.DEADLINE_AWARE : RoutingPolicy.LEAST_OUTSTANDING;
+	}
+
 	private int compare(Endpoint left, Endpoint right) {
 		return left.name().compareTo(right.name());
 	}
