--- a/src/main/java/org/magnoliahub/server/HttpServers.java
+++ b/src/main/java/org/magnoliahub/server/HttpServers.java
@@ -60,6 +60,7 @@
 
 	private static void limit(Server server, int maximumConnections) {
 		server.addBean(new ConnectionLimit(maximumConnections, server));
+		server.setErrorHandler(new BadMessageHandler());
 	}
 
 	private static ServerConnector connector(Server server, String host, int port) {
--- a/src/test/java/org/magnoliahub/process/ProcessSystem.java
+++ b/src/test/java/org/magnoliahub/process/ProcessSystem.java
@@ -198,10 +198,16 @@
 	 * @throws IOException if the connection fails
 	 */
 	String submit(int gateway, String pipeline, String key, String body, String accept) throws IOException {
+		return submit(gateway, pipeline, key, body, accept, "5000");
+	}
+
+	String submit(int gateway, String pipeline, String key, String body, String accept, String timeoutMillis)
+			throws IOException {
 		Request.Builder request = new Request.Builder()
 			.url("http://" + HOST + ":" + gateway(gateway).port() + "/v1/pipelines/" + pipeline + "/requests")
 			.header("Workspace", "hakodate")
 			.header("Accept", accept)
+			.header("Request-Timeout-Ms", timeoutMillis)
 			.post(RequestBody.create(body, JSON));
 		if (!key.isEmpty()) {
 			request.header("Idempotency-Key", key);
--- a/src/test/java/org/magnoliahub/process/ServingPathIT.java
+++ b/src/test/java/org/magnoliahub/process/ServingPathIT.java
@@ -91,4 +91,17 @@
 		assertThat(answer.path("outcome").asText()).isEqualTo("not_run");
 	}
 
+	@Test
+	void oversizedHeaderGetsATypedRefusal() throws IOException {
+		JsonNode answer = this.mapper.readTree(this.system.submit(0, "report", "k".repeat(20_000), DRAFT, JSON));
+		assertThat(answer.path("outcome").asText()).isEqualTo("not_run");
+		assertThat(answer.path("reason").asText()).isEqualTo("invalid_request");
+	}
+
+	@Test
+	void spentDeadlineGetsATypedRefusal() throws IOException {
+		JsonNode answer = this.mapper.readTree(this.system.submit(0, "report", "", DRAFT, JSON, "0"));
+		assertThat(answer.path("reason").asText()).isEqualTo("deadline_exceeded");
+	}
+
 }
