--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -26,7 +26,7 @@
 	static List<Command> configuration(CommandContext context) {
 		return List.of(new ValidateCommand(), new PlanCommand(context), new ApplyCommand(context),
 				new HistoryCommand(context), new ShowCommand(context), new RollbackCommand(context),
-				new StatusCommand(context));
+				new StatusCommand(context), new QueryCommand(), new ReportCommand());
 	}
 
 	private static List<Command> processes() {
--- a/src/main/java/org/magnoliahub/command/GatewayCommand.java
+++ b/src/main/java/org/magnoliahub/command/GatewayCommand.java
@@ -13,10 +13,12 @@
 import org.magnoliahub.platform.PlatformServices;
 import org.magnoliahub.platform.VmInventory;
 import org.magnoliahub.platformhttp.HttpSdVmInventory;
+import org.magnoliahub.report.RecordSettings;
 import org.magnoliahub.routing.RoutingPolicy;
 import org.magnoliahub.server.EventLoop;
 import org.magnoliahub.server.GatewayProcess;
 import org.magnoliahub.server.GatewaySettings;
+import org.magnoliahub.server.OperatorTokens;
 
 /**
  * Runs a gateway.
@@ -41,7 +43,12 @@
 		Settings.declare(parser, "--maximum-streams", "most answers streamed at a time; default: 200");
 		Settings.declare(parser, "--drain-timeout-ms", "longest wait for requests at a stop; default: 60000");
 		Settings.declare(parser, "--policy",
-				"deadline-aware, least-outstanding, round-robin or random; " + "default: deadline-aware");
+				"deadline-aware, least-outstanding, round-robin or random; default: deadline-aware");
+		Settings.declare(parser, "--operator-token-file",
+				"file with one line 'NAME TOKEN' per operator; without it, or the variable"
+						+ " MAGNOLIAHUB_OPERATOR_TOKEN, operator paths refuse all calls");
+		Settings.declare(parser, "--complete-records-kept",
+				"most records of requests complete in time kept per object of 10 s; default: 200");
 		PlatformSettings.declare(parser);
 		Settings.declare(parser, "--vm-inventory-url", "URL of the list of VMs; required");
 	}
@@ -60,11 +67,14 @@
 		int streams = (int) settings.number("--maximum-streams", 1, 2_000, 200);
 		Duration drainTimeout = Duration.ofMillis(settings.number("--drain-timeout-ms", 0, 3_600_000, 60_000));
 		RoutingPolicy policy = settings.choice("--policy", RoutingPolicy.DEADLINE_AWARE);
+		OperatorTokens operators = OperatorTokenSettings.read(settings, environment);
+		int kept = (int) settings.number("--complete-records-kept", 0, 1_000, 200);
 		PlatformSettings platform = PlatformSettings.read(settings);
 		String inventoryUrl = PlatformSettings.url(settings, "--vm-inventory-url");
 		settings.check();
 		GatewaySettings gateway = new GatewaySettings(name, new AvailabilityZone(zone), host, port, adminPort,
-				connections, streams, policy, GatewayLimits.defaults().withMaximumRequests(requests));
+				connections, streams, policy, GatewayLimits.defaults().withMaximumRequests(requests), operators,
+				RecordSettings.defaults().withCompleteKept(kept));
 		GatewayProcess process = start(gateway, platform, inventoryUrl);
 		output
 			.println("listening on " + host + ":" + process.port() + ", admin on " + host + ":" + process.adminPort());
