--- a/src/test/java/org/magnoliahub/lease/LeaseManagerTests.java
+++ b/src/test/java/org/magnoliahub/lease/LeaseManagerTests.java
@@ -130,10 +130,14 @@
 
 		void injectFaults() {
 			for (Candidate candidate : this.candidates) {
-				candidate.connection.down = this.random.nextInt(5) == 0;
-				candidate.connection.hanging = this.random.nextInt(8) == 0;
-				candidate.connection.lostAnswers = this.random.nextInt(3) * 0.4;
-				candidate.connection.nextAnswerDelay = Duration.ofMillis(this.random.nextInt(4_000));
+				if (this.random.nextInt(30) == 0) {
+					candidate.isolatedSeconds = 5 + this.random.nextInt(15);
+				}
+				candidate.connection.down = candidate.isolatedSeconds-- > 0 || this.random.nextInt(8) == 0;
+				candidate.connection.hanging = this.random.nextInt(10) == 0;
+				candidate.connection.lostAnswers = this.random.nextInt(4) * 0.2;
+				candidate.connection.nextAnswerDelay = Duration
+					.ofMillis((this.random.nextInt(4) == 0) ? this.random.nextInt(4_000) : 0);
 				if (!candidate.frozen && this.random.nextInt(40) == 0) {
 					candidate.frozen = true;
 				}
@@ -199,6 +203,8 @@
 
 		boolean frozen;
 
+		int isolatedSeconds;
+
 		Candidate(Simulation simulation, String name) {
 			this.simulation = simulation;
 			this.rate = 0.96 + 0.08 * simulation.random.nextDouble();
