--- a/src/test/java/org/magnoliahub/process/ProcessSample.java
+++ b/src/test/java/org/magnoliahub/process/ProcessSample.java
@@ -4,6 +4,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -58,6 +60,25 @@
 		return kilobytes;
 	}
 
+	/**
+	 * Reads processor time by thread; threads of one name with different numbers are
+	 * added up.
+	 * @param pid a Java process
+	 * @return milliseconds by name of thread
+	 * @throws IOException if the process is gone
+	 */
+	static Map<String, Long> threads(long pid) throws IOException {
+		Matcher matcher = Pattern.compile("(?m)^\"([^\"]+)\".*? cpu=([0-9.]+)ms").matcher(jcmd(pid, "Thread.print"));
+		Map<String, Long> result = new TreeMap<>();
+		while (matcher.find()) {
+			long millis = (long) Double.parseDouble(matcher.group(2));
+			if (millis >= 100) {
+				result.merge(matcher.group(1).replaceAll("\\d+", "N"), millis, Long::sum);
+			}
+		}
+		return result;
+	}
+
 	static String jcmd(long pid, String... command) throws IOException {
 		String[] line = new String[command.length + 2];
 		line[0] = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
