--- a/src/main/java/org/magnoliahub/configuration/ConfigurationHolder.java
+++ b/src/main/java/org/magnoliahub/configuration/ConfigurationHolder.java
@@ -9,6 +9,7 @@
 
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.disposables.SerialDisposable;
 import io.reactivex.rxjava3.processors.BehaviorProcessor;
 import org.magnoliahub.model.Configuration;
@@ -34,14 +35,21 @@
 	/** Time after which a poll without an answer counts as failed. */
 	public static final Duration POLL_TIMEOUT = Duration.ofSeconds(2);
 
+	/** Time after which the first load counts as failed; it may read a large snapshot. */
+	public static final Duration LOAD_TIMEOUT = Duration.ofSeconds(5);
+
 	/** Time without the store and without a peer after which the version is stale. */
 	public static final Duration STALE_AFTER = Duration.ofSeconds(26);
 
 	/** Peers that are asked or told at once. */
 	private static final int PEERS_PER_ROUND = 2;
 
-	/** Bounds the bandwidth spent on peers that need the whole content. */
-	private static final Duration SNAPSHOT_SPACING = Duration.ofSeconds(1);
+	/**
+	 * Time between the parts of a snapshot. It bounds the share of the event loop and of
+	 * the network that peers without a configuration can use; at target size a snapshot
+	 * has about 50 parts.
+	 */
+	private static final Duration PART_SPACING = Duration.ofMillis(100);
 
 	/** Polls start at a random point of the last part of the period, given by this. */
 	private static final double JITTER = 0.2;
@@ -76,7 +84,9 @@
 
 	private OptionalLong peerHeardNanos = OptionalLong.empty();
 
-	private OptionalLong snapshotSentNanos = OptionalLong.empty();
+	private Disposable snapshotSending = Disposable.disposed();
+
+	private int pollLimit = ConfigurationRepository.MAXIMUM_CHANGES;
 
 	private long failedPolls;
 
@@ -117,6 +127,7 @@
 	public void stop() {
 		this.poll.dispose();
 		this.nextPoll.dispose();
+		this.snapshotSending.dispose();
 	}
 
 	/**
@@ -232,19 +243,24 @@
 			this.peers.send(peer, new Message.ConfigurationChanges(version, changes));
 			return;
 		}
-		if (age(this.snapshotSentNanos).filter((age) -> age.compareTo(SNAPSHOT_SPACING) < 0).isPresent()) {
+		// A peer that gets no answer asks again or asks another peer.
+		if (!this.snapshotSending.isDisposed()) {
 			return;
 		}
-		this.snapshotSentNanos = OptionalLong.of(this.timers.nanoTime());
-		for (String part : SnapshotTransfer.split(this.configuration)) {
-			this.peers.send(peer, new Message.ConfigurationChanges(version, List.of(part)));
-		}
+		Configuration snapshot = this.configuration;
+		this.snapshotSending = Flowable.range(0, SnapshotTransfer.parts(snapshot))
+			.concatMapSingle((part) -> this.timers.after(PART_SPACING).andThen(Single.just(part)))
+			.map((part) -> ConfigurationCodec.encode(SnapshotTransfer.part(snapshot, part)))
+			.subscribe((text) -> this.peers.send(peer, new Message.ConfigurationChanges(version, List.of(text))));
 	}
 
 	private void poll() {
 		long versionBefore = this.configuration.version();
 		long startNanos = this.timers.nanoTime();
-		this.poll.set(read().takeUntil(this.timers.after(POLL_TIMEOUT))
+		if (!this.ready) {
+			sendVersion();
+		}
+		this.poll.set(read().takeUntil(this.timers.after(this.ready ? POLL_TIMEOUT : LOAD_TIMEOUT))
 			.subscribe((full) -> pollSucceeded(versionBefore, startNanos, full), (error) -> pollFailed()));
 	}
 
@@ -259,16 +275,18 @@
 				return false;
 			});
 		}
+		int limit = this.pollLimit;
 		return this.repository.changesSince(this.configuration.version(), ConfigurationRepository.MAXIMUM_CHANGES)
 			.map((changes) -> {
 				merge(changes, this.configuration);
-				return changes.size() == ConfigurationRepository.MAXIMUM_CHANGES;
+				return changes.size() == limit;
 			});
 	}
 
 	private void pollSucceeded(long versionBefore, long startNanos, boolean full) {
 		this.storeHeardNanos = OptionalLong.of(this.timers.nanoTime());
 		this.failedPolls = 0;
+		this.pollLimit = Math.min(ConfigurationRepository.MAXIMUM_CHANGES, this.pollLimit * 2);
 		this.ready = true;
 		if (this.configuration.version() > versionBefore) {
 			sendVersion();
@@ -279,6 +297,8 @@
 
 	private void pollFailed() {
 		this.failedPolls++;
+		// Large changes may take longer to read than the time-out allows.
+		this.pollLimit = Math.max(1, this.pollLimit / 2);
 		sendVersion();
 		schedule(jittered(RETRY_PERIOD));
 	}
--- a/src/main/java/org/magnoliahub/routing/EndpointPool.java
+++ b/src/main/java/org/magnoliahub/routing/EndpointPool.java
@@ -35,6 +35,32 @@
 	/** Time constant by which the capacity estimate is smoothed. */
 	private static final double CAPACITY_MILLIS = 300;
 
+	/**
+	 * The yield is measured over this multiple of the execution time, within the bounds
+	 * below. A shorter window takes the noise of few long executions for lost capacity.
+	 */
+	private static final double YIELD_MULTIPLE = 8;
+
+	private static final double SHORTEST_YIELD_MILLIS = 1_000;
+
+	private static final double LONGEST_YIELD_MILLIS = 15_000;
+
+	/** Share of the way back to 1 per refresh without waiting requests. */
+	private static final double YIELD_RECOVERY = 0.005;
+
+	/** Tolerance of admission, so that an idle pool admits urgent work. */
+	private static final double SHORTEST_GRACE_MILLIS = 20;
+
+	/** Change of the tolerance per request that was sent without delay. */
+	private static final double GRACE_INCREASE_MILLIS = 1;
+
+	/** Change of the tolerance per request that was sent after its latest start. */
+	private static final double GRACE_DECREASE = 0.95;
+
+	private static final double LOWEST_YIELD = 0.3;
+
+	private static final double HIGHEST_YIELD = 1.25;
+
 	private final String name;
 
 	private final SchedulerParameters parameters;
@@ -73,6 +99,20 @@
 
 	private double warmRatio = 1;
 
+	/** Work sent while requests waited, relative to the estimated capacity. */
+	private double yield = 1;
+
+	/** By how much admission overestimates the time until a latest start. */
+	private double graceMillis = SHORTEST_GRACE_MILLIS;
+
+	private double sentWork;
+
+	private double expectedWork;
+
+	private double waitedSinceMillis = Double.NaN;
+
+	private double meanExecutionMillis;
+
 	EndpointPool(String name, SchedulerParameters parameters, TimerService timers, RandomGenerator random) {
 		this.name = name;
 		this.parameters = parameters;
@@ -104,6 +144,53 @@
 		return this.endpoints;
 	}
 
+	/**
+	 * Records whether an endpoint takes new work. When none is left, waiting requests are
+	 * given back, so that their gateway decides how long to wait.
+	 * @param endpoint name of the endpoint
+	 * @param usable whether it takes new work
+	 */
+	void setUsable(String endpoint, boolean usable) {
+		for (EndpointStatistics statistics : this.endpoints) {
+			if (statistics.endpoint().name().equals(endpoint)) {
+				statistics.setUsable(usable);
+				this.refreshedAtMillis = Double.NEGATIVE_INFINITY;
+			}
+		}
+		if (usable) {
+			drain();
+			return;
+		}
+		while (!hasUsableEndpoint() && this.queue.size() > 0) {
+			WaitingRequest waiting = this.queue.next(1, false, 0).get(0);
+			this.queue.remove(waiting, this.queue.shareOf(waiting.request().workspace(), millis()));
+			waiting.emitter().onError(noEndpoint());
+		}
+	}
+
+	boolean hasUsableEndpoint() {
+		return this.endpoints.stream().anyMatch(EndpointStatistics::isUsable);
+	}
+
+	AssignmentException noEndpoint() {
+		return new AssignmentException(RefusalReason.NO_ENDPOINT, "no endpoint of pool " + this.name + " is usable",
+				Duration.ofSeconds(1));
+	}
+
+	/**
+	 * Takes a load report that came apart from a result.
+	 * @param endpoint name of the endpoint
+	 * @param load the report
+	 */
+	void loadReported(String endpoint, Message.LoadReport load) {
+		for (EndpointStatistics statistics : this.endpoints) {
+			if (statistics.endpoint().name().equals(endpoint)) {
+				statistics.reported(millis(), load);
+				drain();
+			}
+		}
+	}
+
 	WaitQueue queue() {
 		return this.queue;
 	}
@@ -138,11 +225,11 @@
 	 */
 	double excessMillis(Workspace workspace, double cost, double now, double latestStart) {
 		refresh(now);
-		double usable = this.capacity * this.parameters.capacityShare();
+		double usable = this.capacity * this.yield * this.parameters.capacityShare();
 		if (usable <= 0) {
 			return 1_000;
 		}
-		double excess = this.committed.excess(now, latestStart, cost, usable) / usable;
+		double excess = this.committed.excess(now, latestStart, cost, usable, this.graceMillis) / usable;
 		if (!this.parameters.fairShares()) {
 			return excess;
 		}
@@ -150,7 +237,7 @@
 		double guaranteed = usable * share.weight() / Math.max(this.activeWeights, share.weight());
 		double demand = share.demand(now);
 		double available = Math.max(guaranteed, usable - this.reservedShares + Math.min(demand, guaranteed));
-		double shareExcess = share.committed().excess(now, latestStart, cost, available) / available;
+		double shareExcess = share.committed().excess(now, latestStart, cost, available, this.graceMillis) / available;
 		return (demand <= guaranteed) ? shareExcess : Math.max(excess, shareExcess);
 	}
 
@@ -211,6 +298,7 @@
 				return true;
 			}
 			if (choice.hopeless) {
+				adaptAdmission(true);
 				refuse(request);
 				return true;
 			}
@@ -247,7 +335,7 @@
 			double warm = candidate.isWarm(request.request().prefixHash()) ? this.warmRatio : 1;
 			double execution = stage.mean() * factor * warm;
 			double distance = candidate.sameZone() ? 0 : CROSS_ZONE_MILLIS;
-			boolean room = candidate.hasRoom(now, this.parameters.overcommit());
+			boolean room = candidate.hasRoom(now, this.parameters);
 			double wait = room ? candidate.waitMillis(now, execution) : 0;
 			double probability = stage.probabilityWithin((budget - wait - distance) / (factor * warm));
 			highestProbability = Math.max(highestProbability, probability);
@@ -288,8 +376,7 @@
 		double weighted = 0;
 		for (int i = 0; i < sample; i++) {
 			EndpointStatistics candidate = this.endpoints.get(this.order[i]);
-			if (candidate.hasRoom(now, this.parameters.overcommit()) || candidate.isPaused(now)
-					|| candidate.outstanding() == 0) {
+			if (candidate.hasRoom(now, this.parameters) || candidate.isPaused(now) || candidate.outstanding() == 0) {
 				continue;
 			}
 			double execution = request.statistics().mean() * candidate.factor(now, this.parameters.censored());
@@ -319,6 +406,8 @@
 		request.onSent().run();
 		double mean = request.statistics().mean();
 		share.serve(mean);
+		this.sentWork += mean;
+		adaptAdmission(now > request.latestStartMillis());
 		boolean warm = endpoint.isWarm(request.request().prefixHash());
 		double wait = endpoint.waitMillis(now, mean * endpoint.factor(now, this.parameters.censored()));
 		EndpointStatistics.Attempt attempt = endpoint.start(now, mean, wait, request.request().prefixHash());
@@ -356,6 +445,9 @@
 		this.capacity = parallelism + retained * (this.capacity - parallelism);
 		this.refreshedAtMillis = now;
 		this.typicalFactor = (parallelism > 0) ? slots / parallelism : 1;
+		if (this.parameters.measuredCapacity()) {
+			updateYield(now);
+		}
 		double weights = 0;
 		for (WorkspaceShare share : this.queue.shares()) {
 			if (!share.isIdle(now)) {
@@ -370,6 +462,37 @@
 		this.reservedShares = reserved;
 	}
 
+	private void adaptAdmission(boolean late) {
+		if (late) {
+			this.graceMillis = Math.max(SHORTEST_GRACE_MILLIS, this.graceMillis * GRACE_DECREASE);
+		}
+		else if (this.queue.size() == 0) {
+			this.graceMillis = Math.min(this.parameters.longestGraceMillis(), this.graceMillis + GRACE_INCREASE_MILLIS);
+		}
+	}
+
+	private void updateYield(double now) {
+		if (this.queue.size() == 0 || Double.isNaN(this.waitedSinceMillis)) {
+			this.yield += YIELD_RECOVERY * (1 - this.yield);
+			this.waitedSinceMillis = (this.queue.size() == 0) ? Double.NaN : now;
+			this.sentWork = 0;
+			this.expectedWork = 0;
+			return;
+		}
+		double elapsed = now - this.waitedSinceMillis;
+		this.expectedWork += this.capacity * elapsed;
+		this.waitedSinceMillis = now;
+		double window = Math.max(SHORTEST_YIELD_MILLIS,
+				Math.min(LONGEST_YIELD_MILLIS, YIELD_MULTIPLE * this.meanExecutionMillis));
+		double retained = Math.exp(-elapsed / window);
+		this.sentWork *= retained;
+		this.expectedWork *= retained;
+		if (this.expectedWork > 0) {
+			double measured = Math.max(LOWEST_YIELD, Math.min(HIGHEST_YIELD, this.sentWork / this.expectedWork));
+			this.yield += (1 - retained) * (measured - this.yield);
+		}
+	}
+
 	private double millis() {
 		return this.timers.nanoTime() / 1e6;
 	}
@@ -415,6 +538,8 @@
 			double now = millis();
 			double factor = this.statistics.observedFactor(now) / EndpointPool.this.meanFactor;
 			double expected = this.stage.expected(output.units());
+			EndpointPool.this.meanExecutionMillis += 0.02
+					* (output.endpointMillis() - EndpointPool.this.meanExecutionMillis);
 			this.statistics.completed(now, this.attempt, output.endpointMillis(), expected);
 			this.stage.add(output.endpointMillis() / factor, output.units());
 			if (this.warm && expected > 0) {
--- a/src/main/java/org/magnoliahub/routing/EndpointStatistics.java
+++ b/src/main/java/org/magnoliahub/routing/EndpointStatistics.java
@@ -52,6 +52,9 @@
 	 */
 	private static final double OWN_SHARE = 0.35;
 
+	/** Most attempts sent beyond the estimated slots. */
+	private static final double MAXIMUM_OVERCOMMIT = 4;
+
 	/** Round trip and processing beyond the execution time that is no waiting. */
 	private static final double ROUND_TRIP_MILLIS = 3;
 
@@ -109,6 +112,8 @@
 
 	private long reportAgentMillis = -1;
 
+	private boolean usable = true;
+
 	private int consecutiveFailures;
 
 	private double pausedUntilMillis = Double.NEGATIVE_INFINITY;
@@ -218,11 +223,12 @@
 				Math.min(LONGEST_TRUST_MILLIS, TRUST_MULTIPLE * this.meanExecutionMillis));
 	}
 
-	boolean hasRoom(double now, double overcommit) {
+	boolean hasRoom(double now, SchedulerParameters parameters) {
 		if (now < this.pausedUntilMillis || this.outstanding.size() >= this.window) {
 			return false;
 		}
-		if (load(now) < this.slots + overcommit) {
+		double shortOnes = this.slots * parameters.overcommitMillis() / Math.max(1, this.meanExecutionMillis);
+		if (load(now) < this.slots + Math.max(parameters.overcommit(), Math.min(MAXIMUM_OVERCOMMIT, shortOnes))) {
 			return true;
 		}
 		return this.backlogFromWaits && now - this.reportedAtMillis > trustMillis()
@@ -230,7 +236,19 @@
 	}
 
 	boolean isPaused(double now) {
-		return now < this.pausedUntilMillis;
+		return !this.usable || now < this.pausedUntilMillis;
+	}
+
+	boolean isUsable() {
+		return this.usable;
+	}
+
+	/**
+	 * Records whether the endpoint is connected and not draining.
+	 * @param nowUsable whether it takes new work
+	 */
+	void setUsable(boolean nowUsable) {
+		this.usable = nowUsable;
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/server/EndpointConnections.java
+++ b/src/main/java/org/magnoliahub/server/EndpointConnections.java
@@ -4,10 +4,13 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 import io.micrometer.core.instrument.MeterRegistry;
@@ -18,6 +21,8 @@
 import org.magnoliahub.model.AvailabilityZone;
 import org.magnoliahub.model.Configuration;
 import org.magnoliahub.model.Endpoint;
+import org.magnoliahub.model.Vm;
+import org.magnoliahub.model.VmState;
 import org.magnoliahub.protocol.Message;
 import org.magnoliahub.routing.EndpointSubset;
 import org.magnoliahub.routing.StageScheduler;
@@ -31,21 +36,32 @@
 
 	private static final Logger LOGGER = System.getLogger(EndpointConnections.class.getName());
 
+	private static final int SEEDS = 5;
+
+	private static final String SEED_POOL = "seed";
+
 	private final TcpAgentConnections connections;
 
 	private final String gateway;
 
 	private final AvailabilityZone availabilityZone;
 
+	private final RandomGenerator random;
+
 	private final Map<String, Open> open = new HashMap<>();
 
+	private final Set<String> draining = new HashSet<>();
+
 	private final AtomicInteger connectedCount = new AtomicInteger();
 
+	private Set<String> leavingAddresses = Set.of();
+
 	EndpointConnections(TcpAgentConnections connections, String gateway, AvailabilityZone availabilityZone,
-			MeterRegistry meters) {
+			RandomGenerator random, MeterRegistry meters) {
 		this.connections = connections;
 		this.gateway = gateway;
 		this.availabilityZone = availabilityZone;
+		this.random = random;
 		meters.gauge("magnoliahub.gateway.agents.connected", this.connectedCount);
 	}
 
@@ -96,7 +112,7 @@
 		subscriptions.add(connection.connected()
 			.subscribe((connected) -> connectionChanged(connection, connected, scheduler, holder)));
 		subscriptions
-			.add(connection.messages().subscribe((message) -> receive(endpoint.name(), message, scheduler, holder)));
+			.add(connection.messages().subscribe((message) -> receive(connection, message, scheduler, holder)));
 	}
 
 	private void close(Open present) {
@@ -105,25 +121,67 @@
 		this.connections.close(present.endpoint());
 	}
 
+	/**
+	 * Takes the list of VMs. Endpoints on leaving VMs get no new work. A gateway without
+	 * a configuration connects to a few VMs, whose agents may know one.
+	 * @param vms the VMs
+	 * @param scheduler learns which endpoints are usable
+	 * @param holder learns configuration versions of agents
+	 */
+	void vmsListed(List<Vm> vms, StageScheduler scheduler, ConfigurationHolder holder) {
+		Set<String> leaving = vms.stream()
+			.filter((vm) -> vm.state() == VmState.LEAVING)
+			.map(Vm::address)
+			.collect(Collectors.toSet());
+		if (!leaving.equals(this.leavingAddresses)) {
+			this.leavingAddresses = leaving;
+			this.open.values().forEach((present) -> updateUsable(present.connection(), scheduler));
+		}
+		if (holder.configuration().version() == 0 && connected().isEmpty()) {
+			List.copyOf(this.open.values()).forEach(this::close);
+			seeds(vms).forEach((seed) -> open(seed, scheduler, holder));
+		}
+	}
+
+	private List<Endpoint> seeds(List<Vm> vms) {
+		List<Vm> live = new ArrayList<>(vms.stream().filter((vm) -> vm.state() == VmState.LIVE).toList());
+		List<Endpoint> seeds = new ArrayList<>();
+		while (!live.isEmpty() && seeds.size() < SEEDS) {
+			Vm vm = live.remove(this.random.nextInt(live.size()));
+			seeds.add(new Endpoint(vm.name(), SEED_POOL, vm.availabilityZone(), vm.address(), false));
+		}
+		return seeds;
+	}
+
 	private void connectionChanged(AgentConnection connection, boolean connected, StageScheduler scheduler,
 			ConfigurationHolder holder) {
 		String name = connection.endpoint().name();
 		Message.Hello peer = connection.peer().orElse(null);
-		boolean usable = connected && peer != null && !peer.draining();
-		LOGGER.log(Level.INFO, "agent connection changed endpoint={0} connected={1} usable={2}", name, connected,
-				usable);
-		scheduler.setUsable(name, usable);
+		this.draining.remove(name);
+		if (peer != null && peer.draining()) {
+			this.draining.add(name);
+		}
+		LOGGER.log(Level.INFO, "agent connection changed endpoint={0} connected={1}", name, connected);
+		updateUsable(connection, scheduler);
 		this.connectedCount.set(connected().size());
 		if (connected && peer != null) {
 			holder.peerConnected(name, peer.configurationVersion());
 		}
 	}
 
-	private static void receive(String endpoint, Message message, StageScheduler scheduler,
+	private void updateUsable(AgentConnection connection, StageScheduler scheduler) {
+		Endpoint endpoint = connection.endpoint();
+		scheduler.setUsable(endpoint.name(), connection.peer().isPresent() && !this.draining.contains(endpoint.name())
+				&& !this.leavingAddresses.contains(endpoint.agentAddress()));
+	}
+
+	private void receive(AgentConnection connection, Message message, StageScheduler scheduler,
 			ConfigurationHolder holder) {
+		String endpoint = connection.endpoint().name();
 		if (message instanceof Message.Draining) {
 			LOGGER.log(Level.INFO, "endpoint draining endpoint={0}", endpoint);
-			scheduler.setUsable(endpoint, false);
+			this.draining.add(endpoint);
+			updateUsable(connection, scheduler);
 		}
 		else if (message instanceof Message.LoadReport load) {
 			scheduler.loadReported(endpoint, load);
--- a/src/main/java/org/magnoliahub/server/GatewayProcess.java
+++ b/src/main/java/org/magnoliahub/server/GatewayProcess.java
@@ -24,7 +24,6 @@
 import org.magnoliahub.platform.PlatformServices;
 import org.magnoliahub.protocol.Message;
 import org.magnoliahub.protocol.ProtocolVersion;
-import org.magnoliahub.routing.BaselineScheduler;
 import org.magnoliahub.routing.StageScheduler;
 import org.magnoliahub.transport.TcpAgentConnections;
 import org.magnoliahub.transport.Transport;
@@ -60,6 +59,10 @@
 
 	private final ConfigurationHolder holder;
 
+	private final ClaimCleanupDuty cleanup;
+
+	private final VmWatcher vmWatcher;
+
 	private final RequestCoordinator coordinator;
 
 	private final Javalin callers;
@@ -73,14 +76,20 @@
 		this.transport = Transport.create(loop.scheduler(), loop.timers(), this.meters);
 		TcpAgentConnections agents = TcpAgentConnections.create(this.transport, this::greeting, this::versionInForce,
 				this.random);
-		this.connections = new EndpointConnections(agents, settings.name(), settings.availabilityZone(), this.meters);
+		this.connections = new EndpointConnections(agents, settings.name(), settings.availabilityZone(), this.random,
+				this.meters);
 		this.holder = ConfigurationHolder.of(ConfigurationRepository.of(platform.tableStore(), platform.objectStore()),
 				this.connections, loop.timers(), this.random);
-		StageScheduler scheduler = BaselineScheduler.leastOutstanding(this.holder::configuration, this.random);
+		StageScheduler scheduler = settings.policy()
+			.create(this.holder::configuration, loop.timers(), this.random, settings.availabilityZone(),
+					settings.name());
 		ClaimRepository claims = ClaimRepository.of(platform.tableStore(), loop.timers(), this.random,
 				ClaimSettings.defaults());
 		this.coordinator = RequestCoordinator.of(settings.name(), this.holder::configuration, scheduler, agents, claims,
 				loop.timers(), this.random, settings.limits(), Instant::now, recorder, this.meters);
+		this.cleanup = new ClaimCleanupDuty(settings.name(), platform.tableStore(), loop.timers(),
+				ClaimSettings.defaults(), this.meters);
+		this.vmWatcher = new VmWatcher(platform.vmInventory(), loop.timers(), this.random, this.meters);
 		loop.call(() -> startCore(scheduler));
 		this.callers = HttpServers.start("callers", settings.host(), settings.port(),
 				settings.maximumStreams() + EXTRA_THREADS, settings.maximumConnections(), (config) -> {
@@ -157,6 +166,8 @@
 		this.admin.stop();
 		this.loop.call(() -> {
 			this.holder.stop();
+			this.cleanup.stop();
+			this.vmWatcher.stop();
 			this.subscriptions.dispose();
 			this.connections.closeAll();
 			return true;
@@ -167,11 +178,16 @@
 	}
 
 	private boolean startCore(StageScheduler scheduler) {
+		this.meters.gauge("magnoliahub.configuration.version", this.holder,
+				(source) -> source.configuration().version());
+		this.meters.gauge("magnoliahub.configuration.stale", this.holder, (source) -> source.status().stale() ? 1 : 0);
 		this.subscriptions.add(this.holder.configurations().subscribe((configuration) -> {
 			LOGGER.log(Level.INFO, "configuration in force version={0}", String.valueOf(configuration.version()));
 			this.connections.apply(configuration, scheduler, this.holder);
 		}));
 		this.holder.start();
+		this.cleanup.start();
+		this.vmWatcher.start((vms) -> this.connections.vmsListed(vms, scheduler, this.holder));
 		return true;
 	}
 
--- a/src/test/java/org/magnoliahub/command/package-info.java
+++ b/src/test/java/org/magnoliahub/command/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the command line.
+ * Tests of the package, and fakes that they need.
  */
 @NullMarked
 package org.magnoliahub.command;
