--- a/src/test/java/org/magnoliahub/process/CapacityMeasurement.java
+++ b/src/test/java/org/magnoliahub/process/CapacityMeasurement.java
@@ -240,7 +240,10 @@
 				long start = System.nanoTime();
 				RunningProcess gateway = system.gateway();
 				system.awaitConnected(gateway, 1);
-				print("%d workspaces: ready in %d ms, gateway %s", workspaces, millisSince(start), memory(gateway));
+				long ready = millisSince(start);
+				TimeUnit.SECONDS.sleep(5);
+				print("%d workspaces: ready in %d ms, %.0f bytes to and from one agent so far, gateway %s; agent %s",
+						workspaces, ready, system.bytes(gateway), memory(gateway), memory(agent));
 			}
 		}
 	}
