--- a/src/main/java/org/magnoliahub/declaration/DeclarationReader.java
+++ b/src/main/java/org/magnoliahub/declaration/DeclarationReader.java
@@ -35,6 +35,8 @@
  */
 public final class DeclarationReader {
 
+	private static final double LOWEST_PRICE_FACTOR = 0.001;
+
 	/** Priority of a request class that declares none. */
 	public static final int DEFAULT_PRIORITY = 5;
 
@@ -159,7 +161,7 @@
 			path = "/";
 		}
 		StageDefinition stage = new StageDefinition(name, type, reader.text("pool", MISSING), idempotent, path,
-				reader.price("price-per-second"));
+				reader.decimal("price-per-second", 0, 0));
 		reader.checkUnknown();
 		locate(pipeline, reader, prefix);
 		return stage;
@@ -183,8 +185,11 @@
 		AvailabilityZone zone = new AvailabilityZone(reader.text("zone", MISSING));
 		String agent = reader.text("agent", MISSING);
 		boolean authenticatesCommands = reader.flag("authenticates-commands", false);
+		double priceFactor = reader.decimal("price-factor", LOWEST_PRICE_FACTOR, 1);
+		boolean draining = reader.flag("draining", false);
 		reader.checkUnknown();
-		add(item, this.endpoints, () -> new Endpoint(item.name(), pool, zone, agent, authenticatesCommands));
+		add(item, this.endpoints,
+				() -> new Endpoint(item.name(), pool, zone, agent, authenticatesCommands, priceFactor, draining));
 	}
 
 	private void readWorkspace(YamlNode.Mapping mapping) {
--- a/src/main/java/org/magnoliahub/declaration/DeclarationWriter.java
+++ b/src/main/java/org/magnoliahub/declaration/DeclarationWriter.java
@@ -101,11 +101,13 @@
 	}
 
 	private record EndpointForm(String name, String pool, String zone, String agent,
-			@JsonProperty("authenticates-commands") boolean authenticatesCommands) {
+			@JsonProperty("authenticates-commands") boolean authenticatesCommands,
+			@JsonProperty("price-factor") double priceFactor, boolean draining) {
 
 		static EndpointForm of(Endpoint endpoint) {
 			return new EndpointForm(endpoint.name(), endpoint.pool(), endpoint.availabilityZone().name(),
-					endpoint.agentAddress(), endpoint.authenticatesCommands());
+					endpoint.agentAddress(), endpoint.authenticatesCommands(), endpoint.priceFactor(),
+					endpoint.draining());
 		}
 
 	}
--- a/src/main/java/org/magnoliahub/declaration/FieldReader.java
+++ b/src/main/java/org/magnoliahub/declaration/FieldReader.java
@@ -1,5 +1,6 @@
 package org.magnoliahub.declaration;
 
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -92,15 +93,15 @@
 		return defaultValue;
 	}
 
-	double price(String field) {
+	double decimal(String field, double minimum, double defaultValue) {
 		YamlNode node = optional(field);
 		if (node == null) {
-			return 0;
+			return defaultValue;
 		}
 		if (node instanceof YamlNode.Scalar scalar && scalar.token().isNumeric()) {
 			try {
 				double value = Double.parseDouble(scalar.text());
-				if (value >= 0 && value < Double.MAX_VALUE) {
+				if (value >= minimum && value < Double.MAX_VALUE) {
 					return value;
 				}
 			}
@@ -108,8 +109,9 @@
 				// Reported below together with values out of range.
 			}
 		}
-		fault(field, "expected a number of at least 0, but it is " + node.describe() + "; correct it");
-		return 0;
+		String least = new BigDecimal(String.valueOf(minimum)).stripTrailingZeros().toPlainString();
+		fault(field, "expected a number of at least " + least + ", but it is " + node.describe() + "; correct it");
+		return defaultValue;
 	}
 
 	boolean flag(String field, boolean defaultValue) {
--- a/src/test/java/org/magnoliahub/declaration/DeclarationReaderTests.java
+++ b/src/test/java/org/magnoliahub/declaration/DeclarationReaderTests.java
@@ -71,6 +71,9 @@
 								+ " to 3600000, but the field is missing; add it",
 						"all.yaml:16: request class submission, expected one of the fields deadline-ms, name,"
 								+ " objective, pipeline, priority, but it is 'deadline'; correct or remove it" }),
+				Arguments.of("    agent: 10.0.0.1:7100", "    agent: 10.0.0.1:7100\n    price-factor: 0",
+						new String[] { "all.yaml:22: endpoint draft-1, price-factor: expected a number of at least"
+								+ " 0.001, but it is 0; correct it" }),
 				Arguments.of("    pipeline: filing", "    pipeline: filings",
 						new String[] { "all.yaml:15: request class submission, pipeline: expected a declared pipeline,"
 								+ " but 'filings' is not declared; declare it or correct the name" }),
