--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.magnoliahub.experiment.ExperimentCommand;
+
 /**
  * All subcommands of the binary.
  */
@@ -11,7 +13,7 @@
 	}
 
 	static List<Command> all() {
-		return List.of();
+		return List.of(new ExperimentCommand());
 	}
 
 }
--- a/src/main/java/org/magnoliahub/model/Endpoint.java
+++ b/src/main/java/org/magnoliahub/model/Endpoint.java
@@ -9,18 +9,39 @@
  * @param agentAddress host and port of its agent, {@code host:port}
  * @param authenticatesCommands whether the back end itself checks who sends it a control
  * command
+ * @param priceFactor price of one second at this endpoint relative to the price of the
+ * stage, positive
  */
 public record Endpoint(String name, String pool, AvailabilityZone availabilityZone, String agentAddress,
-		boolean authenticatesCommands) {
+		boolean authenticatesCommands, double priceFactor) {
 
 	/**
-	 * Checks the texts.
-	 * @throws IllegalArgumentException if a text is blank
+	 * Checks the texts and the price.
+	 * @throws IllegalArgumentException if a text is blank or the price factor is not
+	 * positive
 	 */
 	public Endpoint {
 		Arguments.requireText(name, "endpoint name");
 		Arguments.requireText(pool, "pool of endpoint " + name);
 		Arguments.requireText(agentAddress, "agent address of endpoint " + name);
+		if (!(priceFactor > 0)) {
+			throw new IllegalArgumentException(
+					"price factor of endpoint " + name + " must be positive, but was " + priceFactor);
+		}
+	}
+
+	/**
+	 * Creates an endpoint at the price of its stages.
+	 * @param name the endpoint's name, not blank
+	 * @param pool its pool, not blank
+	 * @param availabilityZone the zone it runs in
+	 * @param agentAddress host and port of its agent
+	 * @param authenticatesCommands whether the back end itself checks who sends it a
+	 * control command
+	 */
+	public Endpoint(String name, String pool, AvailabilityZone availabilityZone, String agentAddress,
+			boolean authenticatesCommands) {
+		this(name, pool, availabilityZone, agentAddress, authenticatesCommands, 1.0);
 	}
 
 }
--- /dev/null
+++ b/src/main/java/org/magnoliahub/routing/DeadlineAwareScheduler.java
@@ -0,0 +1,248 @@
+package org.magnoliahub.routing;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import io.reactivex.rxjava3.core.Single;
+import org.magnoliahub.model.AvailabilityZone;
+import org.magnoliahub.model.Configuration;
+import org.magnoliahub.model.RefusalReason;
+import org.magnoliahub.model.RequestId;
+import org.magnoliahub.model.StageDefinition;
+import org.magnoliahub.model.Workspace;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * Scheduler that admits a request only if its stages are expected to finish in time and
+ * sends each stage to the endpoint with the best expected completion.
+ */
+public final class DeadlineAwareScheduler implements StageScheduler {
+
+	/** Most requests in flight at one gateway. */
+	private static final int MAXIMUM_IN_FLIGHT = 20_000;
+
+	private static final double SHORTEST_RETRY_MILLIS = 100;
+
+	private static final double LONGEST_RETRY_MILLIS = 10_000;
+
+	private final Supplier<Configuration> configuration;
+
+	private final TimerService timers;
+
+	private final RandomGenerator random;
+
+	private final AvailabilityZone zone;
+
+	private final String gateway;
+
+	private final SchedulerParameters parameters;
+
+	private final Map<String, EndpointPool> pools = new HashMap<>();
+
+	private final Map<StageDefinition, StageStatistics> stages = new HashMap<>();
+
+	private final Map<RequestId, Admitted> admitted = new HashMap<>();
+
+	private final Map<String, Integer> inFlight = new HashMap<>();
+
+	private long appliedVersion = -1;
+
+	private long sequence;
+
+	private DeadlineAwareScheduler(Supplier<Configuration> configuration, TimerService timers, RandomGenerator random,
+			AvailabilityZone zone, String gateway, SchedulerParameters parameters) {
+		this.configuration = configuration;
+		this.timers = timers;
+		this.random = random;
+		this.zone = zone;
+		this.gateway = gateway;
+		this.parameters = parameters;
+	}
+
+	/**
+	 * Creates a scheduler.
+	 * @param configuration supplies the configuration in effect
+	 * @param timers monotonic time and timers
+	 * @param random source of sampling
+	 * @param zone zone of the gateway
+	 * @param gateway name of the gateway, which selects its endpoints
+	 * @param parameters version of the policy
+	 * @return the scheduler
+	 */
+	public static DeadlineAwareScheduler of(Supplier<Configuration> configuration, TimerService timers,
+			RandomGenerator random, AvailabilityZone zone, String gateway, SchedulerParameters parameters) {
+		return new DeadlineAwareScheduler(configuration, timers, random, zone, gateway, parameters);
+	}
+
+	@Override
+	public AdmissionDecision admit(AdmissionRequest request) {
+		applyConfiguration();
+		Workspace workspace = request.workspace();
+		int running = this.inFlight.getOrDefault(workspace.name(), 0);
+		if (running >= workspace.maximumConcurrentRequests() || this.admitted.size() >= MAXIMUM_IN_FLIGHT) {
+			return new AdmissionDecision.Refused(
+					RefusalReason.LIMIT_REACHED, "workspace " + workspace.name() + " has " + running
+							+ " requests in flight, limit is " + workspace.maximumConcurrentRequests(),
+					Duration.ofSeconds(1));
+		}
+		double now = millis();
+		Admitted plan = plan(request, now);
+		double excess = 0;
+		for (PlannedStage stage : plan.stages) {
+			if (stage.pool.endpoints().isEmpty()) {
+				return new AdmissionDecision.Refused(RefusalReason.NO_ENDPOINT,
+						"a pool of pipeline " + request.pipeline().name() + " has no endpoints", retryAfter(1_000));
+			}
+			excess = Math.max(excess,
+					stage.pool.excessMillis(workspace, stage.cost, now, Math.max(now, stage.latestStart)));
+		}
+		for (PlannedStage stage : plan.stages) {
+			stage.pool.queue().shareOf(workspace, now).addDemand(now, stage.cost);
+		}
+		if (plan.shortestMillis > request.budget().toNanos() / 1e6) {
+			return new AdmissionDecision.Refused(RefusalReason.DEADLINE_TOO_SHORT, "stages are expected to take "
+					+ Math.round(plan.shortestMillis) + " ms, but " + request.budget().toMillis() + " ms are left",
+					retryAfter(1_000));
+		}
+		if (excess > 0) {
+			return new AdmissionDecision.Refused(RefusalReason.OVERLOADED,
+					"the endpoints cannot finish the request in time", retryAfter(excess));
+		}
+		plan.stages.forEach((stage) -> stage.pool.commit(workspace, stage.cost, stage.latestStart));
+		this.admitted.put(request.request(), plan);
+		this.inFlight.merge(workspace.name(), 1, Integer::sum);
+		return new AdmissionDecision.Admitted();
+	}
+
+	@Override
+	public Single<Assignment> assign(StageRequest request) {
+		return Single.create((emitter) -> {
+			applyConfiguration();
+			double now = millis();
+			EndpointPool pool = poolOf(request.stage().pool());
+			if (pool.endpoints()
+				.stream()
+				.allMatch((statistics) -> request.excludedEndpoints().contains(statistics.endpoint().name()))) {
+				emitter.onError(new AssignmentException(RefusalReason.NO_ENDPOINT,
+						"no endpoint of pool " + request.stage().pool() + " is usable", retryAfter(1_000)));
+				return;
+			}
+			Admitted plan = this.admitted.get(request.attempt().request());
+			double later = 0;
+			double latestStart = now + request.budget().toNanos() / 1e6;
+			double deadline = latestStart;
+			for (int i = request.attempt().stage(); i < request.pipeline().stages().size(); i++) {
+				StageDefinition stage = request.pipeline().stages().get(i);
+				double factor = poolOf(stage.pool()).typicalFactor(now);
+				later += (i > request.attempt().stage()) ? statisticsOf(stage).mean() * factor : 0;
+				latestStart -= statisticsOf(stage).quantile(this.parameters.tailQuantile()) * factor;
+			}
+			WaitingRequest waiting = new WaitingRequest(request, statisticsOf(request.stage()), deadline, later,
+					latestStart, this.sequence++, () -> {
+						if (plan != null) {
+							plan.startStage(request.attempt().stage());
+						}
+					}, emitter);
+			pool.enqueue(waiting);
+		});
+	}
+
+	@Override
+	public void release(AdmissionRequest request) {
+		Admitted plan = this.admitted.remove(request.request());
+		if (plan == null) {
+			return;
+		}
+		plan.startStage(plan.stages.size() - 1);
+		this.inFlight.computeIfPresent(request.workspace().name(), (name, count) -> (count > 1) ? count - 1 : null);
+	}
+
+	private Admitted plan(AdmissionRequest request, double now) {
+		List<StageDefinition> definitions = request.pipeline().stages();
+		PlannedStage[] planned = new PlannedStage[definitions.size()];
+		double latestStart = now + request.budget().toNanos() / 1e6;
+		double shortest = 0;
+		for (int i = definitions.size() - 1; i >= 0; i--) {
+			EndpointPool pool = poolOf(definitions.get(i).pool());
+			StageStatistics statistics = statisticsOf(definitions.get(i));
+			latestStart -= statistics.quantile(this.parameters.tailQuantile()) * pool.typicalFactor(now);
+			shortest += statistics.mean() * pool.lowestFactor(now);
+			planned[i] = new PlannedStage(pool, statistics.mean(), latestStart);
+		}
+		return new Admitted(request.workspace(), List.of(planned), shortest);
+	}
+
+	private void applyConfiguration() {
+		Configuration current = this.configuration.get();
+		if (current.version() == this.appliedVersion) {
+			return;
+		}
+		this.appliedVersion = current.version();
+		this.pools.forEach((name, pool) -> update(pool, name, current));
+		this.stages.keySet()
+			.removeIf((stage) -> current.pipelines()
+				.values()
+				.stream()
+				.noneMatch((pipeline) -> pipeline.stages().contains(stage)));
+	}
+
+	private void update(EndpointPool pool, String name, Configuration current) {
+		pool.update(EndpointSubset.choose(current.endpointsOf(name), this.gateway, this.zone), this.zone.name());
+	}
+
+	private EndpointPool poolOf(String name) {
+		EndpointPool pool = this.pools.get(name);
+		if (pool == null) {
+			pool = new EndpointPool(name, this.parameters, this.timers, this.random);
+			update(pool, name, this.configuration.get());
+			this.pools.put(name, pool);
+		}
+		return pool;
+	}
+
+	private StageStatistics statisticsOf(StageDefinition stage) {
+		return this.stages.computeIfAbsent(stage, (key) -> new StageStatistics());
+	}
+
+	private Duration retryAfter(double millis) {
+		double bounded = Math.max(SHORTEST_RETRY_MILLIS, Math.min(LONGEST_RETRY_MILLIS, millis));
+		return Duration.ofMillis((long) (bounded * (1 + 0.5 * this.random.nextDouble())));
+	}
+
+	private double millis() {
+		return this.timers.nanoTime() / 1e6;
+	}
+
+	private record PlannedStage(EndpointPool pool, double cost, double latestStart) {
+	}
+
+	private static final class Admitted {
+
+		private final Workspace workspace;
+
+		private final List<PlannedStage> stages;
+
+		private final double shortestMillis;
+
+		private int started;
+
+		private Admitted(Workspace workspace, List<PlannedStage> stages, double shortestMillis) {
+			this.workspace = workspace;
+			this.stages = stages;
+			this.shortestMillis = shortestMillis;
+		}
+
+		private void startStage(int stage) {
+			while (this.started <= stage && this.started < this.stages.size()) {
+				PlannedStage planned = this.stages.get(this.started++);
+				planned.pool.uncommit(this.workspace, planned.cost, planned.latestStart);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/routing/SchedulerParameters.java
@@ -0,0 +1,49 @@
+package org.magnoliahub.routing;
+
+import org.magnoliahub.model.Arguments;
+
+/**
+ * Parameters of {@link DeadlineAwareScheduler}. Versions of the policy differ in their
+ * parameters only, so that they can be compared on the same seeds.
+ *
+ * @param sampleSize endpoints compared in one decision, 1 to 16
+ * @param lookahead waiting requests that are tried in one pass over the queue, 1 to 32
+ * @param censored whether ages of outstanding attempts raise an endpoint's estimate
+ * @param holding whether a request waits for a faster endpoint that frees up early enough
+ * @param fairShares whether weighted shares of workspaces bound admission and order the
+ * queue
+ * @param finishProbability lowest probability of completion in time at which a request is
+ * sent to an endpoint while another request could use it
+ * @param tailQuantile quantile of execution time that admission and slack reserve
+ * @param overcommit attempts sent to an endpoint beyond its estimated slots
+ * @param capacityShare share of estimated capacity that admission commits
+ */
+public record SchedulerParameters(int sampleSize, int lookahead, boolean censored, boolean holding, boolean fairShares,
+		double finishProbability, double tailQuantile, double overcommit, double capacityShare) {
+
+	/**
+	 * Checks the numbers.
+	 * @throws IllegalArgumentException if a number is out of range
+	 */
+	public SchedulerParameters {
+		Arguments.requireRange(sampleSize, 1, EndpointSubset.MAXIMUM_SIZE, "sample size");
+		Arguments.requireRange(lookahead, 1, 32, "lookahead");
+	}
+
+	/**
+	 * Returns the first version of the policy.
+	 * @return parameters without censored observations, holding and fair shares
+	 */
+	public static SchedulerParameters first() {
+		return new SchedulerParameters(3, 1, false, false, false, 0, 0.9, 1, 1);
+	}
+
+	/**
+	 * Returns the current version of the policy.
+	 * @return the parameters
+	 */
+	public static SchedulerParameters current() {
+		return new SchedulerParameters(8, 8, true, true, true, 0.95, 0.95, 1, 1);
+	}
+
+}
