--- a/src/main/java/org/magnoliahub/routing/CommittedWork.java
+++ b/src/main/java/org/magnoliahub/routing/CommittedWork.java
@@ -8,15 +8,23 @@
 	/** Tolerance of admission, so that an idle pool admits urgent work. */
 	static final double GRACE_MILLIS = 20;
 
-	private static final double BUCKET_MILLIS = 250;
+	/** Work further ahead than this counts as if it were this far ahead. */
+	private static final double HORIZON_MILLIS = 48_000;
 
-	/** The buckets cover 64 s; later work counts in the last bucket ahead. */
-	private static final int BUCKETS = 256;
+	/** Time that the buckets cover, which leaves room for overdue work. */
+	private static final double COVERED_MILLIS = 64_000;
 
-	private final double[] work = new double[BUCKETS];
+	private final double bucketMillis;
+
+	private final double[] work;
 
 	private double total;
 
+	CommittedWork(double bucketMillis) {
+		this.bucketMillis = bucketMillis;
+		this.work = new double[(int) (COVERED_MILLIS / bucketMillis)];
+	}
+
 	/**
 	 * Adds or removes work.
 	 * @param latestStart latest start, in milliseconds
@@ -38,27 +46,31 @@
 	 * @return excess work, 0 if it fits
 	 */
 	double excess(double now, double latestStart, double cost, double capacity) {
-		long first = (long) Math.floor(now / BUCKET_MILLIS);
-		long own = (long) Math.floor(Math.max(now, latestStart) / BUCKET_MILLIS);
-		int ahead = BUCKETS * 3 / 4;
+		long first = (long) Math.floor(now / this.bucketMillis);
+		long own = (long) Math.floor(Math.max(now, latestStart) / this.bucketMillis);
+		int ahead = (int) (HORIZON_MILLIS / this.bucketMillis);
 		double upcoming = 0;
 		for (long i = first; i < first + ahead; i++) {
-			upcoming += this.work[(int) Math.floorMod(i, (long) BUCKETS)];
+			upcoming += this.work[(int) Math.floorMod(i, (long) this.work.length)];
 		}
 		double before = Math.max(0, this.total - upcoming);
 		double worst = 0;
 		for (long i = first; i < first + ahead; i++) {
-			before += this.work[(int) Math.floorMod(i, (long) BUCKETS)];
+			before += this.work[(int) Math.floorMod(i, (long) this.work.length)];
 			if (i >= own) {
-				double time = Math.max(i * BUCKET_MILLIS, (i == own) ? latestStart : 0) - now;
+				double time = Math.max(i * this.bucketMillis, (i == own) ? latestStart : 0) - now;
 				worst = Math.max(worst, before + cost - capacity * (Math.max(0, time) + GRACE_MILLIS));
 			}
 		}
 		return worst;
 	}
 
-	private static int index(double latestStart) {
-		return (int) Math.floorMod((long) Math.floor(latestStart / BUCKET_MILLIS), (long) BUCKETS);
+	boolean isEmpty() {
+		return this.total < 1e-6;
+	}
+
+	private int index(double latestStart) {
+		return (int) Math.floorMod((long) Math.floor(latestStart / this.bucketMillis), (long) this.work.length);
 	}
 
 }
--- a/src/main/java/org/magnoliahub/routing/EndpointPool.java
+++ b/src/main/java/org/magnoliahub/routing/EndpointPool.java
@@ -32,6 +32,9 @@
 
 	private static final double CAPACITY_REFRESH_MILLIS = 20;
 
+	/** Time constant by which the capacity estimate is smoothed. */
+	private static final double CAPACITY_MILLIS = 300;
+
 	private final String name;
 
 	private final SchedulerParameters parameters;
@@ -42,7 +45,7 @@
 
 	private final WaitQueue queue = new WaitQueue();
 
-	private final CommittedWork committed = new CommittedWork();
+	private final CommittedWork committed = new CommittedWork(250);
 
 	private List<EndpointStatistics> endpoints = List.of();
 
@@ -56,6 +59,12 @@
 
 	private double typicalFactor = 1;
 
+	/**
+	 * Mean of the factors, by which normalised times are corrected. Without it factors
+	 * and normalised times drift in opposite directions.
+	 */
+	private double meanFactor = 1;
+
 	private double reservedShares;
 
 	private double activeWeights = 1;
@@ -81,8 +90,8 @@
 		this.endpoints.forEach((statistics) -> known.put(statistics.endpoint(), statistics));
 		this.endpoints = chosen.stream().map((endpoint) -> {
 			EndpointStatistics statistics = known.get(endpoint);
-			return (statistics != null) ? statistics
-					: new EndpointStatistics(endpoint, endpoint.availabilityZone().name().equals(zone));
+			return (statistics != null) ? statistics : new EndpointStatistics(endpoint,
+					endpoint.availabilityZone().name().equals(zone), this.parameters.backlogFromWaits());
 		}).toList();
 		this.order = new int[this.endpoints.size()];
 		for (int i = 0; i < this.order.length; i++) {
@@ -141,19 +150,18 @@
 		double guaranteed = usable * share.weight() / Math.max(this.activeWeights, share.weight());
 		double demand = share.demand(now);
 		double available = Math.max(guaranteed, usable - this.reservedShares + Math.min(demand, guaranteed));
-		double room = available * (Math.max(0, latestStart - now) + CommittedWork.GRACE_MILLIS);
-		double shareExcess = Math.max(0, (share.committed() + cost - room) / available);
+		double shareExcess = share.committed().excess(now, latestStart, cost, available) / available;
 		return (demand <= guaranteed) ? shareExcess : Math.max(excess, shareExcess);
 	}
 
 	void commit(Workspace workspace, double cost, double latestStart) {
 		this.committed.add(latestStart, cost);
-		this.queue.shareOf(workspace, millis()).addCommitted(cost);
+		this.queue.shareOf(workspace, millis()).committed().add(latestStart, cost);
 	}
 
 	void uncommit(Workspace workspace, double cost, double latestStart) {
 		this.committed.add(latestStart, -cost);
-		this.queue.shareOf(workspace, millis()).addCommitted(-cost);
+		this.queue.shareOf(workspace, millis()).committed().add(latestStart, -cost);
 	}
 
 	void enqueue(WaitingRequest request) {
@@ -329,10 +337,11 @@
 		if (now - this.refreshedAtMillis < CAPACITY_REFRESH_MILLIS) {
 			return;
 		}
-		this.refreshedAtMillis = now;
 		double slots = 0;
 		double parallelism = 0;
+		double factors = 0;
 		for (EndpointStatistics statistics : this.endpoints) {
+			factors += statistics.observedFactor(now);
 			if (statistics.isPaused(now)) {
 				continue;
 			}
@@ -341,7 +350,11 @@
 			slots += mine;
 			parallelism += mine / statistics.factor(now, this.parameters.censored());
 		}
-		this.capacity = parallelism;
+		this.meanFactor = this.endpoints.isEmpty() ? 1 : factors / this.endpoints.size();
+		double elapsed = now - this.refreshedAtMillis;
+		double retained = this.parameters.backlogFromWaits() ? Math.exp(-elapsed / CAPACITY_MILLIS) : 0;
+		this.capacity = parallelism + retained * (this.capacity - parallelism);
+		this.refreshedAtMillis = now;
 		this.typicalFactor = (parallelism > 0) ? slots / parallelism : 1;
 		double weights = 0;
 		for (WorkspaceShare share : this.queue.shares()) {
@@ -400,9 +413,9 @@
 				return;
 			}
 			double now = millis();
-			double factor = this.statistics.factor(now, false);
+			double factor = this.statistics.observedFactor(now) / EndpointPool.this.meanFactor;
 			double expected = this.stage.expected(output.units());
-			this.statistics.completed(now, output.endpointMillis(), expected);
+			this.statistics.completed(now, this.attempt, output.endpointMillis(), expected);
 			this.stage.add(output.endpointMillis() / factor, output.units());
 			if (this.warm && expected > 0) {
 				double ratio = output.endpointMillis() / (expected * factor);
--- a/src/main/java/org/magnoliahub/routing/EndpointStatistics.java
+++ b/src/main/java/org/magnoliahub/routing/EndpointStatistics.java
@@ -27,8 +27,33 @@
 	/** Weight of the prior speed factor of 1. */
 	private static final double PRIOR_WEIGHT = 0.3;
 
-	/** Load of other gateways is taken to return to its mean with this time constant. */
-	private static final double REPORT_TRUST_MILLIS = 500;
+	/**
+	 * Knowledge of other gateways' load fades with a time constant of this multiple of
+	 * the execution time, within the bounds below.
+	 */
+	private static final double TRUST_MULTIPLE = 5;
+
+	private static final double SHORTEST_TRUST_MILLIS = 50;
+
+	private static final double LONGEST_TRUST_MILLIS = 2_000;
+
+	/** Time constant of the first version of the policy. */
+	private static final double FIXED_TRUST_MILLIS = 500;
+
+	/**
+	 * Share of the slots that other gateways are taken to use at most when nothing recent
+	 * is known. Below 1, so that a gateway that saw a full endpoint tries it again.
+	 */
+	private static final double UNKNOWN_SHARE = 0.6;
+
+	/**
+	 * Share of the slots that a gateway uses without recent knowledge. Subsets are such
+	 * that two to three gateways share an endpoint.
+	 */
+	private static final double OWN_SHARE = 0.35;
+
+	/** Round trip and processing beyond the execution time that is no waiting. */
+	private static final double ROUND_TRIP_MILLIS = 3;
 
 	private static final int INITIAL_SLOTS = 4;
 
@@ -53,6 +78,8 @@
 
 	private final boolean sameZone;
 
+	private final boolean backlogFromWaits;
+
 	private final List<Attempt> outstanding = new ArrayList<>();
 
 	private final Map<Long, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true) {
@@ -64,6 +91,8 @@
 		}
 	};
 
+	private double meanExecutionMillis;
+
 	private double sumObserved;
 
 	private double sumExpected;
@@ -88,10 +117,13 @@
 
 	private double cachedFactor = 1;
 
+	private double cachedObservedFactor = 1;
+
 	private double cachedAtMillis = Double.NEGATIVE_INFINITY;
 
-	EndpointStatistics(Endpoint endpoint, boolean sameZone) {
+	EndpointStatistics(Endpoint endpoint, boolean sameZone, boolean backlogFromWaits) {
 		this.endpoint = endpoint;
+		this.backlogFromWaits = backlogFromWaits;
 		this.sameZone = sameZone;
 	}
 
@@ -129,6 +161,7 @@
 		double observed = this.sumObserved * retained + PRIOR_WEIGHT;
 		double expected = this.sumExpected * retained + PRIOR_WEIGHT;
 		double factor = observed / expected;
+		this.cachedObservedFactor = factor;
 		if (censored) {
 			double slowObserved = 0;
 			double slowExpected = 0;
@@ -146,6 +179,16 @@
 		return factor;
 	}
 
+	/**
+	 * Returns the factor from completed attempts only.
+	 * @param now time in milliseconds
+	 * @return the factor, above 1 for a slow endpoint
+	 */
+	double observedFactor(double now) {
+		factor(now, true);
+		return this.cachedObservedFactor;
+	}
+
 	/**
 	 * Returns the estimated number of calls at the endpoint, of all gateways.
 	 * @param now time in milliseconds
@@ -161,13 +204,29 @@
 	 * @return running and waiting calls
 	 */
 	double othersAt(double now) {
-		double trust = Math.exp(-(now - this.reportedAtMillis) / REPORT_TRUST_MILLIS);
-		return this.others * trust + this.othersMean * (1 - trust);
+		double age = now - this.reportedAtMillis;
+		if (!this.backlogFromWaits) {
+			double trust = Math.exp(-age / FIXED_TRUST_MILLIS);
+			return this.others * trust + this.othersMean * (1 - trust);
+		}
+		double trust = Math.exp(-age / trustMillis());
+		return this.others * trust + Math.min(this.othersMean, UNKNOWN_SHARE * this.slots) * (1 - trust);
+	}
+
+	private double trustMillis() {
+		return Math.max(SHORTEST_TRUST_MILLIS,
+				Math.min(LONGEST_TRUST_MILLIS, TRUST_MULTIPLE * this.meanExecutionMillis));
 	}
 
 	boolean hasRoom(double now, double overcommit) {
-		return now >= this.pausedUntilMillis && this.outstanding.size() < this.window
-				&& load(now) < this.slots + overcommit;
+		if (now < this.pausedUntilMillis || this.outstanding.size() >= this.window) {
+			return false;
+		}
+		if (load(now) < this.slots + overcommit) {
+			return true;
+		}
+		return this.backlogFromWaits && now - this.reportedAtMillis > trustMillis()
+				&& this.outstanding.size() < OWN_SHARE * this.slots;
 	}
 
 	boolean isPaused(double now) {
@@ -193,7 +252,7 @@
 	 * @return the attempt
 	 */
 	Attempt start(double now, double expectedMillis, double waitMillis, long prefix) {
-		Attempt attempt = new Attempt(now + waitMillis, expectedMillis);
+		Attempt attempt = new Attempt(now, now + waitMillis, expectedMillis, this.outstanding.size());
 		this.outstanding.add(attempt);
 		if (prefix != 0) {
 			this.prefixes.put(prefix, true);
@@ -209,10 +268,11 @@
 	/**
 	 * Records the execution time of a completed attempt.
 	 * @param now time in milliseconds
+	 * @param attempt the attempt
 	 * @param millis execution time
 	 * @param expectedMillis expected execution time at speed factor 1
 	 */
-	void completed(double now, double millis, double expectedMillis) {
+	void completed(double now, Attempt attempt, double millis, double expectedMillis) {
 		double retained = RETAINED_WEIGHT * Math.exp(-(now - this.observedAtMillis) / FORGETTING_MILLIS);
 		this.observedAtMillis = now;
 		if (expectedMillis > 0) {
@@ -220,10 +280,29 @@
 			this.sumObserved = this.sumObserved * retained + millis / expectedMillis;
 			this.sumExpected = this.sumExpected * retained + 1;
 		}
+		this.meanExecutionMillis += 0.1 * (millis - this.meanExecutionMillis);
+		if (this.backlogFromWaits) {
+			correctBacklog(now, attempt, now - attempt.sentMillis - millis - ROUND_TRIP_MILLIS);
+		}
 		this.consecutiveFailures = 0;
 		this.window = Math.min(MAXIMUM_SLOTS, this.window + 1);
 	}
 
+	// The time that an attempt waited shows how many calls were ahead of it.
+	private void correctBacklog(double now, Attempt attempt, double waitedMillis) {
+		double current = othersAt(now);
+		double execution = Math.max(1, this.meanExecutionMillis);
+		if (waitedMillis > 0.1 * execution) {
+			double total = this.slots * (1 + waitedMillis / execution);
+			this.others = Math.max(0, total - attempt.outstandingBefore);
+		}
+		else {
+			this.others = Math.max(0, Math.min(current, this.slots - 1 - attempt.outstandingBefore));
+		}
+		this.othersMean += 0.05 * (this.others - this.othersMean);
+		this.reportedAtMillis = now;
+	}
+
 	/**
 	 * Pauses the endpoint after a failure; afterwards it regains traffic one call at a
 	 * time.
@@ -268,11 +347,17 @@
 	 */
 	static final class Attempt {
 
+		private final double sentMillis;
+
 		private final double startMillis;
 
 		private final double expectedMillis;
 
-		private Attempt(double startMillis, double expectedMillis) {
+		private final int outstandingBefore;
+
+		private Attempt(double sentMillis, double startMillis, double expectedMillis, int outstandingBefore) {
+			this.outstandingBefore = outstandingBefore;
+			this.sentMillis = sentMillis;
 			this.startMillis = startMillis;
 			this.expectedMillis = expectedMillis;
 		}
--- a/src/main/java/org/magnoliahub/routing/SchedulerParameters.java
+++ b/src/main/java/org/magnoliahub/routing/SchedulerParameters.java
@@ -9,6 +9,8 @@
  * @param sampleSize endpoints compared in one decision, 1 to 16
  * @param lookahead waiting requests that are tried in one pass over the queue, 1 to 32
  * @param censored whether ages of outstanding attempts raise an endpoint's estimate
+ * @param backlogFromWaits whether waiting times of completed attempts correct the backlog
+ * known from load reports, and old reports lose their effect
  * @param holding whether a request waits for a faster endpoint that frees up early enough
  * @param fairShares whether weighted shares of workspaces bound admission and order the
  * queue
@@ -18,8 +20,9 @@
  * @param overcommit attempts sent to an endpoint beyond its estimated slots
  * @param capacityShare share of estimated capacity that admission commits
  */
-public record SchedulerParameters(int sampleSize, int lookahead, boolean censored, boolean holding, boolean fairShares,
-		double finishProbability, double tailQuantile, double overcommit, double capacityShare) {
+public record SchedulerParameters(int sampleSize, int lookahead, boolean censored, boolean backlogFromWaits,
+		boolean holding, boolean fairShares, double finishProbability, double tailQuantile, double overcommit,
+		double capacityShare) {
 
 	/**
 	 * Checks the numbers.
@@ -35,7 +38,7 @@
 	 * @return parameters without censored observations, holding and fair shares
 	 */
 	public static SchedulerParameters first() {
-		return new SchedulerParameters(3, 1, false, false, false, 0, 0.9, 1, 1);
+		return new SchedulerParameters(3, 1, false, false, false, false, 0, 0.9, 1, 1);
 	}
 
 	/**
@@ -43,7 +46,7 @@
 	 * @return the parameters
 	 */
 	public static SchedulerParameters current() {
-		return new SchedulerParameters(8, 8, true, true, true, 0.95, 0.95, 1, 1);
+		return new SchedulerParameters(8, 8, true, true, false, true, 0.95, 0.95, 1, 1);
 	}
 
 }
--- a/src/main/java/org/magnoliahub/routing/WorkspaceShare.java
+++ b/src/main/java/org/magnoliahub/routing/WorkspaceShare.java
@@ -23,7 +23,7 @@
 
 	private double demandAtMillis;
 
-	private double committed;
+	private final CommittedWork committed = new CommittedWork(1_000);
 
 	private double served;
 
@@ -39,14 +39,10 @@
 		return this.waiting;
 	}
 
-	double committed() {
+	CommittedWork committed() {
 		return this.committed;
 	}
 
-	void addCommitted(double cost) {
-		this.committed = Math.max(0, this.committed + cost);
-	}
-
 	void addDemand(double now, double cost) {
 		this.demand = this.demand * Math.exp(-(now - this.demandAtMillis) / DEMAND_MILLIS) + cost;
 		this.demandAtMillis = now;
@@ -82,7 +78,7 @@
 	}
 
 	boolean isIdle(double now) {
-		return this.waiting.isEmpty() && this.committed <= 0 && demand(now) < 1e-3;
+		return this.waiting.isEmpty() && this.committed.isEmpty() && demand(now) < 1e-3;
 	}
 
 }
