Correct the capacity estimate by the work really sent

Cause: at 150% load admission committed more than the pools could do, since the estimate ignores gaps between attempts and the load of other gateways between reports; the queue ordered by slack then made many requests late.

--- a/src/main/java/org/magnoliahub/routing/EndpointPool.java
+++ b/src/main/java/org/magnoliahub/routing/EndpointPool.java
@@ -35,6 +35,23 @@
 	/** Time constant by which the capacity estimate is smoothed. */
 	private static final double CAPACITY_MILLIS = 300;
 
+	/**
+	 * The yield is measured over this multiple of the execution time, within the bounds
+	 * below. A shorter window takes the noise of few long executions for lost capacity.
+	 */
+	private static final double YIELD_MULTIPLE = 8;
+
+	private static final double SHORTEST_YIELD_MILLIS = 1_000;
+
+	private static final double LONGEST_YIELD_MILLIS = 15_000;
+
+	/** Share of the way back to 1 per refresh without waiting requests. */
+	private static final double YIELD_RECOVERY = 0.005;
+
+	private static final double LOWEST_YIELD = 0.3;
+
+	private static final double HIGHEST_YIELD = 1.25;
+
 	private final String name;
 
 	private final SchedulerParameters parameters;
@@ -73,6 +90,17 @@
 
 	private double warmRatio = 1;
 
+	/** Work sent while requests waited, relative to the estimated capacity. */
+	private double yield = 1;
+
+	private double sentWork;
+
+	private double expectedWork;
+
+	private double waitedSinceMillis = Double.NaN;
+
+	private double meanExecutionMillis;
+
 	EndpointPool(String name, SchedulerParameters parameters, TimerService timers, RandomGenerator random) {
 		this.name = name;
 		this.parameters = parameters;
@@ -138,7 +166,7 @@
 	 */
 	double excessMillis(Workspace workspace, double cost, double now, double latestStart) {
 		refresh(now);
-		double usable = this.capacity * this.parameters.capacityShare();
+		double usable = this.capacity * this.parameters.capacityShare() * this.yield;
 		if (usable <= 0) {
 			return 1_000;
 		}
@@ -319,6 +347,7 @@
 		request.onSent().run();
 		double mean = request.statistics().mean();
 		share.serve(mean);
+		this.sentWork += mean;
 		boolean warm = endpoint.isWarm(request.request().prefixHash());
 		double wait = endpoint.waitMillis(now, mean * endpoint.factor(now, this.parameters.censored()));
 		EndpointStatistics.Attempt attempt = endpoint.start(now, mean, wait, request.request().prefixHash());
@@ -356,6 +385,9 @@
 		this.capacity = parallelism + retained * (this.capacity - parallelism);
 		this.refreshedAtMillis = now;
 		this.typicalFactor = (parallelism > 0) ? slots / parallelism : 1;
+		if (this.parameters.measuredCapacity()) {
+			updateYield(now);
+		}
 		double weights = 0;
 		for (WorkspaceShare share : this.queue.shares()) {
 			if (!share.isIdle(now)) {
@@ -370,6 +402,28 @@
 		this.reservedShares = reserved;
 	}
 
+	private void updateYield(double now) {
+		if (this.queue.size() == 0 || Double.isNaN(this.waitedSinceMillis)) {
+			this.yield += YIELD_RECOVERY * (1 - this.yield);
+			this.waitedSinceMillis = (this.queue.size() == 0) ? Double.NaN : now;
+			this.sentWork = 0;
+			this.expectedWork = 0;
+			return;
+		}
+		double elapsed = now - this.waitedSinceMillis;
+		this.expectedWork += this.capacity * elapsed;
+		this.waitedSinceMillis = now;
+		double window = Math.max(SHORTEST_YIELD_MILLIS,
+				Math.min(LONGEST_YIELD_MILLIS, YIELD_MULTIPLE * this.meanExecutionMillis));
+		double retained = Math.exp(-elapsed / window);
+		this.sentWork *= retained;
+		this.expectedWork *= retained;
+		if (this.expectedWork > 0) {
+			double measured = Math.max(LOWEST_YIELD, Math.min(HIGHEST_YIELD, this.sentWork / this.expectedWork));
+			this.yield += (1 - retained) * (measured - this.yield);
+		}
+	}
+
 	private double millis() {
 		return this.timers.nanoTime() / 1e6;
 	}
@@ -415,6 +469,8 @@
 			double now = millis();
 			double factor = this.statistics.observedFactor(now) / EndpointPool.this.meanFactor;
 			double expected = this.stage.expected(output.units());
+			EndpointPool.this.meanExecutionMillis += 0.02
+					* (output.endpointMillis() - EndpointPool.this.meanExecutionMillis);
 			this.statistics.completed(now, this.attempt, output.endpointMillis(), expected);
 			this.stage.add(output.endpointMillis() / factor, output.units());
 			if (this.warm && expected > 0) {
