--- a/src/main/java/org/magnoliahub/experiment/RunStatistics.java
+++ b/src/main/java/org/magnoliahub/experiment/RunStatistics.java
@@ -238,7 +238,7 @@
 			columns.put("interactive recovered %", recoveredAttainment(fault, "interactive"));
 			columns.put("drafting recovered %", recoveredAttainment(fault, "drafting"));
 		});
-		columns.put("small workspaces %", attainment((arrival) -> arrival.tenant().weight() == 1));
+		columns.put("small workspaces %", attainment((arrival) -> arrival.tenant().share() < 0.2));
 		columns.put("useful/bound %", usefulShare());
 		columns.put("wasted %", wasted());
 		columns.put("refused %", refused());
--- a/src/main/java/org/magnoliahub/routing/EndpointPool.java
+++ b/src/main/java/org/magnoliahub/routing/EndpointPool.java
@@ -30,6 +30,9 @@
 	/** Requests with less chance to end in time are not sent. */
 	private static final double LOWEST_PROBABILITY = 0.3;
 
+	/** A request waits only for endpoints whose cost is below this multiple. */
+	private static final double COST_ADVANTAGE = 0.9;
+
 	private static final double CAPACITY_REFRESH_MILLIS = 20;
 
 	/** Time constant by which the capacity estimate is smoothed. */
@@ -81,6 +84,9 @@
 
 	private boolean draining;
 
+	/** Whether a request waits because no endpoint has room for it. */
+	private boolean pressed;
+
 	private double capacity;
 
 	private double typicalFactor = 1;
@@ -102,8 +108,12 @@
 	/** Work sent while requests waited, relative to the estimated capacity. */
 	private double yield = 1;
 
-	/** By how much admission overestimates the time until a latest start. */
-	private double graceMillis = SHORTEST_GRACE_MILLIS;
+	/**
+	 * By how much admission overestimates the time until a latest start. Starts at its
+	 * longest, since a new gateway would otherwise refuse by estimates it has yet to
+	 * learn.
+	 */
+	private double graceMillis;
 
 	private double sentWork;
 
@@ -116,6 +126,7 @@
 	EndpointPool(String name, SchedulerParameters parameters, TimerService timers, RandomGenerator random) {
 		this.name = name;
 		this.parameters = parameters;
+		this.graceMillis = parameters.longestGraceMillis();
 		this.timers = timers;
 		this.random = random;
 	}
@@ -187,7 +198,9 @@
 			return excess;
 		}
 		WorkspaceShare share = this.queue.shareOf(workspace, now);
-		double guaranteed = usable * share.weight() / Math.max(this.activeWeights, share.weight());
+		double tolerance = this.parameters.shareTolerance();
+		double shared = (tolerance > 0) ? tolerance * this.capacity * this.yield : usable;
+		double guaranteed = shared * share.weight() / Math.max(this.activeWeights, share.weight());
 		double demand = share.demand(now);
 		double available = Math.max(guaranteed, usable - this.reservedShares + Math.min(demand, guaranteed));
 		double shareExcess = share.committed().excess(now, latestStart, cost, available, this.graceMillis) / available;
@@ -238,10 +251,12 @@
 
 	private boolean drainOnce() {
 		if (this.queue.size() == 0) {
+			this.pressed = false;
 			return false;
 		}
 		double now = millis();
 		int held = 0;
+		this.pressed = false;
 		List<WaitingRequest> next = this.queue.next(this.parameters.lookahead(), this.parameters.fairShares(),
 				meanCost());
 		for (WaitingRequest request : next) {
@@ -250,6 +265,9 @@
 				send(request, choice.endpoint, now);
 				return true;
 			}
+			if (!choice.forCost) {
+				this.pressed = true;
+			}
 			if (choice.hopeless) {
 				adaptAdmission(true);
 				refuse(request);
@@ -276,6 +294,7 @@
 		double bestCompletion = Double.POSITIVE_INFINITY;
 		double bestProbability = 0;
 		double highestProbability = 0;
+		double lowestFullScore = Double.POSITIVE_INFINITY;
 		boolean anyUsable = false;
 		for (int i = 0; i < sample; i++) {
 			EndpointStatistics candidate = this.endpoints.get(this.order[i]);
@@ -292,12 +311,13 @@
 			double wait = room ? candidate.waitMillis(now, execution) : 0;
 			double probability = stage.probabilityWithin((budget - wait - distance) / (factor * warm));
 			highestProbability = Math.max(highestProbability, probability);
-			if (!room) {
-				continue;
-			}
 			double completion = wait + distance + execution;
 			double score = byCost ? candidate.endpoint().priceFactor() * factor * warm : completion;
 			boolean likely = probability >= this.parameters.finishProbability();
+			if (!room) {
+				lowestFullScore = likely ? Math.min(lowestFullScore, score) : lowestFullScore;
+				continue;
+			}
 			boolean bestLikely = bestProbability >= this.parameters.finishProbability();
 			if (best == null || (likely && !bestLikely) || (likely == bestLikely && score < bestScore)) {
 				best = candidate;
@@ -315,11 +335,16 @@
 		if (bestProbability < this.parameters.finishProbability() && bestProbability < highestProbability - 0.02) {
 			return Choice.HOLD;
 		}
+		double slack = request.latestStartMillis() - now;
+		if (byCost && lowestFullScore < COST_ADVANTAGE * bestScore
+				&& slack > this.parameters.costSlack() * request.request().requestClass().deadline().toMillis()) {
+			return Choice.HOLD_FOR_COST;
+		}
 		if (this.parameters.holding() && !byCost
 				&& fasterCompletion(request, now, sample, held, bestCompletion) < bestCompletion) {
 			return Choice.HOLD;
 		}
-		return new Choice(best, false);
+		return new Choice(best, false, false);
 	}
 
 	// Returns in how many milliseconds a request would complete if it waited for one of
@@ -419,15 +444,15 @@
 		if (late) {
 			this.graceMillis = Math.max(SHORTEST_GRACE_MILLIS, this.graceMillis * GRACE_DECREASE);
 		}
-		else if (this.queue.size() == 0) {
+		else if (!this.pressed) {
 			this.graceMillis = Math.min(this.parameters.longestGraceMillis(), this.graceMillis + GRACE_INCREASE_MILLIS);
 		}
 	}
 
 	private void updateYield(double now) {
-		if (this.queue.size() == 0 || Double.isNaN(this.waitedSinceMillis)) {
+		if (!this.pressed || Double.isNaN(this.waitedSinceMillis)) {
 			this.yield += YIELD_RECOVERY * (1 - this.yield);
-			this.waitedSinceMillis = (this.queue.size() == 0) ? Double.NaN : now;
+			this.waitedSinceMillis = this.pressed ? now : Double.NaN;
 			this.sentWork = 0;
 			this.expectedWork = 0;
 			return;
@@ -450,11 +475,13 @@
 		return this.timers.nanoTime() / 1e6;
 	}
 
-	private record Choice(@Nullable EndpointStatistics endpoint, boolean hopeless) {
+	private record Choice(@Nullable EndpointStatistics endpoint, boolean hopeless, boolean forCost) {
+
+		private static final Choice HOLD = new Choice(null, false, false);
 
-		private static final Choice HOLD = new Choice(null, false);
+		private static final Choice HOLD_FOR_COST = new Choice(null, false, true);
 
-		private static final Choice HOPELESS = new Choice(null, true);
+		private static final Choice HOPELESS = new Choice(null, true, false);
 
 	}
 
--- a/src/main/java/org/magnoliahub/routing/SchedulerParameters.java
+++ b/src/main/java/org/magnoliahub/routing/SchedulerParameters.java
@@ -23,12 +23,18 @@
  * @param measuredCapacity whether admission corrects its capacity estimate by the work
  * that was really sent while requests waited
  * @param capacityShare share of estimated capacity that admission commits
+ * @param costSlack share of the deadline beyond which a request under the cost objective
+ * uses its slack to wait for a cheaper endpoint, 1 to never wait
+ * @param shareTolerance multiple of its share up to which a workspace is admitted even if
+ * others have committed the whole pool, 0 to compare demand with the share of the
+ * committed capacity
  * @param longestGraceMillis by how much admission overestimates the time until a latest
  * start while requests start in time
  */
 public record SchedulerParameters(int sampleSize, int lookahead, boolean censored, boolean backlogFromWaits,
 		boolean holding, boolean fairShares, double finishProbability, double tailQuantile, double overcommit,
-		double overcommitMillis, boolean measuredCapacity, double capacityShare, double longestGraceMillis) {
+		double overcommitMillis, boolean measuredCapacity, double capacityShare, double costSlack,
+		double shareTolerance, double longestGraceMillis) {
 
 	/**
 	 * Checks the numbers.
@@ -44,7 +50,7 @@
 	 * @return parameters without censored observations, holding and fair shares
 	 */
 	public static SchedulerParameters first() {
-		return new SchedulerParameters(3, 1, false, false, false, false, 0, 0.9, 1, 0, false, 1, 20);
+		return new SchedulerParameters(3, 1, false, false, false, false, 0, 0.9, 1, 0, false, 1, 1, 0, 20);
 	}
 
 	/**
@@ -52,7 +58,7 @@
 	 * @return the parameters
 	 */
 	public static SchedulerParameters current() {
-		return new SchedulerParameters(8, 8, true, true, false, true, 0.98, 0.98, 2, 40, true, 0.8, 1000);
+		return new SchedulerParameters(8, 8, true, true, false, true, 0.98, 0.98, 2, 40, true, 0.8, 1, 0, 1000);
 	}
 
 }
--- a/src/main/java/org/magnoliahub/routing/WaitQueue.java
+++ b/src/main/java/org/magnoliahub/routing/WaitQueue.java
@@ -16,7 +16,7 @@
 final class WaitQueue {
 
 	/**
-	 * Workspaces may be ahead of the least served one by this multiple of the mean work
+	 * Requests by which the workspaces together may be ahead of the least served one
 	 * before their requests have to wait behind those of others.
 	 */
 	private static final double ALLOWANCE = 8;
@@ -93,15 +93,18 @@
 		List<Candidate> candidates = new ArrayList<>();
 		int workspaces = Math.min(MAXIMUM_WORKSPACES, this.active.size());
 		double least = Double.POSITIVE_INFINITY;
+		int weights = 0;
 		for (WorkspaceShare share : this.active) {
 			least = Math.min(least, share.served());
+			weights += share.weight();
 		}
+		double allowance = ALLOWANCE * meanCost / Math.max(1, weights);
 		if (!this.active.isEmpty()) {
 			this.leastServed = Math.max(this.leastServed, least);
 		}
 		for (int i = 0; i < workspaces; i++) {
 			WorkspaceShare share = this.active.get((this.rotation + i) % this.active.size());
-			boolean beyond = fair && share.served() - least > ALLOWANCE * meanCost;
+			boolean beyond = fair && share.served() - least > allowance;
 			Iterator<WaitingRequest> iterator = share.waiting().iterator();
 			for (int j = 0; j < limit && iterator.hasNext(); j++) {
 				candidates.add(new Candidate(iterator.next(), beyond));
--- /dev/null
+++ b/src/test/java/org/magnoliahub/experiment/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the experiments.
+ */
+@NullMarked
+package org.magnoliahub.experiment;
+
+import org.jspecify.annotations.NullMarked;
