--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -1,8 +1,10 @@
 package org.magnoliahub.command;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.magnoliahub.experiment.ExperimentCommand;
+import org.magnoliahub.experiment.LoadCommand;
 import org.magnoliahub.standin.EngineStandInCommand;
 import org.magnoliahub.standin.PlatformStandInCommand;
 import org.magnoliahub.standin.ServiceStandInCommand;
@@ -16,9 +18,29 @@
 	}
 
 	static List<Command> all() {
-		return List.of(new AgentCommand(), new DemoCommand(), new EngineStandInCommand(), new ExperimentCommand(),
-				new GatewayCommand(), new PlatformStandInCommand(), new QueryCommand(), new ReportCommand(),
-				new ServiceStandInCommand());
+		CommandContext context = CommandContext.create();
+		return Stream.of(processes(), configuration(context), questions(context), standIns())
+			.flatMap(List::stream)
+			.toList();
+	}
+
+	static List<Command> configuration(CommandContext context) {
+		return List.of(new ValidateCommand(), new PlanCommand(context), new ApplyCommand(context),
+				new HistoryCommand(context), new ShowCommand(context), new RollbackCommand(context),
+				new StatusCommand(context));
+	}
+
+	private static List<Command> questions(CommandContext context) {
+		return List.of(new QueryCommand(), new ReportCommand(context));
+	}
+
+	private static List<Command> processes() {
+		return List.of(new GatewayCommand(), new AgentCommand());
+	}
+
+	private static List<Command> standIns() {
+		return List.of(new DemoCommand(), new ExperimentCommand(), new LoadCommand(), new PlatformStandInCommand(),
+				new EngineStandInCommand(), new ServiceStandInCommand());
 	}
 
 }
--- a/src/main/java/org/magnoliahub/command/GatewayCommand.java
+++ b/src/main/java/org/magnoliahub/command/GatewayCommand.java
@@ -7,9 +7,14 @@
 
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import okhttp3.OkHttpClient;
 import org.magnoliahub.gateway.GatewayLimits;
 import org.magnoliahub.model.AvailabilityZone;
+import org.magnoliahub.platform.PlatformServices;
+import org.magnoliahub.platform.VmInventory;
+import org.magnoliahub.platformhttp.HttpSdVmInventory;
 import org.magnoliahub.report.RecordSettings;
+import org.magnoliahub.routing.RoutingPolicy;
 import org.magnoliahub.server.EventLoop;
 import org.magnoliahub.server.GatewayProcess;
 import org.magnoliahub.server.GatewaySettings;
@@ -42,7 +47,10 @@
 						+ " MAGNOLIAHUB_OPERATOR_TOKEN, operator paths refuse all calls");
 		Settings.declare(parser, "--complete-records-kept",
 				"most records of requests complete in time kept per object of 10 s; default: 200");
-		PlatformAccess.declare(parser);
+		Settings.declare(parser, "--policy",
+				"deadline-aware, least-outstanding, round-robin or random; " + "default: deadline-aware");
+		PlatformSettings.declare(parser);
+		Settings.declare(parser, "--vm-inventory-url", "URL of the list of VMs; required");
 	}
 
 	@Override
@@ -60,12 +68,14 @@
 		Duration drainTimeout = Duration.ofMillis(settings.number("--drain-timeout-ms", 0, 3_600_000, 60_000));
 		OperatorTokens operators = OperatorTokenSettings.read(settings, environment);
 		int kept = (int) settings.number("--complete-records-kept", 0, 1_000, 200);
-		PlatformAccess platform = PlatformAccess.read(settings);
+		RoutingPolicy policy = settings.choice("--policy", RoutingPolicy.DEADLINE_AWARE);
+		PlatformSettings platform = PlatformSettings.read(settings);
+		String inventoryUrl = PlatformSettings.url(settings, "--vm-inventory-url");
 		settings.check();
 		GatewaySettings gateway = new GatewaySettings(name, new AvailabilityZone(zone), host, port, adminPort,
-				connections, streams, GatewayLimits.defaults().withMaximumRequests(requests), operators,
+				connections, streams, policy, GatewayLimits.defaults().withMaximumRequests(requests), operators,
 				RecordSettings.defaults().withCompleteKept(kept));
-		GatewayProcess process = start(gateway, platform);
+		GatewayProcess process = start(gateway, platform, inventoryUrl);
 		output
 			.println("listening on " + host + ":" + process.port() + ", admin on " + host + ":" + process.adminPort());
 		return ProcessRunner.runUntilTerminated(() -> {
@@ -74,10 +84,15 @@
 		});
 	}
 
-	private static GatewayProcess start(GatewaySettings settings, PlatformAccess platform) throws CommandException {
+	private static GatewayProcess start(GatewaySettings settings, PlatformSettings platform, String inventoryUrl)
+			throws CommandException {
 		EventLoop loop = EventLoop.start("event-loop");
 		try {
-			return GatewayProcess.start(settings, loop, platform.connect(loop.scheduler()), (record) -> {
+			VmInventory inventory = HttpSdVmInventory.of(new OkHttpClient(), inventoryUrl, platform.timeout(),
+					loop.scheduler());
+			PlatformServices services = new PlatformServices(platform.tableStore(loop.scheduler()),
+					platform.objectStore(loop.scheduler()), inventory);
+			return GatewayProcess.start(settings, loop, services, (record) -> {
 			});
 		}
 		catch (IOException | IllegalArgumentException ex) {
--- a/src/main/java/org/magnoliahub/command/ReportCommand.java
+++ b/src/main/java/org/magnoliahub/command/ReportCommand.java
@@ -4,7 +4,6 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
 
@@ -13,7 +12,6 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.magnoliahub.claim.ClaimAdministration;
 import org.magnoliahub.configuration.ConfigurationRepository;
-import org.magnoliahub.platform.PlatformServices;
 import org.magnoliahub.report.DailyReport;
 import org.magnoliahub.report.HtmlReport;
 import org.magnoliahub.report.RecordReader;
@@ -25,6 +23,12 @@
  */
 final class ReportCommand implements Command {
 
+	private final CommandContext context;
+
+	ReportCommand(CommandContext context) {
+		this.context = context;
+	}
+
 	@Override
 	public String name() {
 		return "report";
@@ -36,7 +40,7 @@
 		Settings.declare(parser, "--format", "text or html; default: text");
 		Settings.declare(parser, "--output", "file to write; default: standard output");
 		Settings.declare(parser, "--maximum-objects", "most objects read per day; default: 4000000");
-		PlatformAccess.declare(parser);
+		this.context.access().declare(parser);
 	}
 
 	@Override
@@ -49,13 +53,11 @@
 		}
 		Optional<String> file = settings.optionalText("--output");
 		int objects = (int) settings.number("--maximum-objects", 1, 10_000_000, 4_000_000);
-		PlatformAccess access = PlatformAccess.read(settings);
-		settings.check();
-		PlatformServices platform = access.connect(Schedulers.computation());
+		Platform platform = this.context.access().open(settings);
 		DailyReport report = ReportBuilder
 			.of(RecordReader.of(platform.objectStore(), Schedulers.computation()),
 					ConfigurationRepository.of(platform.tableStore(), platform.objectStore()),
-					ClaimAdministration.of(platform.tableStore()), Instant::now, objects)
+					ClaimAdministration.of(platform.tableStore()), this.context.clock()::instant, objects)
 			.build()
 			.blockingGet();
 		String content = format.equals("html") ? HtmlReport.render(report) : TextReport.render(report);
--- a/src/main/java/org/magnoliahub/query/QueryEngine.java
+++ b/src/main/java/org/magnoliahub/query/QueryEngine.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -42,6 +43,8 @@
 
 	private static final int GATEWAY_SUFFIX = 33;
 
+	private static final int SHOWN_ITEMS = 3;
+
 	private static final int SHOWN_GAPS = 5;
 
 	private final QuerySources sources;
@@ -94,22 +97,22 @@
 	}
 
 	Single<QueryResult> endpoints(Statement.Endpoints query) {
-		Set<String> connected = this.sources.connected().get();
+		Set<String> usable = this.sources.usable().get();
 		return this.sources.configuration().load().map((configuration) -> {
 			List<List<String>> rows = new ArrayList<>();
 			for (Endpoint endpoint : new TreeMap<>(configuration.endpoints()).values()) {
 				Map<String, String> fields = Map.of("name", endpoint.name(), "pool", endpoint.pool(), "zone",
-						endpoint.availabilityZone().name(), "draining", String.valueOf(endpoint.draining()),
-						"connected", String.valueOf(connected.contains(endpoint.name())));
+						endpoint.availabilityZone().name(), "draining", String.valueOf(endpoint.draining()), "usable",
+						String.valueOf(usable.contains(endpoint.name())));
 				if (matches(query.conditions(), fields)) {
 					rows.add(List.of(endpoint.name(), endpoint.pool(), endpoint.availabilityZone().name(),
 							endpoint.agentAddress(), String.valueOf(endpoint.draining()),
-							String.valueOf(connected.contains(endpoint.name()))));
+							String.valueOf(usable.contains(endpoint.name()))));
 				}
 			}
-			return new QueryResult(List.of("name", "pool", "zone", "agent", "draining", "connected"), rows,
+			return new QueryResult(List.of("name", "pool", "zone", "agent", "draining", "usable"), rows,
 					List.of("version " + configuration.version()
-							+ "; 'connected' means that this gateway can send work there now"));
+							+ "; 'usable' means that this gateway can send work there now"));
 		});
 	}
 
@@ -120,10 +123,13 @@
 			for (ConfigurationRepository.AuditRow row : found) {
 				AuditEntry entry = row.entry();
 				rows.add(List.of(entry.time().toString(), entry.result().name().toLowerCase(Locale.ROOT),
-						String.valueOf(entry.version()), entry.author(), String.join(", ", entry.items()),
+						String.valueOf(entry.version()), entry.author(), entry.comment(),
+						String.join(", ", entry.items().stream().limit(SHOWN_ITEMS).toList())
+								+ ((entry.itemCount() > SHOWN_ITEMS)
+										? " and " + (entry.itemCount() - SHOWN_ITEMS) + " more" : ""),
 						String.join("; ", entry.faults())));
 			}
-			return new QueryResult(List.of("time", "result", "version", "author", "change", "faults"), rows,
+			return new QueryResult(List.of("time", "result", "version", "author", "comment", "change", "faults"), rows,
 					(found.size() < MAXIMUM_ROWS) ? List.of() : List.of("there are more entries; ask for less time"));
 		});
 	}
@@ -162,6 +168,7 @@
 		return this.sources.records().read(from, to, stored, limits).map((period) -> {
 			List<RequestRecord> records = new ArrayList<>(period.records());
 			unwritten.byId().values().stream().filter(filter).forEach(records::add);
+			records.sort(Comparator.comparing(RequestRecord::arrived).reversed());
 			return new Found(period, records);
 		});
 	}
--- a/src/main/java/org/magnoliahub/query/QuerySources.java
+++ b/src/main/java/org/magnoliahub/query/QuerySources.java
@@ -20,12 +20,12 @@
  * @param configuration configuration versions and the audit trail
  * @param claims claims
  * @param leases leases
- * @param connected names of the endpoints that this gateway can use, on the event loop
+ * @param usable names of the endpoints that this gateway sends work to, on the event loop
  * @param wallTime wall time
  * @param ids unique ids of changes
  */
 public record QuerySources(RecordReader records, Supplier<Supplier<List<RequestRecord>>> unwritten,
 		ConfigurationRepository configuration, ClaimAdministration claims, LeaseDirectory leases,
-		Supplier<Set<String>> connected, Supplier<Instant> wallTime, Supplier<String> ids) {
+		Supplier<Set<String>> usable, Supplier<Instant> wallTime, Supplier<String> ids) {
 
 }
--- a/src/main/java/org/magnoliahub/report/ReportTables.java
+++ b/src/main/java/org/magnoliahub/report/ReportTables.java
@@ -75,7 +75,7 @@
 		}
 		RecordTotals totals = period.totals();
 		sections.add(new Section(title + ": answers in time", completeness(day),
-				List.of("class", "in time", "requests", "in time", "late", "not run", "failed", "unknown"),
+				List.of("class", "share in time", "requests", "in time", "late", "not run", "failed", "unknown"),
 				totals.classes()
 					.stream()
 					.map((each) -> List.of(each.requestClass(), share(each, day.incomplete()), text(each.requests()),
@@ -148,7 +148,8 @@
 			.map((entry) -> List.of(entry.time().truncatedTo(ChronoUnit.SECONDS).toString(),
 					entry.result().name().toLowerCase(Locale.ROOT), (entry.version() > 0) ? text(entry.version()) : "",
 					entry.author(),
-					String.join(", ", entry.items().stream().limit(3).toList())
+					(entry.comment().isEmpty() ? "" : entry.comment() + ": ")
+							+ String.join(", ", entry.items().stream().limit(3).toList())
 							+ ((entry.itemCount() > 3) ? " and " + (entry.itemCount() - 3) + " more" : "")))
 			.toList();
 		return new Section("Configuration changes and operators' decisions",
--- a/src/main/java/org/magnoliahub/server/ConfigurationRelay.java
+++ b/src/main/java/org/magnoliahub/server/ConfigurationRelay.java
@@ -119,13 +119,13 @@
 		}
 
 		@Override
-		public Single<List<String>> list(String prefix, String startAfter, int limit) {
-			return unavailable();
+		public Completable delete(String key) {
+			return Completable.error(new StoreException("agents do not use the platform's services", false));
 		}
 
 		@Override
-		public Completable delete(String key) {
-			return unavailable().ignoreElement();
+		public Single<List<String>> list(String prefix, String startAfter, int limit) {
+			return unavailable();
 		}
 
 	}
--- a/src/main/java/org/magnoliahub/server/GatewayProcess.java
+++ b/src/main/java/org/magnoliahub/server/GatewayProcess.java
@@ -36,7 +36,6 @@
 import org.magnoliahub.report.RecordReader;
 import org.magnoliahub.report.RecordWriter;
 import org.magnoliahub.report.ReportBuilder;
-import org.magnoliahub.routing.BaselineScheduler;
 import org.magnoliahub.routing.StageScheduler;
 import org.magnoliahub.transport.TcpAgentConnections;
 import org.magnoliahub.transport.Transport;
@@ -106,13 +105,16 @@
 		this.transport = Transport.create(loop.scheduler(), loop.timers(), this.meters);
 		TcpAgentConnections agents = TcpAgentConnections.create(this.transport, this::greeting, this::versionInForce,
 				this.random);
-		this.connections = new EndpointConnections(agents, settings.name(), settings.availabilityZone(), this.meters);
+		this.connections = new EndpointConnections(agents, settings.name(), settings.availabilityZone(), this.random,
+				this.meters);
 		ConfigurationRepository repository = ConfigurationRepository.of(platform.tableStore(), platform.objectStore());
 		this.holder = ConfigurationHolder.of(repository, this.connections, loop.timers(), this.random);
 		this.records = RecordWriter.of(settings.name(), this.incarnation, platform.objectStore(), loop.timers(),
 				Instant::now, this.random, settings.records(), this.meters);
 		this.recordCleanup = RecordCleanup.of(platform.objectStore(), Instant::now, RECORD_RETENTION_DAYS);
-		StageScheduler scheduler = BaselineScheduler.leastOutstanding(this.holder::configuration, this.random);
+		StageScheduler scheduler = settings.policy()
+			.create(this.holder::configuration, loop.timers(), this.random, settings.availabilityZone(),
+					settings.name());
 		ClaimRepository claims = ClaimRepository.of(platform.tableStore(), loop.timers(), this.random,
 				ClaimSettings.defaults());
 		this.coordinator = RequestCoordinator.of(settings.name(), this.holder::configuration, scheduler, agents, claims,
@@ -218,6 +220,9 @@
 	}
 
 	private boolean startCore(StageScheduler scheduler) {
+		this.meters.gauge("magnoliahub.configuration.version", this.holder,
+				(source) -> source.configuration().version());
+		this.meters.gauge("magnoliahub.configuration.stale", this.holder, (source) -> source.status().stale() ? 1 : 0);
 		this.subscriptions.add(this.holder.configurations().subscribe((configuration) -> {
 			LOGGER.log(Level.INFO, "configuration in force version={0}", String.valueOf(configuration.version()));
 			this.connections.apply(configuration, scheduler, this.holder);
@@ -230,7 +235,7 @@
 				.doOnError((failure) -> this.meters.counter("magnoliahub.records.cleanup.failures").increment())
 				.onErrorReturnItem(0))
 			.subscribe((removed) -> this.meters.counter("magnoliahub.records.objects.removed").increment(removed)));
-		this.vmWatcher.start((leaving) -> this.connections.vmsLeaving(leaving, scheduler));
+		this.vmWatcher.start((vms) -> this.connections.vmsListed(vms, scheduler, this.holder));
 		return true;
 	}
 
--- a/src/test/java/org/magnoliahub/process/OperatorIT.java
+++ b/src/test/java/org/magnoliahub/process/OperatorIT.java
@@ -1,7 +1,9 @@
 package org.magnoliahub.process;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -25,7 +27,7 @@
 
 	@BeforeAll
 	void start() throws IOException {
-		this.system = ProcessSystem.start(1, 5);
+		this.system = ProcessSystem.start(1, 100);
 	}
 
 	@AfterAll
@@ -64,12 +66,22 @@
 		await().atMost(Duration.ofSeconds(20))
 			.until(() -> query("endpoints where name = filing-0").contains("false     true"));
 		await().atMost(Duration.ofSeconds(20)).until(() -> {
-			this.system.order(0, "returned-" + System.nanoTime());
+			// One order at a time could always go to the other endpoint.
+			IntStream.range(0, 12).parallel().forEach(this::orderAfterReturn);
 			return this.system.get(this.system.backEnd("filing-0").port(), "/runs").contains("returned-");
 		});
 		assertThat(query("versions")).contains("accepted", "refused", "kanako", "put endpoint filing-0");
 	}
 
+	private void orderAfterReturn(int number) {
+		try {
+			this.system.order(0, "returned-" + number + "-" + System.nanoTime());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	/**
 	 * Guards against operator paths that callers can use, and against refused calls that
 	 * leave no trace or leave the token.
--- a/src/test/java/org/magnoliahub/query/QueryServiceTests.java
+++ b/src/test/java/org/magnoliahub/query/QueryServiceTests.java
@@ -202,7 +202,7 @@
 			.contains("limit of 1");
 		assertThat(run("request gateway-a-" + "0".repeat(31) + "3")).contains("not_run, no_endpoint", "detail,why");
 		assertThat(run("request gateway-b-" + "0".repeat(31) + "3")).contains("INCOMPLETE: no gateway", "no record");
-		assertThat(run("endpoints where connected = true")).contains("engine-0,engines,a,127.0.0.1:7000,false,true");
+		assertThat(run("endpoints where usable = true")).contains("engine-0,engines,a,127.0.0.1:7000,false,true");
 	}
 
 }
