Prove the invariants under pairs of faults and correct what it found

Planned stops under load must interrupt nothing.

Cause 1: a gateway that drained or was at its limit refused a repeated order with not_run although an earlier submission had run. It now looks at the claim first. Ruled out: the claim check at the end of a request, which such refusals never reached.

Cause 2: that look at the claim did not compare the input, so a refused request with a reused key could get the answer of another request. It now gets idempotency_key_reused.

Cause 3: one gateway delivered the messages of an attempt only to the last listener, so an order lost its result to its own repetition at the same gateway, and the end of one could cancel the other. Ruled out: the agent, which sent the result.

Cause 4: a look at the claim and its change had 500 ms each, so an answer could come more than 500 ms after the deadline. They share 500 ms now.

--- a/src/main/java/org/magnoliahub/gateway/ClaimSession.java
+++ b/src/main/java/org/magnoliahub/gateway/ClaimSession.java
@@ -18,6 +18,7 @@
 import org.magnoliahub.model.AttemptId;
 import org.magnoliahub.model.Endpoint;
 import org.magnoliahub.model.Outcome;
+import org.magnoliahub.model.PipelineDefinition;
 import org.magnoliahub.model.RefusalReason;
 import org.magnoliahub.model.RequestId;
 import org.magnoliahub.model.StageCall;
@@ -25,7 +26,6 @@
 import org.magnoliahub.model.StageType;
 import org.magnoliahub.platform.StoreException;
 import org.magnoliahub.protocol.Message;
-import org.magnoliahub.routing.AdmissionRequest;
 
 /**
  * The claim of one submission with an idempotency key. A submission that meets an
@@ -40,13 +40,17 @@
 
 	private static final Duration LOOKUP_TIMEOUT = Duration.ofSeconds(2);
 
+	// For the look at the claim and its change together, since the caller may be waiting
+	// past its deadline.
 	private static final Duration CONCLUDE_TIMEOUT = Duration.ofMillis(500);
 
 	private static final Duration FINISH_TIMEOUT = Duration.ofSeconds(60);
 
 	private final GatewayContext context;
 
-	private final AdmissionRequest admission;
+	private final RequestId request;
+
+	private final PipelineDefinition pipeline;
 
 	private final Submission submission;
 
@@ -64,9 +68,13 @@
 
 	private boolean concluded;
 
-	ClaimSession(GatewayContext context, AdmissionRequest admission, Submission submission, String inputHash) {
+	private long concludeUntilMillis;
+
+	ClaimSession(GatewayContext context, RequestId request, PipelineDefinition pipeline, Submission submission,
+			String inputHash) {
 		this.context = context;
-		this.admission = admission;
+		this.request = request;
+		this.pipeline = pipeline;
 		this.submission = submission;
 		this.inputHash = inputHash;
 	}
@@ -96,12 +104,21 @@
 			return new Outcome.Unknown("", "the table service does not answer, so it is not known whether another "
 					+ "submission with the same idempotency key has run");
 		}
-		return new Outcome.NotRun(RefusalReason.STORE_UNAVAILABLE,
-				refusal.detail() + "; this submission did not run, but the table service does not answer, so an "
-						+ "earlier submission with the same idempotency key could not be looked up",
+		return new Outcome.NotRun(RefusalReason.STORE_UNAVAILABLE, refusal.detail()
+				+ "; this submission did not run, but the table service does not answer or has too "
+				+ "many requests, so an earlier submission with the same idempotency key could not be looked up",
 				refusal.retryAfter());
 	}
 
+	private Duration concludeBudget() {
+		return positive(Duration.ofMillis(this.concludeUntilMillis - this.context.timers().milliTime()));
+	}
+
+	private static Outcome keyReused() {
+		return new Outcome.NotRun(RefusalReason.IDEMPOTENCY_KEY_REUSED,
+				"the idempotency key was used before with another input; use a new key", Duration.ZERO);
+	}
+
 	/**
 	 * Returns whether this submission waits for another one.
 	 * @return {@code true} while it follows a claim that it does not own
@@ -149,12 +166,13 @@
 		if (!this.context.claims().isStoreAvailable()) {
 			return unavailable("it failed several times in a row");
 		}
+		this.concludeUntilMillis = this.context.timers().milliTime() + CONCLUDE_TIMEOUT.toMillis();
 		StoredClaim present = this.held;
 		if (present != null) {
 			return concludeAt(present, outcome);
 		}
 		return this.context.claims()
-			.find(this.submission.workspace(), key(), CONCLUDE_TIMEOUT)
+			.find(this.submission.workspace(), key(), concludeBudget())
 			.flatMap((found) -> found.isPresent() ? concludeAt(found.get(), outcome) : Single.just(outcome));
 	}
 
@@ -174,6 +192,9 @@
 
 	private Single<Outcome> concludeAt(StoredClaim stored, Outcome outcome) {
 		Claim claim = stored.claim();
+		if (!claim.inputHash().equals(this.inputHash)) {
+			return Single.just((outcome instanceof Outcome.NotRun) ? keyReused() : outcome);
+		}
 		if (claim.phase() instanceof ClaimPhase.Finished finished) {
 			return Single.just(isRepeatable(finished.outcome()) ? outcome : finished.outcome());
 		}
@@ -181,7 +202,7 @@
 			return Single.just(new Outcome.Unknown("", "an earlier submission with the same key has not ended"));
 		}
 		Claim finished = claim.withPhase(new ClaimPhase.Finished(outcome));
-		return this.context.claims().update(finished, stored.revision(), CONCLUDE_TIMEOUT).flatMap((result) -> {
+		return this.context.claims().update(finished, stored.revision(), concludeBudget()).flatMap((result) -> {
 			if (result instanceof UpdateResult.Updated) {
 				this.concluded = true;
 				return Single.just(outcome);
@@ -210,8 +231,7 @@
 		if (!this.context.claims().isStoreAvailable()) {
 			return Single.error(new StoreException("the table service does not answer", false));
 		}
-		Claim claim = new Claim(this.submission.workspace(), key(), this.inputHash, newToken(),
-				this.admission.request(), phase);
+		Claim claim = new Claim(this.submission.workspace(), key(), this.inputHash, newToken(), this.request, phase);
 		return this.context.claims().acquire(claim, positive(budget)).flatMap((result) -> {
 			if (result instanceof AcquireResult.Acquired acquired) {
 				this.held = acquired.stored();
@@ -228,8 +248,7 @@
 		this.held = null;
 		Claim claim = stored.claim();
 		if (!claim.inputHash().equals(this.inputHash)) {
-			return Single.just(new ClaimGrant.Answered(new Outcome.NotRun(RefusalReason.IDEMPOTENCY_KEY_REUSED,
-					"the idempotency key was used before with another input; use a new key", Duration.ZERO)));
+			return Single.just(new ClaimGrant.Answered(keyReused()));
 		}
 		if (claim.phase() instanceof ClaimPhase.Finished finished) {
 			return isRepeatable(finished.outcome()) ? reopen(stored, budget)
@@ -283,7 +302,7 @@
 			Outcome unknown = new Outcome.Unknown(stageName(assigned.stage()), detail);
 			return settle(stored, unknown, budget);
 		}
-		if (assigned.stage() == this.admission.pipeline().stages().size() - 1) {
+		if (assigned.stage() == this.pipeline.stages().size() - 1) {
 			return settle(stored, new Outcome.Complete(completed.output().content()), budget);
 		}
 		return update(stored, stored.claim().withOwner(newToken()), budget, (updated) -> {
@@ -299,7 +318,7 @@
 	}
 
 	private Single<ClaimGrant> reopen(StoredClaim stored, Duration budget) {
-		Claim open = new Claim(this.submission.workspace(), key(), this.inputHash, newToken(), this.admission.request(),
+		Claim open = new Claim(this.submission.workspace(), key(), this.inputHash, newToken(), this.request,
 				new ClaimPhase.Open());
 		return update(stored, open, budget, this::granted);
 	}
@@ -330,8 +349,7 @@
 		if (outcome instanceof Outcome.NotRun) {
 			return true;
 		}
-		return outcome instanceof Outcome.Failed failed && this.admission.pipeline()
-			.stages()
+		return outcome instanceof Outcome.Failed failed && this.pipeline.stages()
 			.stream()
 			.filter((stage) -> !stage.idempotent())
 			.map(StageDefinition::name)
@@ -354,7 +372,7 @@
 	}
 
 	private String stageName(int stage) {
-		return this.admission.pipeline().stages().get(stage).name();
+		return this.pipeline.stages().get(stage).name();
 	}
 
 	private String key() {
--- a/src/main/java/org/magnoliahub/gateway/RequestCoordinator.java
+++ b/src/main/java/org/magnoliahub/gateway/RequestCoordinator.java
@@ -42,6 +42,9 @@
 
 	private static final int RECENT_OUTCOMES = 10_000;
 
+	// Refusals under overload must not become a load of reads on the table service.
+	private static final int MAXIMUM_REFUSAL_CHECKS = 100;
+
 	private final GatewayContext context;
 
 	private final Supplier<Instant> wallTime;
@@ -58,6 +61,8 @@
 
 	private int openClaims;
 
+	private int refusalChecks;
+
 	private boolean draining;
 
 	private RequestCoordinator(GatewayContext context, Supplier<Instant> wallTime, RequestRecorder recorder,
@@ -150,7 +155,7 @@
 		Configuration configuration = this.context.configuration().get();
 		Outcome.NotRun refusal = check(submission, configuration);
 		if (refusal != null) {
-			refuse(arrival, refusal, emitter);
+			refuse(arrival, refusal, configuration, emitter);
 			return;
 		}
 		RequestClass requestClass = configuration.requestClasses().get(submission.requestClass());
@@ -164,7 +169,7 @@
 			.orElse(requestClass.deadline());
 		AdmissionRequest admission = new AdmissionRequest(id, workspace, requestClass, pipeline, budget);
 		ClaimSession claim = pipeline.isIdempotent() ? null
-				: new ClaimSession(this.context, admission, submission, inputHash(submission));
+				: new ClaimSession(this.context, id, pipeline, submission, inputHash(submission));
 		this.inFlight++;
 		this.openClaims += (claim != null) ? 1 : 0;
 		RequestExecution execution = new RequestExecution(this.context, admission, submission, claim,
@@ -205,7 +210,34 @@
 		return SubmissionChecks.check(submission, configuration);
 	}
 
-	private void refuse(Arrival arrival, Outcome.NotRun refusal, FlowableEmitter<ResponseEvent> emitter) {
+	// An earlier submission with the same key may have run, so a refusal for a reason
+	// that
+	// has nothing to do with the request is only told after a look at its claim.
+	private void refuse(Arrival arrival, Outcome.NotRun refusal, Configuration configuration,
+			FlowableEmitter<ResponseEvent> emitter) {
+		PipelineDefinition pipeline = configuration.pipelines().get(arrival.submission().pipeline());
+		if (pipeline == null || pipeline.isIdempotent()
+				|| SubmissionChecks.check(arrival.submission(), configuration) != null) {
+			refuse(arrival, refusal, emitter);
+			return;
+		}
+		if (this.refusalChecks >= MAXIMUM_REFUSAL_CHECKS) {
+			refuse(arrival, ClaimSession.unchecked(refusal), emitter);
+			return;
+		}
+		this.refusalChecks++;
+		Single<Outcome> checked = new ClaimSession(this.context, arrival.id(), pipeline, arrival.submission(),
+				inputHash(arrival.submission()))
+			.conclude(refusal)
+			.onErrorReturn((failure) -> ClaimSession.unchecked(refusal));
+		checked.subscribe((outcome) -> {
+			this.refusalChecks--;
+			refuse(arrival, outcome, emitter);
+			completeIfIdle();
+		});
+	}
+
+	private void refuse(Arrival arrival, Outcome refusal, FlowableEmitter<ResponseEvent> emitter) {
 		recordEnd(arrival, refusal, 0, false, List.of());
 		emitter.onNext(new ResponseEvent.Finished(arrival.id(), refusal));
 		emitter.onComplete();
@@ -271,7 +303,7 @@
 	}
 
 	private void completeIfIdle() {
-		if (this.draining && this.inFlight == 0 && this.openClaims == 0) {
+		if (this.draining && this.inFlight == 0 && this.openClaims == 0 && this.refusalChecks == 0) {
 			this.idle.onComplete();
 		}
 	}
--- a/src/main/java/org/magnoliahub/gateway/StageAttempt.java
+++ b/src/main/java/org/magnoliahub/gateway/StageAttempt.java
@@ -26,6 +26,8 @@
 
 	private static final Message.LoadReport UNKNOWN_LOAD = new Message.LoadReport(0, 0, 0);
 
+	private final AttemptDispatcher dispatcher;
+
 	private final AgentConnection connection;
 
 	private final Message.Execute execute;
@@ -44,8 +46,9 @@
 
 	private Message.@Nullable Completed completed;
 
-	private StageAttempt(AgentConnection connection, Message.Execute execute, Consumer<String> parts,
-			SingleEmitter<AttemptResult> result) {
+	private StageAttempt(AttemptDispatcher dispatcher, AgentConnection connection, Message.Execute execute,
+			Consumer<String> parts, SingleEmitter<AttemptResult> result) {
+		this.dispatcher = dispatcher;
 		this.connection = connection;
 		this.execute = execute;
 		this.parts = parts;
@@ -82,9 +85,9 @@
 	private static Single<AttemptResult> follow(AttemptDispatcher dispatcher, AgentConnection connection,
 			Message.Execute execute, Consumer<String> parts, Message first) {
 		return Single.create((emitter) -> {
-			StageAttempt attempt = new StageAttempt(connection, execute, parts, emitter);
+			StageAttempt attempt = new StageAttempt(dispatcher, connection, execute, parts, emitter);
 			emitter.setCancellable(attempt::close);
-			attempt.start(dispatcher, first);
+			attempt.start(first);
 		});
 	}
 
@@ -92,8 +95,8 @@
 		return new Message.Revoke(execute.attempt(), execute.targetIncarnation(), execute.agentMillisSeen());
 	}
 
-	private void start(AttemptDispatcher dispatcher, Message first) {
-		this.subscriptions.add(dispatcher.listen(this.connection, this.execute.attempt(), this::receive));
+	private void start(Message first) {
+		this.subscriptions.add(this.dispatcher.listen(this.connection, this.execute.attempt(), this::receive));
 		this.subscriptions.add(this.connection.connected().subscribe(this::connectionChanged));
 		boolean sent = this.connection.send(first);
 		if (!sent && first instanceof Message.Execute) {
@@ -196,7 +199,9 @@
 	private void close() {
 		if (!this.subscriptions.isDisposed()) {
 			this.subscriptions.dispose();
-			this.connection.send(new Message.Cancel(this.execute.attempt()));
+			if (!this.dispatcher.isAwaited(this.connection, this.execute.attempt())) {
+				this.connection.send(new Message.Cancel(this.execute.attempt()));
+			}
 		}
 	}
 
--- a/src/test/java/org/magnoliahub/simulation/CoreFaultPropertyTests.java
+++ b/src/test/java/org/magnoliahub/simulation/CoreFaultPropertyTests.java
@@ -33,7 +33,7 @@
 			act(system, random);
 			system.advance(Duration.ofMillis(random.nextInt(400)));
 		}
-		heal(system);
+		SimulatedFault.heal(system);
 		system.advance(LONG);
 		List<SimulatedCall> last = resubmitAll(system);
 		system.advance(LONG);
@@ -88,7 +88,7 @@
 					calls.get(random.nextInt(calls.size())).hangUp();
 				}
 			}
-			case 13 -> agent.core().drain();
+			case 13 -> agent.drain();
 			case 14, 15 -> interrupt(system, random, gateway);
 			default -> submit(system, random);
 		}
@@ -112,20 +112,6 @@
 				Duration.ofMillis(random.nextInt(200)));
 	}
 
-	private static void heal(SimulatedSystem system) {
-		system.storeFaults().setUnavailable(false);
-		system.storeFaults().setLostAnswerProbability(0);
-		system.storeFaults().setFailBeforeProbability(0);
-		system.storeFaults().setExtraLatency(Duration.ZERO);
-		system.gateways().forEach((gateway) -> gateway.timer().resume());
-		system.agents().forEach((agent) -> {
-			agent.backEnd().setFaults(0, 0, false);
-			if (agent.core().isDraining()) {
-				agent.restart();
-			}
-		});
-	}
-
 	private static List<SimulatedCall> resubmitAll(SimulatedSystem system) {
 		List<SimulatedCall> last = new ArrayList<>();
 		for (SimulatedCall call : List.copyOf(system.calls())) {
--- a/src/test/java/org/magnoliahub/simulation/ProcessTimer.java
+++ b/src/test/java/org/magnoliahub/simulation/ProcessTimer.java
@@ -19,6 +19,8 @@
 
 	private boolean dead;
 
+	private boolean wasFrozen;
+
 	ProcessTimer(TimerService base) {
 		this.base = base;
 		this.resumed.onComplete();
@@ -27,6 +29,7 @@
 	void freeze() {
 		if (this.resumed.hasComplete()) {
 			this.resumed = CompletableSubject.create();
+			this.wasFrozen = true;
 		}
 	}
 
@@ -45,6 +48,10 @@
 		return this.dead;
 	}
 
+	boolean wasFrozen() {
+		return this.wasFrozen;
+	}
+
 	boolean isFrozen() {
 		return !this.resumed.hasComplete();
 	}
--- a/src/test/java/org/magnoliahub/simulation/SimulatedAgent.java
+++ b/src/test/java/org/magnoliahub/simulation/SimulatedAgent.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import org.magnoliahub.agent.AgentLimits;
@@ -24,6 +25,8 @@
 
 	private final List<SimulatedLink> links = new ArrayList<>();
 
+	private final List<Drain> drains = new ArrayList<>();
+
 	private ProcessTimer timer;
 
 	private EndpointAgent core;
@@ -63,16 +66,62 @@
 		this.links.add(link);
 	}
 
+	/**
+	 * Lets the agent drain; its back end may start no call of it from 3 s after.
+	 */
+	void drain() {
+		this.core.drain();
+		this.drains.add(new Drain(this.base.milliTime(), Long.MAX_VALUE));
+	}
+
+	/**
+	 * Stops the process gracefully: it drains and ends, and a new incarnation starts.
+	 */
+	void stop() {
+		EndpointAgent stopped = this.core;
+		drain();
+		stopped.drain().subscribe(() -> {
+			if (this.core == stopped) {
+				replace(SimulatedLink::closeFromAgent);
+			}
+		});
+	}
+
+	List<Drain> drains() {
+		return this.drains;
+	}
+
 	/**
 	 * Kills the process and starts a new incarnation, which knows nothing.
 	 */
 	void restart() {
+		replace((link) -> {
+			link.cut();
+			link.reconnectLater();
+		});
+	}
+
+	private void replace(Consumer<SimulatedLink> close) {
 		this.timer.kill();
-		this.links.forEach(SimulatedLink::cut);
+		this.drains.replaceAll((drain) -> drain.endedBy(this.base.milliTime()));
 		this.incarnation++;
 		this.timer = new ProcessTimer(this.base);
 		this.core = newCore();
-		this.links.forEach(SimulatedLink::reconnectLater);
+		this.links.forEach(close);
+	}
+
+	/**
+	 * Time in which an incarnation drained.
+	 *
+	 * @param startMillis virtual time of its start
+	 * @param endMillis virtual time of the end of the incarnation
+	 */
+	record Drain(long startMillis, long endMillis) {
+
+		private Drain endedBy(long millis) {
+			return new Drain(this.startMillis, Math.min(this.endMillis, millis));
+		}
+
 	}
 
 }
--- a/src/test/java/org/magnoliahub/simulation/SimulatedBackEnd.java
+++ b/src/test/java/org/magnoliahub/simulation/SimulatedBackEnd.java
@@ -36,6 +36,8 @@
 
 	private boolean refusing;
 
+	private int slowness = 1;
+
 	SimulatedBackEnd(TimerService timers, RandomGenerator random, Duration meanDuration) {
 		this.timers = timers;
 		this.random = random;
@@ -48,6 +50,10 @@
 		this.refusing = refuse;
 	}
 
+	void setSlowness(int factor) {
+		this.slowness = factor;
+	}
+
 	List<Run> runs() {
 		return this.runs;
 	}
@@ -60,7 +66,7 @@
 			}
 			this.runs.add(new Run(call, this.timers.milliTime()));
 			double factor = 0.2 + 1.6 * this.random.nextDouble();
-			Duration duration = Duration.ofNanos((long) (this.meanDuration.toNanos() * factor));
+			Duration duration = Duration.ofNanos((long) (this.meanDuration.toNanos() * this.slowness * factor));
 			Flowable<EndpointEvent> first = part(duration.dividedBy(2), "<" + call.stage() + ANSWER_SEPARATOR);
 			if (this.random.nextDouble() < this.failureProbability) {
 				return this.timers.after(duration).andThen(Flowable.error(new EndpointException("status 500", true)));
--- a/src/test/java/org/magnoliahub/simulation/SimulatedCall.java
+++ b/src/test/java/org/magnoliahub/simulation/SimulatedCall.java
@@ -32,12 +32,15 @@
 
 	private boolean hungUp;
 
+	private long startedMillis;
+
 	SimulatedCall(Submission submission, SimulatedGateway gateway) {
 		this.submission = submission;
 		this.gateway = gateway;
 	}
 
 	void start() {
+		this.startedMillis = this.gateway.timer().milliTime();
 		this.subscription = this.gateway.coordinator().submit(this.submission).subscribe(this::receive);
 	}
 
@@ -70,6 +73,10 @@
 		return Optional.ofNullable(this.id);
 	}
 
+	long startedMillis() {
+		return this.startedMillis;
+	}
+
 	long outcomeMillis() {
 		return this.outcomeMillis;
 	}
--- a/src/test/java/org/magnoliahub/simulation/SimulatedGateway.java
+++ b/src/test/java/org/magnoliahub/simulation/SimulatedGateway.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
@@ -62,10 +63,21 @@
 		return List.copyOf(this.links.values());
 	}
 
+	SimulatedLink linkTo(SimulatedAgent agent) {
+		return Objects.requireNonNull(this.links.get(agent.endpoint().name()));
+	}
+
 	List<RequestRecord> records() {
 		return this.records;
 	}
 
+	/**
+	 * Stops the process gracefully: it refuses new requests and ends with the last one.
+	 */
+	void stop() {
+		this.coordinator.drain().subscribe(this::kill);
+	}
+
 	void kill() {
 		this.timer.kill();
 		this.links.values().forEach(SimulatedLink::block);
--- a/src/test/java/org/magnoliahub/simulation/SimulatedLink.java
+++ b/src/test/java/org/magnoliahub/simulation/SimulatedLink.java
@@ -41,6 +41,10 @@
 
 	private boolean blocked;
 
+	private long toAgentStalledUntil;
+
+	private long toGatewayStalledUntil;
+
 	SimulatedLink(SimulatedAgent agent, ProcessTimer gatewayTimer, TimerService network, RandomGenerator random) {
 		this.agent = agent;
 		this.gatewayTimer = gatewayTimer;
@@ -68,6 +72,42 @@
 		reconnectLater();
 	}
 
+	/**
+	 * Holds messages to the agent back, as a network does that loses packets for a while.
+	 * @param time how long
+	 */
+	void stallToAgent(Duration time) {
+		this.toAgentStalledUntil = this.network.nanoTime() + time.toNanos();
+	}
+
+	/**
+	 * Holds messages to the gateway back.
+	 * @param time how long
+	 */
+	void stallToGateway(Duration time) {
+		this.toGatewayStalledUntil = this.network.nanoTime() + time.toNanos();
+	}
+
+	/**
+	 * Closes the connection after what the agent sent has arrived, as the end of its
+	 * process does.
+	 */
+	void closeFromAgent() {
+		Session present = this.session;
+		if (present == null) {
+			reconnectLater();
+			return;
+		}
+		present.agentClosed = true;
+		Duration rest = Duration.ofNanos(Math.max(0, present.lastToGateway - this.network.nanoTime()));
+		this.network.after(rest).subscribe(() -> {
+			if (this.session == present) {
+				cut();
+			}
+			reconnectLater();
+		});
+	}
+
 	void cut() {
 		Session present = this.session;
 		if (present != null) {
@@ -161,13 +201,16 @@
 
 		private boolean closed;
 
+		private boolean agentClosed;
+
 		private void sendToAgent(Message message) {
 			long now = SimulatedLink.this.network.nanoTime();
-			this.lastToAgent = Math.max(this.lastToAgent, now + latency().toNanos());
+			this.lastToAgent = Math.max(this.lastToAgent,
+					Math.max(now, SimulatedLink.this.toAgentStalledUntil) + latency().toNanos());
 			SimulatedLink.this.network.after(Duration.ofNanos(this.lastToAgent - now))
 				.andThen(this.agentTimer.whenRunning())
 				.subscribe(() -> {
-					if (!this.closed) {
+					if (!this.closed && !this.agentClosed) {
 						this.agentCoreAtOpen.receive(this, message);
 					}
 				});
@@ -187,7 +230,8 @@
 
 		private void deliverToGateway(Message message) {
 			long now = SimulatedLink.this.network.nanoTime();
-			this.lastToGateway = Math.max(this.lastToGateway, now + latency().toNanos());
+			this.lastToGateway = Math.max(this.lastToGateway,
+					Math.max(now, SimulatedLink.this.toGatewayStalledUntil) + latency().toNanos());
 			SimulatedLink.this.network.after(Duration.ofNanos(this.lastToGateway - now))
 				.andThen(SimulatedLink.this.gatewayTimer.whenRunning())
 				.subscribe(() -> {
--- a/src/test/java/org/magnoliahub/simulation/SimulatedSystem.java
+++ b/src/test/java/org/magnoliahub/simulation/SimulatedSystem.java
@@ -107,6 +107,10 @@
 				endpoints, List.of(new Workspace("north", 1, 1000)));
 	}
 
+	static String inputOf(String key) {
+		return "input of " + key;
+	}
+
 	SimulatedCall submit(int gateway, String requestClass, String key, String input) {
 		Submission submission = new Submission("north", requestClass, requestClass, Optional.of(key),
 				"\"" + input + "\"", Optional.empty());
