--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -18,7 +18,8 @@
 	}
 
 	static List<Command> all() {
-		return Stream.of(processes(), configuration(CommandContext.create()), standIns())
+		CommandContext context = CommandContext.create();
+		return Stream.of(processes(), configuration(context), questions(context), standIns())
 			.flatMap(List::stream)
 			.toList();
 	}
@@ -29,6 +30,10 @@
 				new StatusCommand(context));
 	}
 
+	private static List<Command> questions(CommandContext context) {
+		return List.of(new QueryCommand(), new ReportCommand(context));
+	}
+
 	private static List<Command> processes() {
 		return List.of(new GatewayCommand(), new AgentCommand());
 	}
