--- a/src/test/java/org/magnoliahub/process/CapacityMeasurement.java
+++ b/src/test/java/org/magnoliahub/process/CapacityMeasurement.java
@@ -35,7 +35,8 @@
 /**
  * Measures start-up, processor time and memory of the processes of the binary. Run with
  * the name of a section: {@code startup}, {@code processor}, {@code latency},
- * {@code connections}, {@code workspaces}, {@code endpoints} or {@code inflight}.
+ * {@code connections}, {@code workspaces}, {@code endpoints}, {@code inflight} or
+ * {@code policies}.
  */
 public final class CapacityMeasurement implements AutoCloseable {
 
@@ -82,6 +83,7 @@
 				case "workspaces" -> measureWorkspaces();
 				case "endpoints" -> measureEndpoints();
 				case "inflight" -> measureInFlight();
+				case "policies" -> measurePolicies(i);
 				default -> throw new IllegalArgumentException("unknown section " + arguments[0]);
 			}
 		}
@@ -288,6 +290,50 @@
 		}
 	}
 
+	/**
+	 * Runs the same load under each policy: engines whose speeds differ fivefold, at
+	 * about 80% of their capacity, short lookups among longer drafts.
+	 */
+	private static void measurePolicies(int seed) throws Exception {
+		for (String policy : List.of("random", "round-robin", "least-outstanding", "deadline-aware")) {
+			try (CapacityMeasurement system = new CapacityMeasurement()) {
+				List<Endpoint> endpoints = new ArrayList<>();
+				for (int tokenMillis : new int[] { 2, 3, 4, 6, 8, 10 }) {
+					endpoints.add(system.engine(tokenMillis));
+				}
+				system.declare(endpoints, 1);
+				system.commit(List.of(
+						new ItemChange.PutRequestClass(
+								new RequestClass("lookup", "answer", Duration.ofSeconds(30), Objective.ATTAINMENT, 0)),
+						new ItemChange.PutRequestClass(
+								new RequestClass("draft", "answer", Duration.ofSeconds(30), Objective.ATTAINMENT, 5))));
+				RunningProcess gateway = system.gateway("--policy", policy);
+				system.awaitConnected(gateway, endpoints.size());
+				String mix = "workspaces: [{name: w-0, share: 1}]\nclasses:\n" + policyClass("lookup", 80, 300, 4)
+						+ policyClass("draft", 80, 1_000, 40);
+				system.load(gateway, mix, SECONDS);
+				String table = system.load(gateway, mix, 2 * SECONDS, "--seed", String.valueOf(seed), "--csv",
+						Path.of("target", "policy-" + policy + "-" + seed + ".csv").toString());
+				print("%s, seed %d%n%s", policy, seed, table);
+			}
+		}
+	}
+
+	private static String policyClass(String name, int rate, int deadlineMillis, int tokens) {
+		return "  - {pipeline: answer, requestClass: " + name + ", rate: " + rate + ", deadlineMillis: "
+				+ deadlineMillis + ", minimumInput: 50, maximumInput: 200, input: {max_tokens: " + tokens + "}}\n";
+	}
+
+	private Endpoint engine(int tokenMillis) throws IOException {
+		RunningProcess engine = opened(RunningProcess.start("policy-engine-" + tokenMillis, "stand-in-engine",
+				"--slots", "4", "--first-token-ms", "20", "--token-ms", String.valueOf(tokenMillis)));
+		RunningProcess agent = opened(
+				RunningProcess.start("policy-agent-" + tokenMillis, "agent", "--endpoint", "engine-" + tokenMillis,
+						"--availability-zone", "zone-a", "--back-end-url", "http://" + HOST + ":" + engine.port(),
+						"--listen-port", "0", "--admin-port", "0", "--maximum-running", "4"));
+		return endpoint("engine-" + tokenMillis, "engine", agent);
+	}
+
 	private static String call(int rate, boolean key) {
 		return "workspaces: [{name: w-0, share: 1}]\nclasses:\n  - {pipeline: call, requestClass: call, rate: " + rate
 				+ ", deadlineMillis: 30000, minimumInput: 50, maximumInput: 200, idempotencyKey: " + key
