--- a/src/main/java/org/magnoliahub/claim/ClaimCodec.java
+++ b/src/main/java/org/magnoliahub/claim/ClaimCodec.java
@@ -61,7 +61,8 @@
 				.put("endpoint", assigned.endpoint())
 				.put("agentIncarnation", assigned.agentIncarnation())
 				.put("attempt", assigned.attempt())
-				.put("agentMillisSeen", assigned.agentMillisSeen());
+				.put("agentMillisSeen", assigned.agentMillisSeen())
+				.put("configurationVersion", assigned.configurationVersion());
 		}
 		if (phase instanceof ClaimPhase.Finished finished) {
 			node.put("type", "finished");
@@ -77,7 +78,7 @@
 			case "open" -> new ClaimPhase.Open();
 			case "assigned" -> new ClaimPhase.Assigned(node.required("stage").intValue(), text(node, "endpoint"),
 					node.required("agentIncarnation").longValue(), node.required("attempt").intValue(),
-					node.required("agentMillisSeen").longValue());
+					node.required("agentMillisSeen").longValue(), node.path("configurationVersion").longValue());
 			case "finished" -> new ClaimPhase.Finished(decodeOutcome(node.required("outcome")));
 			default -> throw new IllegalArgumentException("unknown claim phase " + type);
 		};
--- a/src/main/java/org/magnoliahub/claim/ClaimPhase.java
+++ b/src/main/java/org/magnoliahub/claim/ClaimPhase.java
@@ -22,9 +22,11 @@
 	 * @param attempt number of the attempt at this stage, from 1
 	 * @param agentMillisSeen agent's monotonic time last seen before the claim was
 	 * written, in milliseconds
+	 * @param configurationVersion version in force at the gateway that wrote the claim,
+	 * so that an endpoint that a later version lacks is known to be removed
 	 */
-	record Assigned(int stage, String endpoint, long agentIncarnation, int attempt,
-			long agentMillisSeen) implements ClaimPhase {
+	record Assigned(int stage, String endpoint, long agentIncarnation, int attempt, long agentMillisSeen,
+			long configurationVersion) implements ClaimPhase {
 
 		public Assigned {
 			Arguments.requireRange(stage, 0, PipelineDefinition.MAXIMUM_STAGES - 1, "stage index");
--- a/src/main/java/org/magnoliahub/gateway/ClaimSession.java
+++ b/src/main/java/org/magnoliahub/gateway/ClaimSession.java
@@ -16,6 +16,7 @@
 import org.magnoliahub.claim.StoredClaim;
 import org.magnoliahub.claim.UpdateResult;
 import org.magnoliahub.model.AttemptId;
+import org.magnoliahub.model.Configuration;
 import org.magnoliahub.model.Endpoint;
 import org.magnoliahub.model.Outcome;
 import org.magnoliahub.model.PipelineDefinition;
@@ -146,7 +147,7 @@
 	Single<ClaimGrant> assign(Message.Execute execute, String endpoint, Duration budget) {
 		AttemptId attempt = execute.attempt();
 		ClaimPhase.Assigned phase = new ClaimPhase.Assigned(attempt.stage(), endpoint, execute.targetIncarnation(),
-				attempt.attempt(), execute.agentMillisSeen());
+				attempt.attempt(), execute.agentMillisSeen(), this.context.configuration().get().version());
 		StoredClaim present = this.held;
 		if (present == null) {
 			return acquire(phase, budget).flatMap((grant) -> assignIfTakenOver(grant, phase, budget));
@@ -283,6 +284,13 @@
 			this.takenOver = true;
 			return reopen(stored, budget);
 		}
+		Configuration inForce = this.context.configuration().get();
+		boolean isRemoved = inForce.version() > assigned.configurationVersion()
+				&& !inForce.endpoints().containsKey(assigned.endpoint());
+		if (isRemoved) {
+			return settle(stored, new Outcome.Unknown(stageName(assigned.stage()), "endpoint " + assigned.endpoint()
+					+ " is no longer declared, so nobody can tell whether the call ran"), budget);
+		}
 		return connectionTo(assigned.endpoint()).map((connection) -> {
 			this.takenOver = true;
 			Message.Execute recorded = recordedAttempt(stored.claim(), assigned);
--- a/src/main/java/org/magnoliahub/gateway/RequestExecution.java
+++ b/src/main/java/org/magnoliahub/gateway/RequestExecution.java
@@ -377,15 +377,18 @@
 			return;
 		}
 		if (!canRetry()) {
-			finish(failed(reason, detail));
+			finish(failed(isTimeLeft() ? reason : FailureReason.DEADLINE_EXCEEDED, detail));
 			return;
 		}
 		retry(attempt.assignment(), detail, false);
 	}
 
 	private boolean canRetry() {
-		return this.attemptsAtStage < this.context.limits().maximumAttemptsPerStage()
-				&& remaining().compareTo(this.context.limits().answerMargin()) > 0;
+		return this.attemptsAtStage < this.context.limits().maximumAttemptsPerStage() && isTimeLeft();
+	}
+
+	private boolean isTimeLeft() {
+		return remaining().compareTo(this.context.limits().answerMargin()) > 0;
 	}
 
 	private void retry(Assignment assignment, String detail, boolean isFree) {
--- a/src/test/java/org/magnoliahub/simulation/CoreFaultTests.java
+++ b/src/test/java/org/magnoliahub/simulation/CoreFaultTests.java
@@ -92,6 +92,34 @@
 		assertSound();
 	}
 
+	@Test
+	void orderAtAnEndpointThatIsGoneForGoodGetsASettledOutcome() {
+		this.system.submit(0, SimulatedSystem.FILE, "k1", "a");
+		this.system.advance(Duration.ofMillis(20));
+		this.system.gateways().get(0).kill();
+		String endpoint = this.system.agentsOf("filing")
+			.stream()
+			.filter((agent) -> !agent.backEnd().runs().isEmpty())
+			.findFirst()
+			.orElseThrow()
+			.endpoint()
+			.name();
+		this.system.gateways().get(1).links().forEach((link) -> {
+			if (link.endpoint().name().equals(endpoint)) {
+				link.block();
+			}
+		});
+		SimulatedCall whileDeclared = this.system.submit(1, SimulatedSystem.FILE, "k1", "a");
+		this.system.advance(Duration.ofSeconds(10));
+		this.system.removeEndpoint(endpoint);
+		SimulatedCall afterRemoval = this.system.submit(1, SimulatedSystem.FILE, "k1", "a");
+		this.system.advance(Duration.ofSeconds(4));
+		assertThat(whileDeclared.outcome()).containsInstanceOf(Outcome.Unknown.class);
+		assertThat(afterRemoval.outcome()).containsInstanceOf(Outcome.Unknown.class);
+		assertThat(((Outcome.Unknown) afterRemoval.outcome().orElseThrow()).detail()).contains("no longer declared");
+		assertSound();
+	}
+
 	private void assertSound() {
 		assertThat(InvariantChecker.violations(this.system)).isEmpty();
 	}
