Let the experiment use the policies that gateways run

The baselines were built a second time beside RoutingPolicy. Behaviour is the same: the goal tests that compare with baselines give the same results.

--- a/src/main/java/org/magnoliahub/experiment/Policies.java
+++ b/src/main/java/org/magnoliahub/experiment/Policies.java
@@ -6,8 +6,8 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.magnoliahub.routing.BaselineScheduler;
 import org.magnoliahub.routing.DeadlineAwareScheduler;
+import org.magnoliahub.routing.RoutingPolicy;
 import org.magnoliahub.routing.SchedulerParameters;
 
 /**
@@ -65,12 +65,9 @@
 
 	static Map<String, ExperimentRun.Policy> baselines() {
 		Map<String, ExperimentRun.Policy> policies = new LinkedHashMap<>();
-		policies.put("random",
-				(configuration, timers, random, zone, gateway) -> BaselineScheduler.random(configuration, random));
-		policies.put("round-robin",
-				(configuration, timers, random, zone, gateway) -> BaselineScheduler.roundRobin(configuration));
-		policies.put("least-outstanding", (configuration, timers, random, zone, gateway) -> BaselineScheduler
-			.leastOutstanding(configuration, random));
+		policies.put("random", RoutingPolicy.RANDOM::create);
+		policies.put("round-robin", RoutingPolicy.ROUND_ROBIN::create);
+		policies.put("least-outstanding", RoutingPolicy.LEAST_OUTSTANDING::create);
 		return policies;
 	}
 
