Rename the package of store interfaces to store

Cause: the adapter to the users' platform takes the folder platform/, and the interfaces of our own stores lived under that name.

--- a/src/main/java/org/magnoliahub/claim/ClaimAdministration.java
+++ b/src/main/java/org/magnoliahub/claim/ClaimAdministration.java
@@ -6,14 +6,14 @@
 
 import io.reactivex.rxjava3.core.Single;
 import org.magnoliahub.model.Outcome;
-import org.magnoliahub.platform.Condition;
-import org.magnoliahub.platform.Row;
-import org.magnoliahub.platform.RowKey;
-import org.magnoliahub.platform.StoreException;
-import org.magnoliahub.platform.TableStore;
-import org.magnoliahub.platform.Transaction;
-import org.magnoliahub.platform.TransactionResult;
-import org.magnoliahub.platform.Write;
+import org.magnoliahub.store.Condition;
+import org.magnoliahub.store.Row;
+import org.magnoliahub.store.RowKey;
+import org.magnoliahub.store.StoreException;
+import org.magnoliahub.store.TableStore;
+import org.magnoliahub.store.Transaction;
+import org.magnoliahub.store.TransactionResult;
+import org.magnoliahub.store.Write;
 
 /**
  * What operators do with claims. Every result can be a {@link StoreException}.
--- a/src/main/java/org/magnoliahub/claim/ClaimCleanup.java
+++ b/src/main/java/org/magnoliahub/claim/ClaimCleanup.java
@@ -9,13 +9,13 @@
 import io.reactivex.rxjava3.core.Single;
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.model.Arguments;
-import org.magnoliahub.platform.Condition;
-import org.magnoliahub.platform.Row;
-import org.magnoliahub.platform.RowKey;
-import org.magnoliahub.platform.TableStore;
-import org.magnoliahub.platform.Transaction;
-import org.magnoliahub.platform.TransactionResult;
-import org.magnoliahub.platform.Write;
+import org.magnoliahub.store.Condition;
+import org.magnoliahub.store.Row;
+import org.magnoliahub.store.RowKey;
+import org.magnoliahub.store.TableStore;
+import org.magnoliahub.store.Transaction;
+import org.magnoliahub.store.TransactionResult;
+import org.magnoliahub.store.Write;
 import org.magnoliahub.time.TimerService;
 
 /**
@@ -65,7 +65,7 @@
 	 * several times per retention bucket, one call at a time.
 	 * @param maximumClaims most claims examined, at least 1
 	 * @return the number of claims examined, less than the maximum if no more are due;
-	 * {@link org.magnoliahub.platform.StoreException} if the store fails, after which a
+	 * {@link org.magnoliahub.store.StoreException} if the store fails, after which a
 	 * later call continues
 	 * @throws IllegalArgumentException if the maximum is below 1
 	 */
--- a/src/main/java/org/magnoliahub/claim/ClaimRepository.java
+++ b/src/main/java/org/magnoliahub/claim/ClaimRepository.java
@@ -6,10 +6,10 @@
 
 import io.reactivex.rxjava3.core.Single;
 import org.magnoliahub.model.Arguments;
-import org.magnoliahub.platform.Row;
-import org.magnoliahub.platform.RowKey;
-import org.magnoliahub.platform.StoreException;
-import org.magnoliahub.platform.TableStore;
+import org.magnoliahub.store.Row;
+import org.magnoliahub.store.RowKey;
+import org.magnoliahub.store.StoreException;
+import org.magnoliahub.store.TableStore;
 import org.magnoliahub.time.TimerService;
 
 /**
--- a/src/main/java/org/magnoliahub/claim/ClaimSettings.java
+++ b/src/main/java/org/magnoliahub/claim/ClaimSettings.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 import org.magnoliahub.model.Arguments;
-import org.magnoliahub.platform.Transaction;
+import org.magnoliahub.store.Transaction;
 
 /**
  * Settings of {@link ClaimRepository} and {@link ClaimCleanup}. The retention settings
--- a/src/main/java/org/magnoliahub/claim/ClaimTables.java
+++ b/src/main/java/org/magnoliahub/claim/ClaimTables.java
@@ -2,8 +2,8 @@
 
 import java.util.Locale;
 
-import org.magnoliahub.platform.Row;
-import org.magnoliahub.platform.RowKey;
+import org.magnoliahub.store.Row;
+import org.magnoliahub.store.RowKey;
 
 /**
  * Tables of claims. Each claim has an expiry row whose key starts with the epoch in which
--- a/src/main/java/org/magnoliahub/claim/ClaimWrite.java
+++ b/src/main/java/org/magnoliahub/claim/ClaimWrite.java
@@ -3,9 +3,9 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.subjects.SingleSubject;
 import org.jspecify.annotations.Nullable;
-import org.magnoliahub.platform.Condition;
-import org.magnoliahub.platform.Row;
-import org.magnoliahub.platform.RowKey;
+import org.magnoliahub.store.Condition;
+import org.magnoliahub.store.Row;
+import org.magnoliahub.store.RowKey;
 
 /**
  * A conditional write of one claim row that waits for its result.
--- a/src/main/java/org/magnoliahub/claim/GroupCommit.java
+++ b/src/main/java/org/magnoliahub/claim/GroupCommit.java
@@ -15,14 +15,14 @@
 
 import io.reactivex.rxjava3.core.Single;
 import org.jspecify.annotations.Nullable;
-import org.magnoliahub.platform.Condition;
-import org.magnoliahub.platform.Row;
-import org.magnoliahub.platform.RowKey;
-import org.magnoliahub.platform.StoreException;
-import org.magnoliahub.platform.TableStore;
-import org.magnoliahub.platform.Transaction;
-import org.magnoliahub.platform.TransactionResult;
-import org.magnoliahub.platform.Write;
+import org.magnoliahub.store.Condition;
+import org.magnoliahub.store.Row;
+import org.magnoliahub.store.RowKey;
+import org.magnoliahub.store.StoreException;
+import org.magnoliahub.store.TableStore;
+import org.magnoliahub.store.Transaction;
+import org.magnoliahub.store.TransactionResult;
+import org.magnoliahub.store.Write;
 import org.magnoliahub.time.TimerService;
 
 /**
--- a/src/main/java/org/magnoliahub/command/CommandContext.java
+++ b/src/main/java/org/magnoliahub/command/CommandContext.java
@@ -8,7 +8,7 @@
 import io.reactivex.rxjava3.core.Single;
 import org.magnoliahub.configuration.ConfigurationFormatException;
 import org.magnoliahub.configuration.ConfigurationRepository;
-import org.magnoliahub.platform.StoreException;
+import org.magnoliahub.store.StoreException;
 
 /**
  * What configuration commands share.
--- a/src/main/java/org/magnoliahub/command/DemoCommand.java
+++ b/src/main/java/org/magnoliahub/command/DemoCommand.java
@@ -24,10 +24,6 @@
 import org.magnoliahub.gateway.GatewayLimits;
 import org.magnoliahub.model.AvailabilityZone;
 import org.magnoliahub.model.Endpoint;
-import org.magnoliahub.platform.InMemoryObjectStore;
-import org.magnoliahub.platform.InMemoryTableStore;
-import org.magnoliahub.platform.InMemoryVmInventory;
-import org.magnoliahub.platform.PlatformServices;
 import org.magnoliahub.routing.RoutingPolicy;
 import org.magnoliahub.server.AgentProcess;
 import org.magnoliahub.server.AgentSettings;
@@ -37,6 +33,10 @@
 import org.magnoliahub.standin.EngineSpeed;
 import org.magnoliahub.standin.EngineStandIn;
 import org.magnoliahub.standin.ServiceStandIn;
+import org.magnoliahub.store.InMemoryObjectStore;
+import org.magnoliahub.store.InMemoryTableStore;
+import org.magnoliahub.store.InMemoryVmInventory;
+import org.magnoliahub.store.PlatformServices;
 
 /**
  * Runs a whole system with stand-ins in one process, sends requests through it and prints
--- a/src/main/java/org/magnoliahub/command/GatewayCommand.java
+++ b/src/main/java/org/magnoliahub/command/GatewayCommand.java
@@ -10,8 +10,6 @@
 import okhttp3.OkHttpClient;
 import org.magnoliahub.gateway.GatewayLimits;
 import org.magnoliahub.model.AvailabilityZone;
-import org.magnoliahub.platform.PlatformServices;
-import org.magnoliahub.platform.VmInventory;
 import org.magnoliahub.platformhttp.HttpSdVmInventory;
 import org.magnoliahub.report.RecordSettings;
 import org.magnoliahub.routing.RoutingPolicy;
@@ -19,6 +17,8 @@
 import org.magnoliahub.server.GatewayProcess;
 import org.magnoliahub.server.GatewaySettings;
 import org.magnoliahub.server.OperatorTokens;
+import org.magnoliahub.store.PlatformServices;
+import org.magnoliahub.store.VmInventory;
 
 /**
  * Runs a gateway.
--- a/src/main/java/org/magnoliahub/command/Platform.java
+++ b/src/main/java/org/magnoliahub/command/Platform.java
@@ -1,7 +1,7 @@
 package org.magnoliahub.command;
 
-import org.magnoliahub.platform.ObjectStore;
-import org.magnoliahub.platform.TableStore;
+import org.magnoliahub.store.ObjectStore;
+import org.magnoliahub.store.TableStore;
 
 /**
  * Services of the platform that commands use.
--- a/src/main/java/org/magnoliahub/command/PlatformSettings.java
+++ b/src/main/java/org/magnoliahub/command/PlatformSettings.java
@@ -6,10 +6,10 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
-import org.magnoliahub.platform.ObjectStore;
-import org.magnoliahub.platform.TableStore;
 import org.magnoliahub.platformhttp.EtcdTableStore;
 import org.magnoliahub.platformhttp.S3ObjectStore;
+import org.magnoliahub.store.ObjectStore;
+import org.magnoliahub.store.TableStore;
 
 /**
  * Settings through which a process reaches the table service and the object store.
--- a/src/main/java/org/magnoliahub/configuration/ConfigurationRepository.java
+++ b/src/main/java/org/magnoliahub/configuration/ConfigurationRepository.java
@@ -8,16 +8,16 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import org.magnoliahub.model.Configuration;
-import org.magnoliahub.platform.Condition;
-import org.magnoliahub.platform.ObjectStore;
-import org.magnoliahub.platform.PutCondition;
-import org.magnoliahub.platform.Row;
-import org.magnoliahub.platform.RowKey;
-import org.magnoliahub.platform.StoreException;
-import org.magnoliahub.platform.TableStore;
-import org.magnoliahub.platform.Transaction;
-import org.magnoliahub.platform.TransactionResult;
-import org.magnoliahub.platform.Write;
+import org.magnoliahub.store.Condition;
+import org.magnoliahub.store.ObjectStore;
+import org.magnoliahub.store.PutCondition;
+import org.magnoliahub.store.Row;
+import org.magnoliahub.store.RowKey;
+import org.magnoliahub.store.StoreException;
+import org.magnoliahub.store.TableStore;
+import org.magnoliahub.store.Transaction;
+import org.magnoliahub.store.TransactionResult;
+import org.magnoliahub.store.Write;
 
 /**
  * Configuration versions in the table service, with snapshots in the object store. Every
--- a/src/main/java/org/magnoliahub/gateway/ClaimSession.java
+++ b/src/main/java/org/magnoliahub/gateway/ClaimSession.java
@@ -25,8 +25,8 @@
 import org.magnoliahub.model.StageCall;
 import org.magnoliahub.model.StageDefinition;
 import org.magnoliahub.model.StageType;
-import org.magnoliahub.platform.StoreException;
 import org.magnoliahub.protocol.Message;
+import org.magnoliahub.store.StoreException;
 
 /**
  * The claim of one submission with an idempotency key. A submission that meets an
--- a/src/main/java/org/magnoliahub/gateway/RequestCoordinator.java
+++ b/src/main/java/org/magnoliahub/gateway/RequestCoordinator.java
@@ -125,7 +125,7 @@
 	 * @param workspace name of the workspace
 	 * @param idempotencyKey the key
 	 * @return the outcome, empty if the key is not known;
-	 * {@link org.magnoliahub.platform.StoreException} if the store does not answer
+	 * {@link org.magnoliahub.store.StoreException} if the store does not answer
 	 */
 	public Single<Optional<Outcome>> outcomeOf(String workspace, String idempotencyKey) {
 		return ClaimSession.lookUp(this.context, workspace, idempotencyKey);
--- a/src/main/java/org/magnoliahub/lease/LeaseDirectory.java
+++ b/src/main/java/org/magnoliahub/lease/LeaseDirectory.java
@@ -5,8 +5,8 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.reactivex.rxjava3.core.Single;
-import org.magnoliahub.platform.Row;
-import org.magnoliahub.platform.TableStore;
+import org.magnoliahub.store.Row;
+import org.magnoliahub.store.TableStore;
 
 /**
  * Reads the leases of all duties.
@@ -31,8 +31,8 @@
 	/**
 	 * Reads the leases.
 	 * @param limit most leases wanted, at least 1
-	 * @return the leases in order of duty;
-	 * {@link org.magnoliahub.platform.StoreException} if the store fails
+	 * @return the leases in order of duty; {@link org.magnoliahub.store.StoreException}
+	 * if the store fails
 	 */
 	public Single<List<Lease>> list(int limit) {
 		return this.store.scan(LeaseManager.TABLE, "", limit).map((rows) -> {
--- a/src/main/java/org/magnoliahub/platformhttp/EtcdTableStore.java
+++ b/src/main/java/org/magnoliahub/platformhttp/EtcdTableStore.java
@@ -20,14 +20,14 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import org.magnoliahub.model.Arguments;
-import org.magnoliahub.platform.Condition;
-import org.magnoliahub.platform.Row;
-import org.magnoliahub.platform.RowKey;
-import org.magnoliahub.platform.StoreException;
-import org.magnoliahub.platform.TableStore;
-import org.magnoliahub.platform.Transaction;
-import org.magnoliahub.platform.TransactionResult;
-import org.magnoliahub.platform.Write;
+import org.magnoliahub.store.Condition;
+import org.magnoliahub.store.Row;
+import org.magnoliahub.store.RowKey;
+import org.magnoliahub.store.StoreException;
+import org.magnoliahub.store.TableStore;
+import org.magnoliahub.store.Transaction;
+import org.magnoliahub.store.TransactionResult;
+import org.magnoliahub.store.Write;
 
 /**
  * {@link TableStore} on the JSON gateway of the etcd v3 protocol. The key of a row is its
--- a/src/main/java/org/magnoliahub/platformhttp/HttpCalls.java
+++ b/src/main/java/org/magnoliahub/platformhttp/HttpCalls.java
@@ -14,7 +14,7 @@
 import okhttp3.Request;
 import okhttp3.Response;
 import okhttp3.ResponseBody;
-import org.magnoliahub.platform.StoreException;
+import org.magnoliahub.store.StoreException;
 
 /**
  * Sends requests to one service of the platform and maps failures to
--- a/src/main/java/org/magnoliahub/platformhttp/HttpSdVmInventory.java
+++ b/src/main/java/org/magnoliahub/platformhttp/HttpSdVmInventory.java
@@ -16,8 +16,8 @@
 import org.magnoliahub.model.AvailabilityZone;
 import org.magnoliahub.model.Vm;
 import org.magnoliahub.model.VmState;
-import org.magnoliahub.platform.StoreException;
-import org.magnoliahub.platform.VmInventory;
+import org.magnoliahub.store.StoreException;
+import org.magnoliahub.store.VmInventory;
 
 /**
  * {@link VmInventory} on the Prometheus HTTP service discovery format. Labels of a group:
--- a/src/main/java/org/magnoliahub/platformhttp/S3ObjectStore.java
+++ b/src/main/java/org/magnoliahub/platformhttp/S3ObjectStore.java
@@ -19,10 +19,10 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import org.magnoliahub.model.Arguments;
-import org.magnoliahub.platform.ObjectStore;
-import org.magnoliahub.platform.PutCondition;
-import org.magnoliahub.platform.StoreException;
-import org.magnoliahub.platform.StoredObject;
+import org.magnoliahub.store.ObjectStore;
+import org.magnoliahub.store.PutCondition;
+import org.magnoliahub.store.StoreException;
+import org.magnoliahub.store.StoredObject;
 
 /**
  * {@link ObjectStore} on the S3 REST protocol with path-style addresses and conditional
--- a/src/main/java/org/magnoliahub/query/QueryService.java
+++ b/src/main/java/org/magnoliahub/query/QueryService.java
@@ -36,9 +36,9 @@
 	 * @param text the statement
 	 * @param author who gave it, for the audit trail
 	 * @return the result; {@link QueryException} if the text is no statement or the
-	 * command is refused, {@link org.magnoliahub.platform.StoreException} if a store
-	 * fails, {@link java.util.concurrent.TimeoutException} after {@link #TIMEOUT}, in
-	 * which case a command may have taken effect
+	 * command is refused, {@link org.magnoliahub.store.StoreException} if a store fails,
+	 * {@link java.util.concurrent.TimeoutException} after {@link #TIMEOUT}, in which case
+	 * a command may have taken effect
 	 */
 	public Single<QueryResult> run(String text, String author) {
 		try {
--- a/src/main/java/org/magnoliahub/report/RecordCleanup.java
+++ b/src/main/java/org/magnoliahub/report/RecordCleanup.java
@@ -7,7 +7,7 @@
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import org.magnoliahub.model.Arguments;
-import org.magnoliahub.platform.ObjectStore;
+import org.magnoliahub.store.ObjectStore;
 
 /**
  * Removes objects of days whose retention has passed, a bounded number at a time. Any
--- a/src/main/java/org/magnoliahub/report/RecordReader.java
+++ b/src/main/java/org/magnoliahub/report/RecordReader.java
@@ -14,7 +14,7 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import org.magnoliahub.model.RequestRecord;
-import org.magnoliahub.platform.ObjectStore;
+import org.magnoliahub.store.ObjectStore;
 
 /**
  * Reads records and finds what is missing.
@@ -57,8 +57,8 @@
 	 * @param to end of the span, exclusive; not in the future
 	 * @param filter the records wanted
 	 * @param limits the bounds of the work
-	 * @return what is stored; {@link org.magnoliahub.platform.StoreException} if the
-	 * store fails
+	 * @return what is stored; {@link org.magnoliahub.store.StoreException} if the store
+	 * fails
 	 */
 	public Single<RecordedPeriod> read(Instant from, Instant to, Predicate<RequestRecord> filter, Limits limits) {
 		String end = RecordKey.minute(to.minusMillis(1)) + '~';
--- a/src/main/java/org/magnoliahub/report/RecordWriter.java
+++ b/src/main/java/org/magnoliahub/report/RecordWriter.java
@@ -18,8 +18,8 @@
 import io.reactivex.rxjava3.subjects.CompletableSubject;
 import org.magnoliahub.gateway.RequestRecorder;
 import org.magnoliahub.model.RequestRecord;
-import org.magnoliahub.platform.ObjectStore;
-import org.magnoliahub.platform.PutCondition;
+import org.magnoliahub.store.ObjectStore;
+import org.magnoliahub.store.PutCondition;
 import org.magnoliahub.time.TimerService;
 
 /**
--- a/src/main/java/org/magnoliahub/server/ClaimCleanupDuty.java
+++ b/src/main/java/org/magnoliahub/server/ClaimCleanupDuty.java
@@ -9,7 +9,7 @@
 import org.magnoliahub.claim.ClaimSettings;
 import org.magnoliahub.lease.LeaseManager;
 import org.magnoliahub.lease.LeaseSettings;
-import org.magnoliahub.platform.TableStore;
+import org.magnoliahub.store.TableStore;
 import org.magnoliahub.time.TimerService;
 
 /**
--- a/src/main/java/org/magnoliahub/server/GatewayProcess.java
+++ b/src/main/java/org/magnoliahub/server/GatewayProcess.java
@@ -27,7 +27,6 @@
 import org.magnoliahub.gateway.RequestRecorder;
 import org.magnoliahub.lease.LeaseDirectory;
 import org.magnoliahub.model.Configuration;
-import org.magnoliahub.platform.PlatformServices;
 import org.magnoliahub.protocol.Message;
 import org.magnoliahub.protocol.ProtocolVersion;
 import org.magnoliahub.query.QueryService;
@@ -37,6 +36,7 @@
 import org.magnoliahub.report.RecordWriter;
 import org.magnoliahub.report.ReportBuilder;
 import org.magnoliahub.routing.StageScheduler;
+import org.magnoliahub.store.PlatformServices;
 import org.magnoliahub.transport.TcpAgentConnections;
 import org.magnoliahub.transport.Transport;
 
--- a/src/main/java/org/magnoliahub/server/OperatorRoutes.java
+++ b/src/main/java/org/magnoliahub/server/OperatorRoutes.java
@@ -9,13 +9,13 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.schedulers.Schedulers;
-import org.magnoliahub.platform.StoreException;
 import org.magnoliahub.query.QueryException;
 import org.magnoliahub.query.QueryService;
 import org.magnoliahub.query.ResultFormat;
 import org.magnoliahub.report.HtmlReport;
 import org.magnoliahub.report.ReportBuilder;
 import org.magnoliahub.report.TextReport;
+import org.magnoliahub.store.StoreException;
 
 /**
  * Paths of a gateway for operators: {@code POST /query} and {@code GET /report}. They are
--- a/src/main/java/org/magnoliahub/server/VmWatcher.java
+++ b/src/main/java/org/magnoliahub/server/VmWatcher.java
@@ -10,7 +10,7 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.magnoliahub.model.Vm;
-import org.magnoliahub.platform.VmInventory;
+import org.magnoliahub.store.VmInventory;
 import org.magnoliahub.time.TimerService;
 
 /**
--- a/src/main/java/org/magnoliahub/platform/Condition.java
+++ b/src/main/java/org/magnoliahub/store/Condition.java
@@ -1,4 +1,4 @@
-package org.magnoliahub.platform;
+package org.magnoliahub.store;
 
 /**
  * Condition on one row that must hold for a transaction to commit.
--- a/src/main/java/org/magnoliahub/platform/PlatformServices.java
+++ b/src/main/java/org/magnoliahub/store/PlatformServices.java
@@ -1,4 +1,4 @@
-package org.magnoliahub.platform;
+package org.magnoliahub.store;
 
 /**
  * The services of the platform that a process uses. Their results arrive on the event
--- a/src/main/java/org/magnoliahub/platform/PutCondition.java
+++ b/src/main/java/org/magnoliahub/store/PutCondition.java
@@ -1,4 +1,4 @@
-package org.magnoliahub.platform;
+package org.magnoliahub.store;
 
 /**
  * Condition of a put to the object store.
--- a/src/main/java/org/magnoliahub/platform/StoreException.java
+++ b/src/main/java/org/magnoliahub/store/StoreException.java
@@ -1,4 +1,4 @@
-package org.magnoliahub.platform;
+package org.magnoliahub.store;
 
 /**
  * Failure of a call to the table service or the object store.
--- a/src/main/java/org/magnoliahub/platform/StoreFaults.java
+++ b/src/main/java/org/magnoliahub/store/StoreFaults.java
@@ -1,4 +1,4 @@
-package org.magnoliahub.platform;
+package org.magnoliahub.store;
 
 import java.time.Duration;
 
--- a/src/main/java/org/magnoliahub/platform/package-info.java
+++ b/src/main/java/org/magnoliahub/store/package-info.java
@@ -2,6 +2,6 @@
  * Interfaces to the services of the platform, with in-memory implementations.
  */
 @NullMarked
-package org.magnoliahub.platform;
+package org.magnoliahub.store;
 
 import org.jspecify.annotations.NullMarked;
--- a/src/test/java/org/magnoliahub/ArchitectureTests.java
+++ b/src/test/java/org/magnoliahub/ArchitectureTests.java
@@ -17,7 +17,7 @@
 	private ArchitectureTests() {
 	}
 
-	private static final String[] CORE = { "..model..", "..time..", "..platform..", "..protocol..", "..claim..",
+	private static final String[] CORE = { "..model..", "..time..", "..store..", "..protocol..", "..claim..",
 			"..agent..", "..gateway..", "..routing..", "..configuration..", "..lease.." };
 
 	@ArchTest
--- a/src/test/java/org/magnoliahub/claim/ClaimRepositoryTests.java
+++ b/src/test/java/org/magnoliahub/claim/ClaimRepositoryTests.java
@@ -13,9 +13,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.magnoliahub.model.Outcome;
 import org.magnoliahub.model.RequestId;
-import org.magnoliahub.platform.FaultyTableStore;
-import org.magnoliahub.platform.InMemoryTableStore;
-import org.magnoliahub.platform.StoreFaults;
+import org.magnoliahub.store.FaultyTableStore;
+import org.magnoliahub.store.InMemoryTableStore;
+import org.magnoliahub.store.StoreFaults;
 import org.magnoliahub.time.SchedulerTimerService;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/src/test/java/org/magnoliahub/claim/GroupCommitMeasurement.java
+++ b/src/test/java/org/magnoliahub/claim/GroupCommitMeasurement.java
@@ -8,8 +8,8 @@
 import org.HdrHistogram.Histogram;
 import org.magnoliahub.model.Outcome;
 import org.magnoliahub.model.RequestId;
-import org.magnoliahub.platform.InMemoryTableStore;
-import org.magnoliahub.platform.RateLimitedTableStore;
+import org.magnoliahub.store.InMemoryTableStore;
+import org.magnoliahub.store.RateLimitedTableStore;
 import org.magnoliahub.time.SchedulerTimerService;
 
 /**
--- a/src/test/java/org/magnoliahub/configuration/ConfigurationRepositoryTests.java
+++ b/src/test/java/org/magnoliahub/configuration/ConfigurationRepositoryTests.java
@@ -8,7 +8,7 @@
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import org.junit.jupiter.api.Test;
 import org.magnoliahub.model.Configuration;
-import org.magnoliahub.platform.StoreException;
+import org.magnoliahub.store.StoreException;
 import org.magnoliahub.time.SchedulerTimerService;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/src/test/java/org/magnoliahub/configuration/FakeObjectStore.java
+++ b/src/test/java/org/magnoliahub/configuration/FakeObjectStore.java
@@ -6,10 +6,10 @@
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
-import org.magnoliahub.platform.ObjectStore;
-import org.magnoliahub.platform.PutCondition;
-import org.magnoliahub.platform.StoreException;
-import org.magnoliahub.platform.StoredObject;
+import org.magnoliahub.store.ObjectStore;
+import org.magnoliahub.store.PutCondition;
+import org.magnoliahub.store.StoreException;
+import org.magnoliahub.store.StoredObject;
 
 /**
  * Object store in memory.
--- a/src/test/java/org/magnoliahub/platformhttp/EtcdTableStoreTests.java
+++ b/src/test/java/org/magnoliahub/platformhttp/EtcdTableStoreTests.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 
 import org.junit.jupiter.api.extension.RegisterExtension;
-import org.magnoliahub.platform.TableStore;
-import org.magnoliahub.platform.TableStoreContractTests;
+import org.magnoliahub.store.TableStore;
+import org.magnoliahub.store.TableStoreContractTests;
 
 class EtcdTableStoreTests extends TableStoreContractTests {
 
--- a/src/test/java/org/magnoliahub/platformhttp/HttpSdVmInventoryTests.java
+++ b/src/test/java/org/magnoliahub/platformhttp/HttpSdVmInventoryTests.java
@@ -9,9 +9,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.RegisterExtension;
 import org.magnoliahub.model.Vm;
-import org.magnoliahub.platform.StoreException;
-import org.magnoliahub.platform.VmInventory;
-import org.magnoliahub.platform.VmInventoryContractTests;
+import org.magnoliahub.store.StoreException;
+import org.magnoliahub.store.VmInventory;
+import org.magnoliahub.store.VmInventoryContractTests;
 
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
--- a/src/test/java/org/magnoliahub/platformhttp/S3ObjectStoreTests.java
+++ b/src/test/java/org/magnoliahub/platformhttp/S3ObjectStoreTests.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 
 import org.junit.jupiter.api.extension.RegisterExtension;
-import org.magnoliahub.platform.ObjectStore;
-import org.magnoliahub.platform.ObjectStoreContractTests;
+import org.magnoliahub.store.ObjectStore;
+import org.magnoliahub.store.ObjectStoreContractTests;
 
 class S3ObjectStoreTests extends ObjectStoreContractTests {
 
--- a/src/test/java/org/magnoliahub/platformhttp/StoreFailureTests.java
+++ b/src/test/java/org/magnoliahub/platformhttp/StoreFailureTests.java
@@ -8,11 +8,11 @@
 import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.magnoliahub.platform.PutCondition;
-import org.magnoliahub.platform.RowKey;
-import org.magnoliahub.platform.StoreException;
-import org.magnoliahub.platform.Transaction;
-import org.magnoliahub.platform.Write;
+import org.magnoliahub.store.PutCondition;
+import org.magnoliahub.store.RowKey;
+import org.magnoliahub.store.StoreException;
+import org.magnoliahub.store.Transaction;
+import org.magnoliahub.store.Write;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/org/magnoliahub/query/QueryServiceTests.java
+++ b/src/test/java/org/magnoliahub/query/QueryServiceTests.java
@@ -30,13 +30,13 @@
 import org.magnoliahub.model.RequestId;
 import org.magnoliahub.model.RequestRecord;
 import org.magnoliahub.model.Workspace;
-import org.magnoliahub.platform.FaultyTableStore;
-import org.magnoliahub.platform.InMemoryObjectStore;
-import org.magnoliahub.platform.InMemoryTableStore;
-import org.magnoliahub.platform.StoreFaults;
 import org.magnoliahub.report.RecordReader;
 import org.magnoliahub.report.RecordSettings;
 import org.magnoliahub.report.RecordWriter;
+import org.magnoliahub.store.FaultyTableStore;
+import org.magnoliahub.store.InMemoryObjectStore;
+import org.magnoliahub.store.InMemoryTableStore;
+import org.magnoliahub.store.StoreFaults;
 import org.magnoliahub.time.SchedulerTimerService;
 import org.magnoliahub.time.TimerService;
 
--- a/src/test/java/org/magnoliahub/report/DailyReportTests.java
+++ b/src/test/java/org/magnoliahub/report/DailyReportTests.java
@@ -16,7 +16,7 @@
 import org.magnoliahub.model.Outcome;
 import org.magnoliahub.model.RequestId;
 import org.magnoliahub.model.RequestRecord;
-import org.magnoliahub.platform.StoreException;
+import org.magnoliahub.store.StoreException;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/org/magnoliahub/report/RecordWriterTests.java
+++ b/src/test/java/org/magnoliahub/report/RecordWriterTests.java
@@ -16,9 +16,9 @@
 import org.magnoliahub.model.AttemptRecord;
 import org.magnoliahub.model.RequestId;
 import org.magnoliahub.model.RequestRecord;
-import org.magnoliahub.platform.FaultyObjectStore;
-import org.magnoliahub.platform.InMemoryObjectStore;
-import org.magnoliahub.platform.StoreFaults;
+import org.magnoliahub.store.FaultyObjectStore;
+import org.magnoliahub.store.InMemoryObjectStore;
+import org.magnoliahub.store.StoreFaults;
 import org.magnoliahub.time.SchedulerTimerService;
 import org.magnoliahub.time.TimerService;
 
@@ -160,7 +160,7 @@
 		this.store.delete(second).subscribe();
 		this.store
 			.put(third, "{\"gateway\"".getBytes(java.nio.charset.StandardCharsets.UTF_8),
-					new org.magnoliahub.platform.PutCondition.Always())
+					new org.magnoliahub.store.PutCondition.Always())
 			.subscribe();
 		this.scheduler.advanceTimeBy(1, TimeUnit.SECONDS);
 		RecordedPeriod period = read(START, now());
--- a/src/test/java/org/magnoliahub/simulation/SimulatedGateway.java
+++ b/src/test/java/org/magnoliahub/simulation/SimulatedGateway.java
@@ -19,13 +19,13 @@
 import org.magnoliahub.model.AvailabilityZone;
 import org.magnoliahub.model.Configuration;
 import org.magnoliahub.model.RequestRecord;
-import org.magnoliahub.platform.Row;
-import org.magnoliahub.platform.RowKey;
-import org.magnoliahub.platform.TableStore;
-import org.magnoliahub.platform.Transaction;
-import org.magnoliahub.platform.TransactionResult;
 import org.magnoliahub.routing.RoutingPolicy;
 import org.magnoliahub.routing.StageScheduler;
+import org.magnoliahub.store.Row;
+import org.magnoliahub.store.RowKey;
+import org.magnoliahub.store.TableStore;
+import org.magnoliahub.store.Transaction;
+import org.magnoliahub.store.TransactionResult;
 import org.magnoliahub.time.TimerService;
 
 /**
--- a/src/test/java/org/magnoliahub/simulation/SimulatedSystem.java
+++ b/src/test/java/org/magnoliahub/simulation/SimulatedSystem.java
@@ -22,11 +22,11 @@
 import org.magnoliahub.model.StageDefinition;
 import org.magnoliahub.model.StageType;
 import org.magnoliahub.model.Workspace;
-import org.magnoliahub.platform.FaultyTableStore;
-import org.magnoliahub.platform.InMemoryTableStore;
-import org.magnoliahub.platform.StoreFaults;
-import org.magnoliahub.platform.TableStore;
 import org.magnoliahub.routing.RoutingPolicy;
+import org.magnoliahub.store.FaultyTableStore;
+import org.magnoliahub.store.InMemoryTableStore;
+import org.magnoliahub.store.StoreFaults;
+import org.magnoliahub.store.TableStore;
 import org.magnoliahub.time.SchedulerTimerService;
 import org.magnoliahub.time.TimerService;
 
