--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/CallerServer.java
@@ -0,0 +1,134 @@
+package org.magnoliahub.entry;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.jspecify.annotations.Nullable;
+import org.magnoliahub.serving.CallerLimits;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * Accepts connections of callers.
+ */
+final class CallerServer {
+
+	/** How often each connection checks its times, in milliseconds. */
+	static final long CHECK_INTERVAL_MILLIS = 500;
+
+	private static final int BACKLOG = 1_024;
+
+	/** Bytes that may wait for a caller that reads slowly. */
+	private static final WriteBufferWaterMark WRITE_BUFFER = new WriteBufferWaterMark(32_768, 131_072);
+
+	private final TimerService timers;
+
+	private final Supplier<CallerLimits> limits;
+
+	private final Consumer<CallerExchange> handler;
+
+	private final EntryLog log;
+
+	private final Set<CallerConnection> connections = new HashSet<>();
+
+	private @Nullable Channel listener;
+
+	private boolean draining;
+
+	private boolean closingIdle;
+
+	CallerServer(TimerService timers, Supplier<CallerLimits> limits, Consumer<CallerExchange> handler, EntryLog log) {
+		this.timers = timers;
+		this.limits = limits;
+		this.handler = handler;
+		this.log = log;
+	}
+
+	/**
+	 * Starts to listen.
+	 * @param group the event loop
+	 * @param address local address
+	 */
+	void listen(EventLoopGroup group, InetSocketAddress address) {
+		this.listener = new ServerBootstrap().group(group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER)
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					install(channel);
+				}
+			})
+			.bind(address)
+			.syncUninterruptibly()
+			.channel();
+	}
+
+	private void install(SocketChannel channel) {
+		CallerConnection connection = new CallerConnection(this, channel);
+		this.connections.add(connection);
+		channel.pipeline()
+			.addLast(new StrictRequestDecoder(this.limits.get().maximumHeaderBytes(), connection::bytesArrived),
+					new HttpResponseEncoder(), connection);
+	}
+
+	TimerService timers() {
+		return this.timers;
+	}
+
+	CallerLimits limits() {
+		return this.limits.get();
+	}
+
+	boolean isDraining() {
+		return this.draining;
+	}
+
+	boolean closesIdle() {
+		return this.closingIdle;
+	}
+
+	int connectionCount() {
+		return this.connections.size();
+	}
+
+	/**
+	 * Closes each connection after its next answer.
+	 */
+	void drain() {
+		this.draining = true;
+	}
+
+	/**
+	 * Closes connections without a request, and takes no new ones.
+	 */
+	void closeIdle() {
+		this.closingIdle = true;
+	}
+
+	void accept(CallerExchange exchange) {
+		this.handler.accept(exchange);
+	}
+
+	void closed(CallerConnection connection) {
+		this.connections.remove(connection);
+	}
+
+	void refused(int status) {
+		this.log.event(EntryEvent.REQUEST_MALFORMED).field("status", status).write();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/EntryContext.java
@@ -0,0 +1,34 @@
+package org.magnoliahub.entry;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import org.magnoliahub.serving.EndpointDirectory;
+import org.magnoliahub.serving.EndpointSelector;
+import org.magnoliahub.serving.RepeatBudget;
+import org.magnoliahub.serving.ServingConfiguration;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * What the requests of a gateway share.
+ *
+ * @param timers the timer service
+ * @param log the event log
+ * @param http sends requests
+ * @param directory the endpoints
+ * @param selector chooses endpoints
+ * @param budget limits repeats
+ * @param currentConfiguration the configuration in force
+ */
+record EntryContext(TimerService timers, EntryLog log, HttpClient http, EndpointDirectory directory,
+		EndpointSelector selector, RepeatBudget budget, Supplier<Optional<ServingConfiguration>> currentConfiguration) {
+
+	long now() {
+		return this.timers.milliTime();
+	}
+
+	Optional<ServingConfiguration> configuration() {
+		return this.currentConfiguration.get();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -0,0 +1,380 @@
+package org.magnoliahub.entry;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import org.jspecify.annotations.Nullable;
+import org.magnoliahub.platform.ConfigurationReader;
+import org.magnoliahub.platform.EndpointRecordReader;
+import org.magnoliahub.platform.MemberRecord;
+import org.magnoliahub.platform.NodeSettings;
+import org.magnoliahub.platform.NodeSettingsReader;
+import org.magnoliahub.platform.PlatformFormatException;
+import org.magnoliahub.platform.StoreFormat;
+import org.magnoliahub.platform.StoredRow;
+import org.magnoliahub.serving.CallerLimits;
+import org.magnoliahub.serving.EndpointDirectory;
+import org.magnoliahub.serving.EndpointRecord;
+import org.magnoliahub.serving.EndpointSelector;
+import org.magnoliahub.serving.RepeatBudget;
+import org.magnoliahub.serving.ServingConfiguration;
+import org.magnoliahub.time.SchedulerTimerService;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * The gateway process on the users' platform: one event loop that serves callers, follows
+ * the store and forms calls of stages for the other gateways.
+ */
+public final class EntryGateway {
+
+	private static final TableWatcher.Pace CONFIGURATION_PACE = new TableWatcher.Pace(0, 2_000);
+
+	private static final TableWatcher.Pace ENDPOINT_PACE = new TableWatcher.Pace(600, 0);
+
+	private static final TableWatcher.Pace MEMBER_PACE = new TableWatcher.Pace(2_000, 0);
+
+	private static final Duration REGISTER_INTERVAL = Duration.ofSeconds(10);
+
+	private static final long WRITE_MILLIS = 1_500;
+
+	private static final int OK = 200;
+
+	/** Time in which the platform's balancer takes a gateway out of rotation. */
+	private static final long ROTATION_MILLIS = 2_500;
+
+	/** Time before the kill at which the process ends by itself. */
+	private static final long GRACE_MARGIN_MILLIS = 300;
+
+	private static final long STOP_CHECK_MILLIS = 50;
+
+	private final NodeSettings settings;
+
+	private final NioEventLoopGroup group;
+
+	private final TimerService timers;
+
+	private final EntryLog log;
+
+	private final EntryContext context;
+
+	private final EndpointDirectory directory = new EndpointDirectory();
+
+	private final StoreClient store;
+
+	private final StageCoordinator stages;
+
+	private final CallerServer callers;
+
+	private final ReadinessServer readiness;
+
+	private final ConfigurationReader configurationReader = new ConfigurationReader();
+
+	private final EndpointRecordReader endpointReader = new EndpointRecordReader();
+
+	private final StoreFormat storeFormat = new StoreFormat();
+
+	private final RandomGenerator random = new SplittableRandom();
+
+	private final Map<String, MemberRecord> members = new HashMap<>();
+
+	private final Set<String> drainingEndpoints = new HashSet<>();
+
+	private @Nullable ServingConfiguration configuration;
+
+	private int openRequests;
+
+	private boolean draining;
+
+	private EntryGateway(NodeSettings settings, Consumer<String> output) {
+		this.settings = settings;
+		this.group = new NioEventLoopGroup(1);
+		this.timers = SchedulerTimerService.of(Schedulers.from(this.group.next()), System::nanoTime);
+		this.log = new EntryLog(this.timers, output);
+		HttpClient http = new HttpClient(this.group, this.timers);
+		NodeSettings.Bounds bounds = settings.bounds();
+		RepeatBudget budget = new RepeatBudget(bounds.repeatRatio(), bounds.repeatConstant(),
+				bounds.repeatWindowMillis());
+		EndpointSelector selector = new EndpointSelector(this.directory, settings.availabilityZone(), this.random);
+		this.context = new EntryContext(this.timers, this.log, http, this.directory, selector, budget,
+				() -> Optional.ofNullable(this.configuration));
+		this.store = new StoreClient(http, this.timers, text(settings.storeAddress()));
+		this.stages = new StageCoordinator(this.context, this.group, settings.nodeName());
+		this.callers = new CallerServer(this.timers, this::limits, this::accept, this.log);
+		this.readiness = new ReadinessServer(this::isReady);
+	}
+
+	/**
+	 * Starts a gateway.
+	 * @param settings its settings
+	 * @param output takes log lines, must not block
+	 * @return the running gateway
+	 */
+	public static EntryGateway start(NodeSettings settings, Consumer<String> output) {
+		long started = System.nanoTime();
+		EntryGateway gateway = new EntryGateway(settings, output);
+		gateway.group.next().submit(gateway::open).syncUninterruptibly();
+		// Binding waits for the event loop, so it is done on this thread.
+		gateway.listen();
+		gateway.group.next().execute(() -> gateway.logStart(started));
+		return gateway;
+	}
+
+	private static String text(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ":" + address.getPort();
+	}
+
+	private void open() {
+		this.log.start();
+		watch(StoreFormat.CONFIGURATION_TABLE, CONFIGURATION_PACE, new ConfigurationRows());
+		watch(StoreFormat.ENDPOINT_TABLE, ENDPOINT_PACE, new EndpointRows());
+		register();
+		watch(StoreFormat.MEMBER_TABLE, MEMBER_PACE, new MemberRows());
+		this.timers.every(REGISTER_INTERVAL).subscribe((tick) -> register());
+		this.timers.every(Duration.ofSeconds(1)).subscribe((tick) -> this.context.http().closeIdle());
+		this.stages.start();
+	}
+
+	private void logStart(long startedNanos) {
+		this.log.event(EntryEvent.STARTED)
+			.field("node", this.settings.nodeName())
+			.field("zone", this.settings.availabilityZone())
+			.field("millis", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos))
+			.write();
+	}
+
+	private void listen() {
+		this.stages.server()
+			.listen(this.group, new InetSocketAddress(this.settings.ip(), this.settings.internalPort()));
+		if (this.settings.callerAddress() != null) {
+			this.callers.listen(this.group, this.settings.callerAddress());
+		}
+		if (this.settings.readinessAddress() != null) {
+			this.readiness.listen(this.group, this.settings.readinessAddress());
+		}
+	}
+
+	private void watch(String table, TableWatcher.Pace pace, TableWatcher.Listener listener) {
+		new TableWatcher(this.store, this.timers, this.random, this.log, table, pace, listener).start();
+	}
+
+	private CallerLimits limits() {
+		return (this.configuration != null) ? this.configuration.limits() : CallerLimits.DEFAULT;
+	}
+
+	private boolean isReady() {
+		return !this.draining && this.configuration != null && this.directory.isKnown();
+	}
+
+	private void accept(CallerExchange exchange) {
+		this.openRequests++;
+		new RequestFlow(this.context, this.stages, exchange, () -> this.openRequests--).start();
+	}
+
+	private void register() {
+		if (this.draining) {
+			return;
+		}
+		MemberRecord own = new MemberRecord(this.settings.nodeName(),
+				this.settings.ip() + ":" + this.settings.internalPort(), ProcessHandle.current().pid());
+		byte[] body = this.storeFormat.put(StoreFormat.MEMBER_TABLE, own.name(), own.encode());
+		this.store.post(StoreFormat.WRITE_PATH, body, WRITE_MILLIS, new WriteOutcome());
+	}
+
+	/**
+	 * Stops the gateway: it takes no new connections after a while, finishes what it has,
+	 * and ends before it would be killed.
+	 */
+	public void stop() {
+		CountDownLatch done = new CountDownLatch(1);
+		this.group.next().execute(() -> drain(done));
+		try {
+			done.await(this.settings.bounds().graceMillis(), TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Reads the settings file again. Addresses and limits are those of the start; the
+	 * file is checked so that a fault is seen before the next start.
+	 * @param environment environment variables that name the file
+	 */
+	public void reload(Map<String, String> environment) {
+		String outcome = "unchanged";
+		try {
+			if (!NodeSettingsReader.read(environment).equals(this.settings)) {
+				outcome = "changed, used at the next start";
+			}
+		}
+		catch (PlatformFormatException ex) {
+			outcome = ex.getMessage();
+		}
+		String logged = (outcome != null) ? outcome : "";
+		this.group.next().execute(() -> this.log.event(EntryEvent.SETTINGS_RELOADED).field("outcome", logged).write());
+	}
+
+	private void drain(CountDownLatch done) {
+		this.draining = true;
+		long began = this.timers.milliTime();
+		this.log.event(EntryEvent.STOPPING)
+			.field("open_requests", this.openRequests)
+			.field("connections", this.callers.connectionCount())
+			.write();
+		this.callers.drain();
+		this.timers.after(Duration.ofMillis(ROTATION_MILLIS)).subscribe(this.callers::closeIdle);
+		long last = began + this.settings.bounds().graceMillis() - GRACE_MARGIN_MILLIS;
+		this.timers.every(Duration.ofMillis(STOP_CHECK_MILLIS)).subscribe((tick) -> {
+			long now = this.timers.milliTime();
+			boolean idle = this.openRequests == 0 && this.callers.connectionCount() == 0
+					&& now - began > ROTATION_MILLIS;
+			if (idle || now >= last) {
+				this.log.event(EntryEvent.STOPPED).field("open_requests", this.openRequests).write();
+				this.log.flush();
+				done.countDown();
+			}
+		});
+	}
+
+	private void adopt(ServingConfiguration newer) {
+		ServingConfiguration old = this.configuration;
+		if (old != null && newer.version() <= old.version()) {
+			return;
+		}
+		this.configuration = newer;
+		this.log.event(EntryEvent.CONFIGURATION_ADOPTED)
+			.field("version", newer.version())
+			.field("previous", (old != null) ? old.version() : 0)
+			.write();
+		this.stages.setConfiguration(newer);
+	}
+
+	private final class ConfigurationRows implements TableWatcher.Listener {
+
+		@Override
+		public void onList(List<StoredRow> rows) {
+			onChanges(rows);
+		}
+
+		@Override
+		public void onChanges(List<StoredRow> rows) {
+			for (StoredRow row : rows) {
+				if (!row.key().equals(StoreFormat.CONFIGURATION_KEY) || row.removed()) {
+					continue;
+				}
+				try {
+					adopt(EntryGateway.this.configurationReader.read(row.value()));
+				}
+				catch (PlatformFormatException ex) {
+					EntryGateway.this.log.event(EntryEvent.CONFIGURATION_REJECTED)
+						.field("reason", ex.getMessage())
+						.write();
+				}
+			}
+		}
+
+	}
+
+	private final class EndpointRows implements TableWatcher.Listener {
+
+		@Override
+		public void onList(List<StoredRow> rows) {
+			long now = EntryGateway.this.timers.milliTime();
+			EntryGateway.this.directory.contact(now);
+			Map<String, EndpointRecord> records = new HashMap<>();
+			for (StoredRow row : rows) {
+				EntryGateway.this.endpointReader.read(row.key(), row.value())
+					.ifPresent((record) -> records.put(record.id(), record));
+			}
+			EntryGateway.this.directory.replaceAll(records.values(), now);
+		}
+
+		@Override
+		public void onChanges(List<StoredRow> rows) {
+			long now = EntryGateway.this.timers.milliTime();
+			EntryGateway.this.directory.contact(now);
+			for (StoredRow row : rows) {
+				Optional<EndpointRecord> record = row.removed() ? Optional.empty()
+						: EntryGateway.this.endpointReader.read(row.key(), row.value());
+				if (record.isEmpty()) {
+					changed(row, "", "gone");
+					EntryGateway.this.directory.removed(row.key(), now);
+					continue;
+				}
+				if (record.get().draining()) {
+					changed(row, record.get().service(), "draining");
+				}
+				EntryGateway.this.directory.update(record.get());
+			}
+		}
+
+		private void changed(StoredRow row, String service, String state) {
+			if (!state.equals("draining") || EntryGateway.this.drainingEndpoints.add(row.key())) {
+				EntryGateway.this.log.event(EntryEvent.ENDPOINT_CHANGED)
+					.field("endpoint", row.key())
+					.field("service", service)
+					.field("state", state)
+					.field("revision", row.revision())
+					.write();
+			}
+			if (state.equals("gone")) {
+				EntryGateway.this.drainingEndpoints.remove(row.key());
+			}
+		}
+
+	}
+
+	private final class MemberRows implements TableWatcher.Listener {
+
+		@Override
+		public void onList(List<StoredRow> rows) {
+			EntryGateway.this.members.clear();
+			onChanges(rows);
+		}
+
+		@Override
+		public void onChanges(List<StoredRow> rows) {
+			for (StoredRow row : rows) {
+				Optional<MemberRecord> member = row.removed() ? Optional.empty() : MemberRecord.decode(row);
+				if (member.isPresent()) {
+					EntryGateway.this.members.put(row.key(), member.get());
+				}
+				else {
+					EntryGateway.this.members.remove(row.key());
+				}
+			}
+			EntryGateway.this.stages.setMembers(EntryGateway.this.members);
+		}
+
+	}
+
+	private final class WriteOutcome implements StoreClient.Handler {
+
+		@Override
+		public void onAnswer(int status, byte[] body) {
+			if (status != OK) {
+				onFailure("status " + status);
+			}
+		}
+
+		@Override
+		public void onFailure(String reason) {
+			EntryGateway.this.timers.after(Duration.ofSeconds(1)).subscribe(EntryGateway.this::register);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/EntryMain.java
@@ -0,0 +1,60 @@
+package org.magnoliahub.entry;
+
+import java.util.Map;
+
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import org.magnoliahub.platform.NodeSettings;
+import org.magnoliahub.platform.NodeSettingsReader;
+import org.magnoliahub.platform.PlatformFormatException;
+import sun.misc.Signal;
+
+/**
+ * Starts a gateway on the users' platform. It is apart from the command line, because a
+ * restart after a kill should not load the other commands.
+ */
+public final class EntryMain {
+
+	private static final int INVALID_SETTINGS = 2;
+
+	/** Option of the build's run that fills the archive of classes. */
+	private static final String WARM_UP = "--warm-up";
+
+	private EntryMain() {
+	}
+
+	/**
+	 * Runs the gateway until it is told to stop.
+	 * @param arguments the option to warm up, or nothing
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	public static void main(String[] arguments) throws InterruptedException {
+		InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+		if (arguments.length == 1 && arguments[0].equals(WARM_UP)) {
+			WarmUp.run();
+			return;
+		}
+		run(System.getenv());
+	}
+
+	private static void run(Map<String, String> environment) throws InterruptedException {
+		NodeSettings settings;
+		try {
+			settings = NodeSettingsReader.read(environment);
+		}
+		catch (PlatformFormatException ex) {
+			System.err.println("magnoliahub: error: " + ex.getMessage());
+			System.exit(INVALID_SETTINGS);
+			return;
+		}
+		EntryGateway gateway = EntryGateway.start(settings, StandardOutput.open());
+		Signal.handle(new Signal("HUP"), (signal) -> gateway.reload(environment));
+		Signal.handle(new Signal("TERM"), (signal) -> {
+			gateway.stop();
+			// Shutdown hooks have nothing to do here, and the loop may still be busy.
+			Runtime.getRuntime().halt(0);
+		});
+		Thread.currentThread().join();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/HttpClient.java
@@ -0,0 +1,145 @@
+package org.magnoliahub.entry;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import org.jspecify.annotations.Nullable;
+import org.magnoliahub.platform.HostPort;
+import org.magnoliahub.platform.PlatformFormatException;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * Sends requests over kept connections, one request at a time on each.
+ */
+final class HttpClient {
+
+	private static final int MAXIMUM_IDLE_PER_PEER = 24;
+
+	private static final long LONGEST_IDLE_MILLIS = 10_000;
+
+	private final EventLoopGroup group;
+
+	private final TimerService timers;
+
+	private final Map<String, Deque<HttpConnection>> idle = new HashMap<>();
+
+	HttpClient(EventLoopGroup group, TimerService timers) {
+		this.group = group;
+		this.timers = timers;
+	}
+
+	/**
+	 * Sends a request.
+	 * @param call the request
+	 * @param listener receives the answer
+	 * @return the exchange, to cancel it or to pause reading
+	 */
+	HttpExchange send(HttpCall call, AnswerListener listener) {
+		HttpExchange exchange = new HttpExchange(call, listener);
+		HttpConnection kept = (call.maximumIdleMillis() > 0) ? takeIdle(call) : null;
+		if (kept != null) {
+			kept.start(exchange);
+			return exchange;
+		}
+		connect(call, exchange);
+		return exchange;
+	}
+
+	private @Nullable HttpConnection takeIdle(HttpCall call) {
+		Deque<HttpConnection> connections = this.idle.get(call.address());
+		if (connections == null) {
+			return null;
+		}
+		long now = this.timers.milliTime();
+		while (!connections.isEmpty()) {
+			HttpConnection connection = connections.pollLast();
+			if (connection.isUsable(now, call.maximumIdleMillis())) {
+				return connection;
+			}
+			if (connection.isUsable(now, LONGEST_IDLE_MILLIS)) {
+				connections.addFirst(connection);
+				return null;
+			}
+			connection.close();
+		}
+		return null;
+	}
+
+	private void connect(HttpCall call, HttpExchange exchange) {
+		InetSocketAddress address;
+		try {
+			address = HostPort.parse(call.address());
+		}
+		catch (PlatformFormatException ex) {
+			this.group.execute(() -> exchange.fail(false, "bad address " + call.address()));
+			return;
+		}
+		HttpConnection connection = new HttpConnection(this, call.address(), this.timers);
+		Bootstrap bootstrap = new Bootstrap().group(this.group)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, call.connectMillis())
+			.handler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					connection.install(channel);
+				}
+			});
+		Channel channel = bootstrap.connect(address).addListener((result) -> {
+			if (!result.isSuccess()) {
+				exchange.fail(false, "connect failed: " + result.cause().getMessage());
+				return;
+			}
+			if (exchange.isOver()) {
+				connection.close();
+				return;
+			}
+			connection.start(exchange);
+		}).channel();
+		exchange.connecting(channel);
+	}
+
+	void release(String address, HttpConnection connection) {
+		Deque<HttpConnection> connections = this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>());
+		if (connections.size() >= MAXIMUM_IDLE_PER_PEER) {
+			connections.pollFirst().close();
+		}
+		connections.addLast(connection);
+	}
+
+	void forget(String address, HttpConnection connection) {
+		Deque<HttpConnection> connections = this.idle.get(address);
+		if (connections != null) {
+			connections.remove(connection);
+		}
+	}
+
+	/**
+	 * Closes connections that have been idle for long.
+	 */
+	void closeIdle() {
+		long now = this.timers.milliTime();
+		Iterator<Deque<HttpConnection>> pools = this.idle.values().iterator();
+		while (pools.hasNext()) {
+			Deque<HttpConnection> connections = pools.next();
+			while (!connections.isEmpty() && !connections.peekFirst().isUsable(now, LONGEST_IDLE_MILLIS)) {
+				connections.pollFirst().close();
+			}
+			if (connections.isEmpty()) {
+				pools.remove();
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/PeerCodec.java
@@ -0,0 +1,185 @@
+package org.magnoliahub.entry;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+import org.magnoliahub.serving.PieceFailure;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * MessagePack form of the messages between gateways: the type's number, then its fields
+ * in order.
+ */
+final class PeerCodec {
+
+	private static final int HELLO = 1;
+
+	private static final int HEARTBEAT = 2;
+
+	private static final int SUBMIT = 3;
+
+	private static final int RESULT = 4;
+
+	private static final int CANCEL = 5;
+
+	private static final int FREE = 6;
+
+	private static final int MAXIMUM_ITEMS = 10_000;
+
+	private PeerCodec() {
+	}
+
+	static byte[] encode(PeerMessage message) {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			pack(packer, message);
+			return packer.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("writing to memory failed", ex);
+		}
+	}
+
+	private static void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+		if (message instanceof PeerMessage.Hello hello) {
+			packer.packInt(HELLO).packString(hello.member());
+		}
+		else if (message instanceof PeerMessage.Heartbeat heartbeat) {
+			packer.packInt(HEARTBEAT).packMapHeader(heartbeat.waitMillis().size());
+			for (Map.Entry<String, Long> wait : heartbeat.waitMillis().entrySet()) {
+				packer.packString(wait.getKey()).packLong(wait.getValue());
+			}
+		}
+		else if (message instanceof PeerMessage.Submit submit) {
+			packer.packInt(SUBMIT).packString(submit.service()).packLong(submit.group());
+			packer.packString(submit.requestId()).packInt(submit.stage()).packArrayHeader(submit.pieces().size());
+			for (int piece : submit.pieces()) {
+				packer.packInt(piece);
+			}
+			packOptional(packer, submit.key());
+			packTexts(packer, submit.inputs());
+			packer.packLong(submit.resultBytes()).packLong(submit.startBudgetMillis());
+			packer.packLong(submit.budgetMillis()).packInt(submit.priority());
+		}
+		else if (message instanceof PeerMessage.Result result) {
+			packer.packInt(RESULT).packLong(result.group()).packInt(result.piece());
+			packOptional(packer, result.handle());
+			packer.packString(result.availabilityZone());
+			packOptional(packer, (result.failure() != null) ? result.failure().name() : null);
+		}
+		else if (message instanceof PeerMessage.Cancel cancel) {
+			packer.packInt(CANCEL).packString(cancel.service()).packLong(cancel.group());
+		}
+		else if (message instanceof PeerMessage.Free free) {
+			packer.packInt(FREE).packString(free.service());
+			packTexts(packer, free.handles());
+		}
+	}
+
+	private static void packOptional(MessageBufferPacker packer, @Nullable String text) throws IOException {
+		if (text == null) {
+			packer.packNil();
+		}
+		else {
+			packer.packString(text);
+		}
+	}
+
+	private static void packTexts(MessageBufferPacker packer, List<String> texts) throws IOException {
+		packer.packArrayHeader(texts.size());
+		for (String text : texts) {
+			packer.packString(text);
+		}
+	}
+
+	/**
+	 * Reads a message.
+	 * @param bytes one frame
+	 * @return the message, or {@code null} if its type is not known to this version
+	 * @throws IOException if the frame is malformed
+	 */
+	static @Nullable PeerMessage decode(byte[] bytes) throws IOException {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+			return unpack(unpacker);
+		}
+		catch (MessagePackException | IllegalArgumentException ex) {
+			throw new IOException("malformed message of a gateway", ex);
+		}
+	}
+
+	private static @Nullable PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
+		int type = unpacker.unpackInt();
+		return switch (type) {
+			case HELLO -> new PeerMessage.Hello(unpacker.unpackString());
+			case HEARTBEAT -> new PeerMessage.Heartbeat(waits(unpacker));
+			case SUBMIT -> submit(unpacker);
+			case RESULT -> result(unpacker);
+			case CANCEL -> new PeerMessage.Cancel(unpacker.unpackString(), unpacker.unpackLong());
+			case FREE -> new PeerMessage.Free(unpacker.unpackString(), texts(unpacker));
+			default -> null;
+		};
+	}
+
+	private static PeerMessage submit(MessageUnpacker unpacker) throws IOException {
+		String service = unpacker.unpackString();
+		long group = unpacker.unpackLong();
+		String requestId = unpacker.unpackString();
+		int stage = unpacker.unpackInt();
+		List<Integer> pieces = new ArrayList<>();
+		int count = checked(unpacker.unpackArrayHeader());
+		for (int index = 0; index < count; index++) {
+			pieces.add(unpacker.unpackInt());
+		}
+		String key = optional(unpacker);
+		List<String> inputs = texts(unpacker);
+		return new PeerMessage.Submit(service, group, requestId, stage, pieces, key, inputs, unpacker.unpackLong(),
+				unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackInt());
+	}
+
+	private static PeerMessage result(MessageUnpacker unpacker) throws IOException {
+		long group = unpacker.unpackLong();
+		int piece = unpacker.unpackInt();
+		String handle = optional(unpacker);
+		String zone = unpacker.unpackString();
+		String failure = optional(unpacker);
+		return new PeerMessage.Result(group, piece, handle, zone,
+				(failure != null) ? PieceFailure.valueOf(failure) : null);
+	}
+
+	private static Map<String, Long> waits(MessageUnpacker unpacker) throws IOException {
+		Map<String, Long> waits = new HashMap<>();
+		int count = checked(unpacker.unpackMapHeader());
+		for (int index = 0; index < count; index++) {
+			waits.put(unpacker.unpackString(), unpacker.unpackLong());
+		}
+		return waits;
+	}
+
+	private static @Nullable String optional(MessageUnpacker unpacker) throws IOException {
+		return unpacker.tryUnpackNil() ? null : unpacker.unpackString();
+	}
+
+	private static List<String> texts(MessageUnpacker unpacker) throws IOException {
+		int count = checked(unpacker.unpackArrayHeader());
+		List<String> texts = new ArrayList<>();
+		for (int index = 0; index < count; index++) {
+			texts.add(unpacker.unpackString());
+		}
+		return texts;
+	}
+
+	private static int checked(int count) throws IOException {
+		if (count > MAXIMUM_ITEMS) {
+			throw new IOException("expected at most " + MAXIMUM_ITEMS + " items, but came " + count);
+		}
+		return count;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/PeerConnection.java
@@ -0,0 +1,107 @@
+package org.magnoliahub.entry;
+
+import java.io.IOException;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A connection between two gateways, with frames of messages in both directions.
+ */
+final class PeerConnection extends SimpleChannelInboundHandler<ByteBuf> {
+
+	private static final int MAXIMUM_FRAME_BYTES = 1_048_576;
+
+	/**
+	 * Bytes that may wait for a gateway that does not read; more close the connection.
+	 */
+	private static final long MAXIMUM_WAITING_BYTES = 4_194_304;
+
+	private final Listener listener;
+
+	private @Nullable Channel channel;
+
+	PeerConnection(Listener listener) {
+		this.listener = listener;
+	}
+
+	void install(Channel opened) {
+		this.channel = opened;
+		opened.pipeline()
+			.addLast(new LengthFieldBasedFrameDecoder(MAXIMUM_FRAME_BYTES, 0, Integer.BYTES, 0, Integer.BYTES), this);
+	}
+
+	void send(PeerMessage message) {
+		Channel open = this.channel;
+		if (open == null || !open.isActive()) {
+			return;
+		}
+		if (open.unsafe().outboundBuffer() != null
+				&& open.unsafe().outboundBuffer().totalPendingWriteBytes() > MAXIMUM_WAITING_BYTES) {
+			open.close();
+			return;
+		}
+		byte[] bytes = PeerCodec.encode(message);
+		ByteBuf frame = Unpooled.buffer(Integer.BYTES + bytes.length);
+		frame.writeInt(bytes.length).writeBytes(bytes);
+		open.writeAndFlush(frame);
+	}
+
+	void close() {
+		if (this.channel != null) {
+			this.channel.close();
+		}
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+		PeerMessage message;
+		try {
+			message = PeerCodec.decode(ByteBufUtil.getBytes(frame));
+		}
+		catch (IOException ex) {
+			context.close();
+			return;
+		}
+		if (message != null) {
+			this.listener.onMessage(this, message);
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.listener.onClosed(this);
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		context.close();
+	}
+
+	/**
+	 * Receives the events of a connection on the event loop.
+	 */
+	interface Listener {
+
+		/**
+		 * Called with a message.
+		 * @param source the connection
+		 * @param message the message
+		 */
+		void onMessage(PeerConnection source, PeerMessage message);
+
+		/**
+		 * Called once, last.
+		 * @param source the connection
+		 */
+		void onClosed(PeerConnection source);
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/PeerLink.java
@@ -0,0 +1,219 @@
+package org.magnoliahub.entry;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import org.jspecify.annotations.Nullable;
+import org.magnoliahub.platform.HostPort;
+import org.magnoliahub.platform.MemberRecord;
+import org.magnoliahub.platform.PlatformFormatException;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * The link from this gateway to another one that may form calls for it. It opens again by
+ * itself; silence counts as loss.
+ */
+final class PeerLink implements PeerConnection.Listener {
+
+	/** Longest time without a heartbeat. */
+	static final long SILENCE_MILLIS = 900;
+
+	private static final int CONNECT_MILLIS = 700;
+
+	private static final long RETRY_MILLIS = 500;
+
+	private final EventLoopGroup group;
+
+	private final TimerService timers;
+
+	private final EntryLog log;
+
+	private final String ownName;
+
+	private final Handler handler;
+
+	private MemberRecord member;
+
+	private @Nullable PeerConnection connection;
+
+	private boolean connecting;
+
+	private boolean open;
+
+	private long lastHeard;
+
+	private long lastTry = Long.MIN_VALUE / 2;
+
+	private long lastCheck;
+
+	private final Map<String, Long> waitMillis = new HashMap<>();
+
+	PeerLink(EventLoopGroup group, TimerService timers, EntryLog log, String ownName, MemberRecord member,
+			Handler handler) {
+		this.group = group;
+		this.timers = timers;
+		this.log = log;
+		this.ownName = ownName;
+		this.member = member;
+		this.handler = handler;
+		this.lastCheck = timers.milliTime();
+	}
+
+	void update(MemberRecord newer) {
+		boolean moved = !newer.address().equals(this.member.address());
+		this.member = newer;
+		if (moved) {
+			lose("address changed");
+		}
+	}
+
+	boolean isOpen() {
+		return this.open;
+	}
+
+	/**
+	 * Returns the expected wait of a new piece.
+	 * @param service the stage's service
+	 * @return milliseconds, zero if not known
+	 */
+	long waitMillis(String service) {
+		return this.waitMillis.getOrDefault(service, 0L);
+	}
+
+	void send(PeerMessage message) {
+		if (this.connection != null) {
+			this.connection.send(message);
+		}
+	}
+
+	/**
+	 * Opens the link if it is closed, and closes it if the other gateway is silent.
+	 */
+	void check() {
+		long now = this.timers.milliTime();
+		boolean paused = now - this.lastCheck > SILENCE_MILLIS / 2;
+		this.lastCheck = now;
+		if (paused) {
+			// This process stood still; heartbeats may still be unread.
+			this.lastHeard = now;
+		}
+		if (this.open && now - this.lastHeard > SILENCE_MILLIS) {
+			lose("silent");
+		}
+		if (!this.open && !this.connecting && now - this.lastTry >= RETRY_MILLIS) {
+			connect(now);
+		}
+	}
+
+	void close() {
+		lose("not needed");
+	}
+
+	private void connect(long now) {
+		this.lastTry = now;
+		PeerConnection opening = new PeerConnection(this);
+		this.connecting = true;
+		try {
+			new Bootstrap().group(this.group)
+				.channel(NioSocketChannel.class)
+				.option(ChannelOption.TCP_NODELAY, true)
+				.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+				.handler(new ChannelInitializer<SocketChannel>() {
+					@Override
+					protected void initChannel(SocketChannel channel) {
+						opening.install(channel);
+					}
+				})
+				.connect(HostPort.parse(this.member.address()))
+				.addListener((result) -> {
+					this.connecting = false;
+					if (result.isSuccess()) {
+						opened(opening);
+					}
+				});
+		}
+		catch (PlatformFormatException ex) {
+			this.connecting = false;
+		}
+	}
+
+	private void opened(PeerConnection opening) {
+		this.connection = opening;
+		this.lastHeard = this.timers.milliTime();
+		opening.send(new PeerMessage.Hello(this.ownName));
+	}
+
+	@Override
+	public void onMessage(PeerConnection source, PeerMessage message) {
+		if (source != this.connection) {
+			return;
+		}
+		this.lastHeard = this.timers.milliTime();
+		if (message instanceof PeerMessage.Heartbeat heartbeat) {
+			this.waitMillis.clear();
+			this.waitMillis.putAll(heartbeat.waitMillis());
+			if (!this.open) {
+				this.open = true;
+				logState("open", "");
+			}
+			return;
+		}
+		if (message instanceof PeerMessage.Result result) {
+			this.handler.onResult(result);
+		}
+	}
+
+	@Override
+	public void onClosed(PeerConnection source) {
+		if (source == this.connection) {
+			lose("closed");
+		}
+	}
+
+	private void lose(String reason) {
+		PeerConnection lost = this.connection;
+		this.connection = null;
+		if (lost != null) {
+			lost.close();
+		}
+		if (this.open) {
+			this.open = false;
+			logState("lost", reason);
+			this.handler.onLost(this.member.name());
+		}
+	}
+
+	private void logState(String state, String reason) {
+		this.log.event(EntryEvent.LINK_CHANGED)
+			.field("member", this.member.name())
+			.field("state", state)
+			.field("reason", reason)
+			.write();
+	}
+
+	/**
+	 * Hears about the link.
+	 */
+	interface Handler {
+
+		/**
+		 * Called with the result of a piece.
+		 * @param result the result
+		 */
+		void onResult(PeerMessage.Result result);
+
+		/**
+		 * Called when the link was lost.
+		 * @param member name of the other gateway
+		 */
+		void onLost(String member);
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/PeerMessage.java
@@ -0,0 +1,81 @@
+package org.magnoliahub.entry;
+
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+import org.magnoliahub.serving.PieceFailure;
+
+/**
+ * Messages between gateways. Times travel as budgets, because clocks differ.
+ */
+sealed interface PeerMessage {
+
+	/**
+	 * First message of the gateway that connects.
+	 *
+	 * @param member its name
+	 */
+	record Hello(String member) implements PeerMessage {
+	}
+
+	/**
+	 * Heartbeat of the gateway that forms calls.
+	 *
+	 * @param waitMillis expected wait of a new piece, by service
+	 */
+	record Heartbeat(Map<String, Long> waitMillis) implements PeerMessage {
+	}
+
+	/**
+	 * Pieces to be done.
+	 *
+	 * @param service the stage's service
+	 * @param group number of the submission at its gateway
+	 * @param requestId the caller's id of the request
+	 * @param stage index of the stage
+	 * @param pieces indexes of the pieces
+	 * @param key key of the pieces, or {@code null} if they have inputs
+	 * @param inputs handles of their inputs
+	 * @param resultBytes size of one result
+	 * @param startBudgetMillis time within which they have to start to be in time
+	 * @param budgetMillis time until the request ends
+	 * @param priority rank of the route
+	 */
+	record Submit(String service, long group, String requestId, int stage, List<Integer> pieces, @Nullable String key,
+			List<String> inputs, long resultBytes, long startBudgetMillis, long budgetMillis,
+			int priority) implements PeerMessage {
+	}
+
+	/**
+	 * Result of a piece.
+	 *
+	 * @param group number of the submission
+	 * @param piece index of the piece
+	 * @param handle where the result lies, or {@code null}
+	 * @param availabilityZone zone in which it lies
+	 * @param failure why there is no result, or {@code null}
+	 */
+	record Result(long group, int piece, @Nullable String handle, String availabilityZone,
+			@Nullable PieceFailure failure) implements PeerMessage {
+	}
+
+	/**
+	 * Pieces of a submission are no longer wanted.
+	 *
+	 * @param service the service
+	 * @param group number of the submission
+	 */
+	record Cancel(String service, long group) implements PeerMessage {
+	}
+
+	/**
+	 * Results are no longer needed.
+	 *
+	 * @param service the service
+	 * @param handles their handles
+	 */
+	record Free(String service, List<String> handles) implements PeerMessage {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/PeerServer.java
@@ -0,0 +1,106 @@
+package org.magnoliahub.entry;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+
+/**
+ * Takes the links of other gateways, for which this one forms calls.
+ */
+final class PeerServer implements PeerConnection.Listener {
+
+	private final Map<PeerConnection, String> members = new HashMap<>();
+
+	private final Handler handler;
+
+	PeerServer(Handler handler) {
+		this.handler = handler;
+	}
+
+	void listen(EventLoopGroup group, InetSocketAddress address) {
+		new ServerBootstrap().group(group)
+			.channel(NioServerSocketChannel.class)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					new PeerConnection(PeerServer.this).install(channel);
+				}
+			})
+			.bind(address)
+			.syncUninterruptibly();
+	}
+
+	/**
+	 * Sends a heartbeat on every link.
+	 * @param heartbeat creates the message
+	 */
+	void beat(Supplier<PeerMessage.Heartbeat> heartbeat) {
+		if (this.members.isEmpty()) {
+			return;
+		}
+		PeerMessage.Heartbeat message = heartbeat.get();
+		this.members.keySet().forEach((connection) -> connection.send(message));
+	}
+
+	/**
+	 * Sends a message to a member.
+	 * @param member its name
+	 * @param message the message, dropped if the member has no link
+	 */
+	void send(String member, PeerMessage message) {
+		for (Map.Entry<PeerConnection, String> entry : this.members.entrySet()) {
+			if (entry.getValue().equals(member)) {
+				entry.getKey().send(message);
+			}
+		}
+	}
+
+	@Override
+	public void onMessage(PeerConnection source, PeerMessage message) {
+		if (message instanceof PeerMessage.Hello hello) {
+			this.members.values().remove(hello.member());
+			this.members.put(source, hello.member());
+			source.send(this.handler.heartbeat());
+			return;
+		}
+		String member = this.members.get(source);
+		if (member != null) {
+			this.handler.onMessage(member, message);
+		}
+	}
+
+	@Override
+	public void onClosed(PeerConnection source) {
+		this.members.remove(source);
+	}
+
+	/**
+	 * Handles what other gateways ask for.
+	 */
+	interface Handler {
+
+		/**
+		 * Returns the present heartbeat.
+		 * @return the message
+		 */
+		PeerMessage.Heartbeat heartbeat();
+
+		/**
+		 * Called with a message of a member.
+		 * @param member its name
+		 * @param message the message
+		 */
+		void onMessage(String member, PeerMessage message);
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/StageCalls.java
@@ -0,0 +1,243 @@
+package org.magnoliahub.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.reactivex.rxjava3.disposables.Disposable;
+import org.magnoliahub.platform.PlatformFormatException;
+import org.magnoliahub.platform.PlatformHeaders;
+import org.magnoliahub.platform.StageCallFormat;
+import org.magnoliahub.serving.AnswerHead;
+import org.magnoliahub.serving.PieceResult;
+import org.magnoliahub.serving.StageCall;
+import org.magnoliahub.serving.StageQueue;
+import org.magnoliahub.serving.StageTask;
+
+/**
+ * Sends calls to stage endpoints and gives their results up.
+ */
+final class StageCalls {
+
+	private static final int CONNECT_MILLIS = 400;
+
+	/** Kept time of a connection for giving results up. */
+	private static final long IDLE_MILLIS = 1_000;
+
+	/** A call takes at most this many times its expected time, and the slack. */
+	private static final double LONGEST_FACTOR = 5;
+
+	private static final long LONGEST_SLACK_MILLIS = 600;
+
+	private static final int OK = 200;
+
+	private final EntryContext context;
+
+	private final PieceDelivery delivery;
+
+	private final StageCallFormat format = new StageCallFormat();
+
+	private final Map<String, List<String>> freed = new HashMap<>();
+
+	StageCalls(EntryContext context, PieceDelivery delivery) {
+		this.context = context;
+		this.delivery = delivery;
+	}
+
+	/**
+	 * Sends a call.
+	 * @param queue the queue that formed it
+	 * @param call the call
+	 * @param done called when the endpoint is free again
+	 */
+	void send(StageQueue queue, StageCall call, Runnable done) {
+		long now = this.context.now();
+		this.context.log()
+			.event(EntryEvent.STAGE_CALL_SENT)
+			.field("service", queue.service())
+			.field("endpoint", call.endpoint().record().id())
+			.field("pieces", call.tasks().size())
+			.field("waiting", queue.size())
+			.field("expected_ms", call.expectedMillis())
+			.write();
+		long budget = 1;
+		for (StageTask task : call.tasks()) {
+			budget = Math.max(budget, task.work().expiresAt() - now);
+		}
+		// A new connection for each call: an answer here names no request, so a late
+		// second
+		// answer to an earlier call could not be told from the right one.
+		HttpCall http = new HttpCall(call.endpoint().record().address(), HttpMethod.POST, StageCallFormat.RUN_PATH,
+				PlatformHeaders.ownCallHeaders(call.endpoint().record().id(), budget),
+				this.format.run(call.tasks(), now), 0, CONNECT_MILLIS, (response) -> true);
+		Answer answer = new Answer(queue, call, done, now);
+		HttpExchange exchange = this.context.http().send(http, answer);
+		long limit = (long) (LONGEST_FACTOR * call.expectedMillis()) + LONGEST_SLACK_MILLIS;
+		answer.timeout = this.context.timers().after(Duration.ofMillis(limit)).subscribe(() -> {
+			exchange.cancel();
+			answer.onFailure(true, "no answer within " + limit + " ms");
+		});
+	}
+
+	/**
+	 * Notes results to be given up with the next call.
+	 * @param handles their handles
+	 */
+	void free(List<String> handles) {
+		for (String handle : handles) {
+			this.freed.computeIfAbsent(StageCallFormat.address(handle), (address) -> new ArrayList<>()).add(handle);
+		}
+	}
+
+	/**
+	 * Sends the calls that give results up.
+	 */
+	void flushFreed() {
+		this.freed.forEach((address, handles) -> this.context.http()
+			.send(new HttpCall(address, HttpMethod.POST, StageCallFormat.FREE_PATH,
+					PlatformHeaders.ownCallHeaders("", 0), this.format.free(handles), IDLE_MILLIS, CONNECT_MILLIS,
+					(response) -> true), new IgnoredAnswer()));
+		this.freed.clear();
+	}
+
+	/**
+	 * Passes the result of a piece on.
+	 */
+	interface PieceDelivery {
+
+		/**
+		 * Called once for each piece that is done or given up.
+		 * @param task the piece
+		 * @param result its result
+		 */
+		void deliver(StageTask task, PieceResult result);
+
+	}
+
+	private static final class IgnoredAnswer implements AnswerListener {
+
+		@Override
+		public void onHead(HttpResponse response) {
+		}
+
+		@Override
+		public void onBody(ByteBuf data) {
+		}
+
+		@Override
+		public void onEnd() {
+		}
+
+		@Override
+		public void onFailure(boolean sent, String reason) {
+			// Results expire by themselves.
+		}
+
+	}
+
+	private final class Answer implements AnswerListener {
+
+		private final StageQueue queue;
+
+		private final StageCall call;
+
+		private final Runnable done;
+
+		private final long sentMillis;
+
+		private final ByteBuf body = Unpooled.buffer();
+
+		private Disposable timeout = Disposable.disposed();
+
+		private AnswerHead head = new AnswerHead(0, null, false, false, false, true, -1, null);
+
+		private boolean over;
+
+		private Answer(StageQueue queue, StageCall call, Runnable done, long sentMillis) {
+			this.queue = queue;
+			this.call = call;
+			this.done = done;
+			this.sentMillis = sentMillis;
+		}
+
+		@Override
+		public void onHead(HttpResponse response) {
+			this.head = PlatformHeaders.answerHead(response);
+		}
+
+		@Override
+		public void onBody(ByteBuf data) {
+			this.body.writeBytes(data);
+		}
+
+		@Override
+		public void onEnd() {
+			if (this.over) {
+				return;
+			}
+			if (this.head.status() != OK) {
+				fail(this.head.notExecuted(), "status " + this.head.status());
+				return;
+			}
+			try {
+				List<PieceResult> results = StageCalls.this.format.results(ByteBufUtil.getBytes(this.body),
+						this.call.tasks().size(), this.call.endpoint().record().availabilityZone());
+				finish();
+				long now = StageCalls.this.context.now();
+				deliver(this.queue.completed(this.call, results, now));
+				this.done.run();
+			}
+			catch (PlatformFormatException ex) {
+				fail(false, ex.getMessage());
+			}
+		}
+
+		@Override
+		public void onFailure(boolean sent, String reason) {
+			if (!this.over) {
+				fail(false, reason);
+			}
+		}
+
+		private void finish() {
+			this.over = true;
+			this.timeout.dispose();
+		}
+
+		private void fail(boolean refused, String reason) {
+			finish();
+			long now = StageCalls.this.context.now();
+			StageCalls.this.context.log()
+				.event(EntryEvent.STAGE_CALL_FAILED)
+				.field("service", this.queue.service())
+				.field("endpoint", this.call.endpoint().record().id())
+				.field("pieces", this.call.tasks().size())
+				.field("reason", reason)
+				.field("age_ms", now - this.sentMillis)
+				.write();
+			deliver(this.queue.failed(this.call, refused, now));
+			this.done.run();
+		}
+
+		private void deliver(List<StageQueue.CompletedPiece> pieces) {
+			for (StageQueue.CompletedPiece piece : pieces) {
+				String handle = piece.result().handle();
+				if (handle != null && this.queue.isCancelled(piece.task())) {
+					this.queue.freed(List.of(handle));
+					free(List.of(handle));
+					continue;
+				}
+				StageCalls.this.delivery.deliver(piece.task(), piece.result());
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/StageRun.java
@@ -0,0 +1,240 @@
+package org.magnoliahub.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import org.magnoliahub.serving.CallerRequest;
+import org.magnoliahub.serving.PieceFailure;
+import org.magnoliahub.serving.PieceResult;
+import org.magnoliahub.serving.Route;
+import org.magnoliahub.serving.RouteStage;
+import org.magnoliahub.serving.ServiceDefinition;
+import org.magnoliahub.serving.StagePool;
+import org.magnoliahub.serving.StageProgress;
+import org.magnoliahub.serving.StageWork;
+
+/**
+ * The stages of one request: submits pieces as their inputs become ready, and gives
+ * results up as soon as nothing needs them.
+ */
+final class StageRun implements StageCoordinator.PieceListener {
+
+	/** Time that the request itself takes to its first event, for the start of stages. */
+	private static final long FIRST_EVENT_MILLIS = 250;
+
+	private final EntryContext context;
+
+	private final StageCoordinator coordinator;
+
+	private final Route route;
+
+	private final CallerRequest request;
+
+	private final long objectiveAt;
+
+	private final long expiresAt;
+
+	private final Listener listener;
+
+	private final StageProgress progress;
+
+	private final Map<Integer, Long> submissions = new HashMap<>();
+
+	private boolean over;
+
+	private boolean released;
+
+	StageRun(EntryContext context, StageCoordinator coordinator, Route route, CallerRequest request, long arrivedMillis,
+			long expiresAt, Listener listener) {
+		this.context = context;
+		this.coordinator = coordinator;
+		this.route = route;
+		this.request = request;
+		this.objectiveAt = arrivedMillis + route.latencyObjectiveMillis();
+		this.expiresAt = expiresAt;
+		this.listener = listener;
+		this.progress = new StageProgress(route.stages(), request.pieces());
+	}
+
+	void start() {
+		submitReady();
+	}
+
+	List<String> requestInputs() {
+		return this.progress.requestInputs();
+	}
+
+	Map<String, Long> inputZones() {
+		return this.progress.requestInputZones();
+	}
+
+	boolean isReleased() {
+		return this.released;
+	}
+
+	private void submitReady() {
+		for (int stage : this.progress.startReady()) {
+			submit(stage);
+		}
+	}
+
+	private void submit(int stage) {
+		RouteStage definition = this.route.stages().get(stage);
+		List<String> inputs = this.progress.inputs(stage);
+		StageWork work = new StageWork("", 0, this.request.requestId(), stage, this.progress.missing(stage),
+				inputs.isEmpty() ? this.request.pieceKey() : null, inputs, definition.resultBytes(), startBy(stage),
+				this.expiresAt, this.route.priority());
+		this.submissions.put(stage, this.coordinator.submit(definition.service(), work, this));
+	}
+
+	private long startBy(int stage) {
+		double rest = FIRST_EVENT_MILLIS + callMillis(stage);
+		int next = stage;
+		while (this.progress.stagesAfter(next) > 0) {
+			next = follower(next);
+			rest += callMillis(next);
+		}
+		return this.objectiveAt - (long) rest;
+	}
+
+	private int follower(int stage) {
+		int best = -1;
+		for (int next = 0; next < this.route.stages().size(); next++) {
+			boolean follows = this.progress.pieces(next) > 0
+					&& this.route.stages().get(next).inputStages().contains(stage);
+			if (follows && (best < 0 || this.progress.stagesAfter(next) > this.progress.stagesAfter(best))) {
+				best = next;
+			}
+		}
+		return best;
+	}
+
+	private double callMillis(int stage) {
+		String service = this.route.stages().get(stage).service();
+		StagePool pool = this.context.configuration()
+			.flatMap((configuration) -> configuration.service(service))
+			.map(ServiceDefinition::stagePool)
+			.orElse(null);
+		return (pool != null) ? pool.expectedMillis(pool.batchSize()) : 0;
+	}
+
+	@Override
+	public void onPiece(int stage, int piece, PieceResult result) {
+		if (this.over) {
+			return;
+		}
+		if (result.handle() == null) {
+			failed(stage, (result.failure() != null) ? result.failure() : PieceFailure.FAILED);
+			return;
+		}
+		this.progress.done(stage, piece, result);
+		if (!this.progress.isDone(stage)) {
+			return;
+		}
+		this.submissions.remove(stage);
+		releaseInputs(stage);
+		submitReady();
+		if (this.progress.isComplete()) {
+			this.listener.onComplete();
+		}
+	}
+
+	private void failed(int stage, PieceFailure failure) {
+		this.context.log()
+			.event(EntryEvent.STAGE_FAILED)
+			.field("id", this.request.requestId())
+			.field("stage", stage)
+			.field("reason", failure)
+			.field("age_ms", this.context.now() - (this.objectiveAt - this.route.latencyObjectiveMillis()))
+			.write();
+		if (failure == PieceFailure.INPUT_GONE) {
+			this.listener.onInputGone();
+			return;
+		}
+		this.listener.onFailed("stage_" + failure.name().toLowerCase(Locale.ROOT));
+	}
+
+	private void releaseInputs(int stage) {
+		for (int source : this.route.stages().get(stage).inputStages()) {
+			if (areFollowersDone(source)) {
+				free(source);
+			}
+		}
+	}
+
+	private boolean areFollowersDone(int source) {
+		for (int next = 0; next < this.route.stages().size(); next++) {
+			if (this.route.stages().get(next).inputStages().contains(source) && !this.progress.isDone(next)) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private void free(int stage) {
+		this.coordinator.free(this.route.stages().get(stage).service(), this.progress.handles(stage));
+	}
+
+	/**
+	 * Gives up what the request itself took as input, once it has begun to run.
+	 */
+	void release() {
+		if (this.released) {
+			return;
+		}
+		this.released = true;
+		for (int stage = 0; stage < this.route.stages().size(); stage++) {
+			if (isLast(stage)) {
+				free(stage);
+			}
+		}
+	}
+
+	private boolean isLast(int stage) {
+		return this.route.stages().stream().noneMatch((other) -> other.inputStages().contains(stage));
+	}
+
+	/**
+	 * Gives up all pieces and results.
+	 */
+	void cancel() {
+		if (this.over) {
+			return;
+		}
+		this.over = true;
+		this.submissions.values().forEach(this.coordinator::cancel);
+		this.submissions.clear();
+		for (int stage = 0; stage < this.route.stages().size(); stage++) {
+			boolean freedBefore = isLast(stage) ? this.released : areFollowersDone(stage);
+			if (!freedBefore) {
+				free(stage);
+			}
+		}
+	}
+
+	/**
+	 * Hears about the stages of a request.
+	 */
+	interface Listener {
+
+		/**
+		 * Called when all stages are done.
+		 */
+		void onComplete();
+
+		/**
+		 * Called when a stage has no result.
+		 * @param reason what happened
+		 */
+		void onFailed(String reason);
+
+		/**
+		 * Called when a result is gone that another stage needs.
+		 */
+		void onInputGone();
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/StoreClient.java
@@ -0,0 +1,122 @@
+package org.magnoliahub.entry;
+
+import java.time.Duration;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.reactivex.rxjava3.disposables.Disposable;
+import org.magnoliahub.platform.PlatformHeaders;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * Calls of the platform's store, each with a time limit.
+ */
+final class StoreClient {
+
+	private static final int CONNECT_MILLIS = 1_000;
+
+	private static final long IDLE_MILLIS = 10_000;
+
+	private static final byte[] EMPTY = new byte[0];
+
+	private final HttpClient http;
+
+	private final TimerService timers;
+
+	private final String address;
+
+	StoreClient(HttpClient http, TimerService timers, String address) {
+		this.http = http;
+		this.timers = timers;
+		this.address = address;
+	}
+
+	void get(String target, long timeoutMillis, Handler handler) {
+		call(HttpMethod.GET, target, EMPTY, timeoutMillis, handler);
+	}
+
+	void post(String target, byte[] body, long timeoutMillis, Handler handler) {
+		call(HttpMethod.POST, target, body, timeoutMillis, handler);
+	}
+
+	private void call(HttpMethod method, String target, byte[] body, long timeoutMillis, Handler handler) {
+		HttpCall call = new HttpCall(this.address, method, target, PlatformHeaders.ownCallHeaders("", 0), body,
+				IDLE_MILLIS, CONNECT_MILLIS, (response) -> true);
+		BodyCollector collector = new BodyCollector(handler);
+		HttpExchange exchange = this.http.send(call, collector);
+		collector.timeout = this.timers.after(Duration.ofMillis(timeoutMillis)).subscribe(() -> {
+			exchange.cancel();
+			collector.onFailure(true, "no answer within " + timeoutMillis + " ms");
+		});
+	}
+
+	/**
+	 * Receives the answer of the store.
+	 */
+	interface Handler {
+
+		/**
+		 * Called with an answer.
+		 * @param status the status
+		 * @param body the body
+		 */
+		void onAnswer(int status, byte[] body);
+
+		/**
+		 * Called when there is no answer; a write may have taken effect.
+		 * @param reason what happened
+		 */
+		void onFailure(String reason);
+
+	}
+
+	private static final class BodyCollector implements AnswerListener {
+
+		private final Handler handler;
+
+		private final ByteBuf body = Unpooled.buffer();
+
+		private Disposable timeout = Disposable.disposed();
+
+		private int status;
+
+		private boolean over;
+
+		private BodyCollector(Handler handler) {
+			this.handler = handler;
+		}
+
+		@Override
+		public void onHead(HttpResponse response) {
+			this.status = response.status().code();
+		}
+
+		@Override
+		public void onBody(ByteBuf data) {
+			this.body.writeBytes(data);
+		}
+
+		@Override
+		public void onEnd() {
+			if (!this.over) {
+				this.over = true;
+				this.timeout.dispose();
+				this.handler.onAnswer(this.status, ByteBufUtil.getBytes(this.body));
+			}
+		}
+
+		@Override
+		public void onFailure(boolean sent, String reason) {
+			if (!this.over) {
+				this.over = true;
+				this.timeout.dispose();
+				this.handler.onFailure(reason);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/TableWatcher.java
@@ -0,0 +1,205 @@
+package org.magnoliahub.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.magnoliahub.platform.PlatformFormatException;
+import org.magnoliahub.platform.StoreFormat;
+import org.magnoliahub.platform.StoredRow;
+import org.magnoliahub.platform.StoredRows;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * Follows a table of the store: reads it whole, then its changes, and whole again when
+ * the history is lost.
+ */
+final class TableWatcher {
+
+	private static final long ANSWER_MILLIS = 1_500;
+
+	private static final long RETRY_MILLIS = 300;
+
+	private static final int OK = 200;
+
+	private final StoreClient store;
+
+	private final StoreFormat format = new StoreFormat();
+
+	private final TimerService timers;
+
+	private final RandomGenerator random;
+
+	private final EntryLog log;
+
+	private final String table;
+
+	private final Pace pace;
+
+	private final Listener listener;
+
+	private List<StoredRow> listed = new ArrayList<>();
+
+	private long listRevision;
+
+	private long revision;
+
+	private boolean available = true;
+
+	private boolean stopped;
+
+	TableWatcher(StoreClient store, TimerService timers, RandomGenerator random, EntryLog log, String table, Pace pace,
+			Listener listener) {
+		this.store = store;
+		this.timers = timers;
+		this.random = random;
+		this.log = log;
+		this.table = table;
+		this.pace = pace;
+		this.listener = listener;
+	}
+
+	void start() {
+		this.listed = new ArrayList<>();
+		this.listRevision = -1;
+		list("");
+	}
+
+	void stop() {
+		this.stopped = true;
+	}
+
+	private void list(String from) {
+		this.store.get(this.format.readTarget(this.table, from), ANSWER_MILLIS, new Reply(this::onPage, () -> start()));
+	}
+
+	private void onPage(StoredRows rows) {
+		if (this.listRevision < 0) {
+			this.listRevision = rows.revision();
+		}
+		this.listed.addAll(rows.rows());
+		if (rows.incomplete() && !rows.rows().isEmpty()) {
+			list(rows.rows().get(rows.rows().size() - 1).key() + "\u0000");
+			return;
+		}
+		this.revision = this.listRevision;
+		this.listener.onList(this.listed);
+		this.listed = new ArrayList<>();
+		later(this.pace.intervalMillis(), this::feed);
+	}
+
+	private void feed() {
+		long wait = this.pace.waitMillis();
+		this.store.get(this.format.feedTarget(this.table, this.revision, wait), ANSWER_MILLIS + wait,
+				new Reply(this::onChanges, this::feed));
+	}
+
+	private void onChanges(StoredRows rows) {
+		this.revision = Math.max(this.revision, rows.revision());
+		this.listener.onChanges(rows.rows());
+		later(this.pace.intervalMillis(), this::feed);
+	}
+
+	private void later(long millis, Runnable task) {
+		if (this.stopped) {
+			return;
+		}
+		if (millis == 0) {
+			task.run();
+			return;
+		}
+		long jitter = this.random.nextLong(1 + millis / 8);
+		this.timers.after(Duration.ofMillis(millis + jitter)).subscribe(task::run);
+	}
+
+	private void setAvailable(boolean newValue, String reason) {
+		if (this.available != newValue) {
+			this.available = newValue;
+			this.log.event(EntryEvent.STORE_CONTACT)
+				.field("table", this.table)
+				.field("outcome", newValue ? "regained" : "lost")
+				.field("reason", reason)
+				.write();
+		}
+	}
+
+	/**
+	 * How often a table is read.
+	 *
+	 * @param intervalMillis pause between two calls
+	 * @param waitMillis how long a call waits for a change
+	 */
+	record Pace(long intervalMillis, long waitMillis) {
+	}
+
+	/**
+	 * Receives the content of a table.
+	 */
+	interface Listener {
+
+		/**
+		 * Called with all rows.
+		 * @param rows the rows
+		 */
+		void onList(List<StoredRow> rows);
+
+		/**
+		 * Called with changed and removed rows, possibly none.
+		 * @param rows the rows in the order of their changes
+		 */
+		void onChanges(List<StoredRow> rows);
+
+	}
+
+	private interface RowsHandler {
+
+		void accept(StoredRows rows);
+
+	}
+
+	private final class Reply implements StoreClient.Handler {
+
+		private final RowsHandler handler;
+
+		private final Runnable retry;
+
+		private Reply(RowsHandler handler, Runnable retry) {
+			this.handler = handler;
+			this.retry = retry;
+		}
+
+		@Override
+		public void onAnswer(int status, byte[] body) {
+			if (TableWatcher.this.stopped) {
+				return;
+			}
+			if (status == StoreFormat.HISTORY_GONE) {
+				start();
+				return;
+			}
+			if (status != OK) {
+				onFailure("status " + status);
+				return;
+			}
+			StoredRows rows;
+			try {
+				rows = TableWatcher.this.format.rows(body);
+			}
+			catch (PlatformFormatException ex) {
+				onFailure(ex.getMessage());
+				return;
+			}
+			setAvailable(true, "");
+			this.handler.accept(rows);
+		}
+
+		@Override
+		public void onFailure(String reason) {
+			setAvailable(false, reason);
+			later(RETRY_MILLIS, this.retry);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/WarmUp.java
@@ -0,0 +1,68 @@
+package org.magnoliahub.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.HttpURLConnection;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+
+import org.magnoliahub.platform.NodeSettings;
+import org.magnoliahub.platform.NodeSettingsReader;
+import org.magnoliahub.platform.PlatformFormatException;
+
+/**
+ * Runs a gateway for a moment without a platform, so that the archive of classes that the
+ * build makes holds what a start needs.
+ */
+final class WarmUp {
+
+	private static final long PAUSE_MILLIS = 1_500;
+
+	private WarmUp() {
+	}
+
+	static void run() throws InterruptedException {
+		try {
+			int callers = freePort();
+			int readiness = freePort();
+			NodeSettings settings = NodeSettingsReader.parse(settings(callers, readiness));
+			EntryGateway.start(settings, StandardOutput.open());
+			request(callers, "/");
+			request(readiness, "/api/readyz");
+			Thread.sleep(PAUSE_MILLIS);
+			request(callers, "/again");
+		}
+		catch (IOException | PlatformFormatException ex) {
+			System.err.println("warm-up failed: " + ex.getMessage());
+			System.exit(1);
+		}
+		System.exit(0);
+	}
+
+	private static String settings(int callers, int readiness) throws IOException {
+		try (InputStream template = WarmUp.class.getResourceAsStream("/entry/warm-up.yaml")) {
+			if (template == null) {
+				throw new IOException("the settings for the warm-up are missing");
+			}
+			return new String(template.readAllBytes(), StandardCharsets.UTF_8).replace("CALLER_PORT", "" + callers)
+				.replace("READINESS_PORT", "" + readiness)
+				.replace("INTERNAL_PORT", "" + freePort())
+				.replace("STORE_PORT", "" + freePort());
+		}
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+	}
+
+	private static void request(int port, String path) throws IOException {
+		HttpURLConnection connection = (HttpURLConnection) URI.create("http://127.0.0.1:" + port + path)
+			.toURL()
+			.openConnection();
+		connection.getResponseCode();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/platform/NodeSettings.java
@@ -0,0 +1,39 @@
+package org.magnoliahub.platform;
+
+import java.net.InetSocketAddress;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Settings of one process on the platform.
+ *
+ * @param nodeName name of the VM
+ * @param ip address of the VM
+ * @param availabilityZone zone of the VM
+ * @param callerAddress where callers connect, or {@code null} if the VM has none
+ * @param readinessAddress where the platform asks for readiness, or {@code null}
+ * @param internalPort first port for the system's own connections
+ * @param lastInternalPort last port for the system's own connections
+ * @param memoryMegabytes memory limit of the process
+ * @param bounds times within which changes take effect
+ * @param storeAddress address of the platform's store
+ */
+public record NodeSettings(String nodeName, String ip, String availabilityZone,
+		@Nullable InetSocketAddress callerAddress, @Nullable InetSocketAddress readinessAddress, int internalPort,
+		int lastInternalPort, int memoryMegabytes, Bounds bounds, InetSocketAddress storeAddress) {
+
+	/**
+	 * Times and shares that the platform holds the system to.
+	 *
+	 * @param drainMillis time within which a leaving endpoint gets no more work
+	 * @param configurationMillis time within which a configuration is in force
+	 * @param graceMillis time between the signal to stop and the kill
+	 * @param repeatRatio repeats allowed for each request, over all gateways
+	 * @param repeatConstant further repeats allowed to all gateways together
+	 * @param repeatWindowMillis span in which repeats are counted
+	 */
+	public record Bounds(long drainMillis, long configurationMillis, long graceMillis, double repeatRatio,
+			double repeatConstant, long repeatWindowMillis) {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
@@ -0,0 +1,253 @@
+package org.magnoliahub.platform;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import org.jspecify.annotations.Nullable;
+import org.magnoliahub.serving.AnswerHead;
+import org.magnoliahub.serving.CallerRequest;
+import org.magnoliahub.serving.EndpointLoad;
+import org.magnoliahub.serving.PromptPart;
+
+/**
+ * Header names of the platform, read into and written from the product's types.
+ */
+public final class PlatformHeaders {
+
+	/** Path on which the platform asks whether a gateway takes new connections. */
+	public static final String READINESS_PATH = "/api/readyz";
+
+	private static final String REQUEST_ID = "Request-Id";
+
+	private static final String DEADLINE = "Deadline-Ms";
+
+	private static final String SIGNATURE = "Response-Signature";
+
+	private static final String NOT_EXECUTED = "Not-Executed";
+
+	private static final String TARGET = "Target-Instance";
+
+	private static final String WORKSPACE = "Tenant";
+
+	private static final String INPUTS = "Inputs";
+
+	private static final String LAST_EVENT_ID = "Last-Event-Id";
+
+	private static final String BEARER = "bearer ";
+
+	/** Headers that concern one connection only, in lower case. */
+	private static final Set<String> CONNECTION_HEADERS = Set.of("connection", "keep-alive", "proxy-connection",
+			"transfer-encoding", "te", "trailer", "upgrade", "content-length", "expect", "proxy-authorization",
+			"proxy-authenticate");
+
+	/** Headers that only the system sets, in lower case; callers cannot pass them. */
+	private static final Set<String> SYSTEM_HEADERS = Set.of("authorization", "deadline-ms", "target-instance",
+			"tenant", "inputs", "last-event-id", "hold", "pin-ms", "kv-backup", "kv-from", "kv-fetch",
+			"request-priority", "expected-version", "accept-encoding");
+
+	private PlatformHeaders() {
+	}
+
+	/**
+	 * Reads what a caller's request says about itself.
+	 * @param headers headers of the request
+	 * @return the description; malformed values count as not stated
+	 */
+	public static CallerRequest callerRequest(HttpHeaders headers) {
+		List<Integer> tokens = numbers(headers.get("Token-Count"));
+		return new CallerRequest(text(headers, REQUEST_ID), number(headers.get(DEADLINE), -1), key(headers),
+				parts(headers.get("Prompt-Prefix")), tokens.isEmpty() ? 0 : tokens.get(0),
+				(tokens.size() < 2) ? 0 : tokens.get(1), numbers(headers.get("Pieces")), text(headers, "Piece-Key"),
+				headers.get(LAST_EVENT_ID));
+	}
+
+	/**
+	 * Writes the headers of a request to an endpoint.
+	 * @param callerHeaders headers as the caller sent them
+	 * @param endpointId the only endpoint that may run it
+	 * @param budgetMillis time that is left, in milliseconds
+	 * @param workspace the workspace, or {@code null} if the request has none
+	 * @param inputs handles of stage results, empty if there are none
+	 * @param lastEventId last event that was passed on, or {@code null}
+	 * @return the headers, without those of the connection
+	 */
+	public static HttpHeaders endpointHeaders(HttpHeaders callerHeaders, String endpointId, long budgetMillis,
+			@Nullable String workspace, List<String> inputs, @Nullable String lastEventId) {
+		HttpHeaders headers = new DefaultHttpHeaders(false);
+		Set<String> named = namedByConnection(callerHeaders);
+		for (Map.Entry<String, String> header : callerHeaders) {
+			String name = header.getKey().toLowerCase(Locale.ROOT);
+			if (!CONNECTION_HEADERS.contains(name) && !SYSTEM_HEADERS.contains(name) && !named.contains(name)) {
+				headers.add(header.getKey(), header.getValue());
+			}
+		}
+		headers.set(DEADLINE, Long.toString(Math.max(1, budgetMillis)));
+		headers.set(TARGET, endpointId);
+		if (workspace != null) {
+			headers.set(WORKSPACE, workspace);
+		}
+		if (!inputs.isEmpty()) {
+			headers.set(INPUTS, String.join(",", inputs));
+		}
+		if (lastEventId != null) {
+			headers.set(LAST_EVENT_ID, lastEventId);
+		}
+		return headers;
+	}
+
+	/**
+	 * Writes the headers of the answer to a caller.
+	 * @param endpointHeaders headers as the endpoint sent them
+	 * @return the headers, without those of the connection
+	 */
+	public static HttpHeaders callerHeaders(HttpHeaders endpointHeaders) {
+		HttpHeaders headers = new DefaultHttpHeaders(false);
+		Set<String> named = namedByConnection(endpointHeaders);
+		for (Map.Entry<String, String> header : endpointHeaders) {
+			String name = header.getKey().toLowerCase(Locale.ROOT);
+			if (!CONNECTION_HEADERS.contains(name) && !named.contains(name)) {
+				headers.add(header.getKey(), header.getValue());
+			}
+		}
+		return headers;
+	}
+
+	/**
+	 * Writes the headers of the gateway's own call to an endpoint.
+	 * @param endpointId the only endpoint that may run it
+	 * @param budgetMillis time that is left, in milliseconds
+	 * @return the headers
+	 */
+	public static HttpHeaders ownCallHeaders(String endpointId, long budgetMillis) {
+		HttpHeaders headers = new DefaultHttpHeaders(false);
+		headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+		if (!endpointId.isEmpty()) {
+			headers.set(TARGET, endpointId);
+			headers.set(DEADLINE, Long.toString(Math.max(1, budgetMillis)));
+		}
+		return headers;
+	}
+
+	/**
+	 * Writes the headers of an answer that the gateway gives itself.
+	 * @param requestId id of the request, empty if it has none
+	 * @return the headers
+	 */
+	public static HttpHeaders ownAnswerHeaders(String requestId) {
+		HttpHeaders headers = new DefaultHttpHeaders(false);
+		if (!requestId.isEmpty()) {
+			headers.set(REQUEST_ID, requestId);
+		}
+		return headers;
+	}
+
+	/**
+	 * Reads the head of an endpoint's answer.
+	 * @param response the answer
+	 * @return the head
+	 */
+	public static AnswerHead answerHead(HttpResponse response) {
+		HttpHeaders headers = response.headers();
+		int status = response.status().code();
+		String signature = headers.get(SIGNATURE);
+		// A 421 promises the same as the header, with or without it.
+		boolean notExecuted = headers.contains(NOT_EXECUTED) || status == 421;
+		return new AnswerHead(status, headers.get(REQUEST_ID), signature != null && !signature.isBlank(), notExecuted,
+				headers.contains(HttpHeaderNames.CONTENT_ENCODING), !HttpUtil.isKeepAlive(response),
+				keepAliveMillis(headers.get("Keep-Alive")), load(headers.get("Server-Load")));
+	}
+
+	private static Set<String> namedByConnection(HttpHeaders headers) {
+		List<String> values = headers.getAll(HttpHeaderNames.CONNECTION);
+		if (values.isEmpty()) {
+			return Set.of();
+		}
+		Set<String> names = new HashSet<>();
+		for (String value : values) {
+			for (String name : value.split(",")) {
+				names.add(name.trim().toLowerCase(Locale.ROOT));
+			}
+		}
+		// These are the caller's to pass on, whatever its connection header says.
+		names.remove(REQUEST_ID.toLowerCase(Locale.ROOT));
+		return names;
+	}
+
+	private static @Nullable String key(HttpHeaders headers) {
+		String value = headers.get(HttpHeaderNames.AUTHORIZATION);
+		if (value == null || !value.toLowerCase(Locale.ROOT).startsWith(BEARER)) {
+			return null;
+		}
+		return value.substring(BEARER.length()).trim();
+	}
+
+	private static String text(HttpHeaders headers, String name) {
+		String value = headers.get(name);
+		return (value != null) ? value : "";
+	}
+
+	private static List<PromptPart> parts(@Nullable String value) {
+		List<PromptPart> parts = new ArrayList<>();
+		if (value == null) {
+			return parts;
+		}
+		for (String part : value.split(",")) {
+			int colon = part.indexOf(':');
+			if (colon > 0) {
+				parts.add(new PromptPart(part.substring(0, colon).trim(), (int) number(part.substring(colon + 1), 0)));
+			}
+		}
+		return parts;
+	}
+
+	private static List<Integer> numbers(@Nullable String value) {
+		List<Integer> numbers = new ArrayList<>();
+		if (value == null || value.isBlank()) {
+			return numbers;
+		}
+		for (String part : value.split(",")) {
+			numbers.add((int) Math.max(0, number(part, 0)));
+		}
+		return numbers;
+	}
+
+	private static @Nullable EndpointLoad load(@Nullable String value) {
+		List<Integer> numbers = numbers(value);
+		return (numbers.size() == 3) ? new EndpointLoad(numbers.get(0), numbers.get(1), numbers.get(2)) : null;
+	}
+
+	private static long keepAliveMillis(@Nullable String value) {
+		if (value == null) {
+			return -1;
+		}
+		for (String part : value.split(",")) {
+			String trimmed = part.trim();
+			if (trimmed.startsWith("timeout=")) {
+				return 1_000 * number(trimmed.substring("timeout=".length()), 0);
+			}
+		}
+		return -1;
+	}
+
+	private static long number(@Nullable String value, long fallback) {
+		if (value == null) {
+			return fallback;
+		}
+		try {
+			return Long.parseLong(value.trim());
+		}
+		catch (NumberFormatException ex) {
+			return fallback;
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/platform/StageCallFormat.java
@@ -0,0 +1,137 @@
+package org.magnoliahub.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.magnoliahub.serving.PieceFailure;
+import org.magnoliahub.serving.PieceResult;
+import org.magnoliahub.serving.StageTask;
+import org.magnoliahub.serving.StageWork;
+
+/**
+ * Calls of stage endpoints.
+ */
+public final class StageCallFormat {
+
+	/** Path of the call that works on pieces. */
+	public static final String RUN_PATH = "/api/stage-run";
+
+	/** Path of the call that gives results up. */
+	public static final String FREE_PATH = "/api/stage-free";
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	/**
+	 * Writes a call.
+	 * @param tasks its pieces
+	 * @param now monotonic time, in milliseconds
+	 * @return the body
+	 */
+	public byte[] run(List<StageTask> tasks, long now) {
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		try (JsonGenerator json = this.mapper.createGenerator(bytes)) {
+			json.writeStartObject();
+			json.writeArrayFieldStart("items");
+			for (StageTask task : tasks) {
+				item(json, task, now);
+			}
+			json.writeEndArray();
+			json.writeEndObject();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("writing to memory failed", ex);
+		}
+		return bytes.toByteArray();
+	}
+
+	private static void item(JsonGenerator json, StageTask task, long now) throws IOException {
+		StageWork work = task.work();
+		json.writeStartObject();
+		json.writeStringField("id", work.requestId());
+		json.writeNumberField("stage", work.stage());
+		json.writeNumberField("piece", task.piece());
+		json.writeNumberField("remaining_ms", Math.max(1, work.expiresAt() - now));
+		if (work.inputs().isEmpty() && work.key() != null) {
+			json.writeStringField("key", work.key());
+		}
+		else {
+			json.writeArrayFieldStart("inputs");
+			for (String input : work.inputs()) {
+				json.writeString(input);
+			}
+			json.writeEndArray();
+		}
+		json.writeEndObject();
+	}
+
+	/**
+	 * Reads the answer of a call.
+	 * @param body the body
+	 * @param count number of pieces of the call
+	 * @param availabilityZone zone of the endpoint
+	 * @return a result for each piece
+	 * @throws PlatformFormatException if the body is not an answer to such a call
+	 */
+	public List<PieceResult> results(byte[] body, int count, String availabilityZone) throws PlatformFormatException {
+		JsonNode items;
+		try {
+			items = this.mapper.readTree(body).path("items");
+		}
+		catch (IOException ex) {
+			throw new PlatformFormatException("the answer of a stage call is not JSON", ex);
+		}
+		if (!items.isArray() || items.size() != count) {
+			throw new PlatformFormatException("expected " + count + " items, but came " + items.size());
+		}
+		List<PieceResult> results = new ArrayList<>();
+		for (JsonNode item : items) {
+			results.add(result(item, availabilityZone));
+		}
+		return results;
+	}
+
+	private static PieceResult result(JsonNode item, String availabilityZone) {
+		String handle = item.path("handle").asText("");
+		if (!handle.isBlank()) {
+			return new PieceResult(handle, availabilityZone, null);
+		}
+		return PieceResult.failed(switch (item.path("reason").asText()) {
+			case "late" -> PieceFailure.LATE;
+			case "gone" -> PieceFailure.INPUT_GONE;
+			case "room" -> PieceFailure.NO_ROOM;
+			default -> PieceFailure.FAILED;
+		});
+	}
+
+	/**
+	 * Writes the call that gives results up.
+	 * @param handles their handles
+	 * @return the body
+	 */
+	public byte[] free(List<String> handles) {
+		try {
+			return this.mapper
+				.writeValueAsBytes(this.mapper.createObjectNode().set("handles", this.mapper.valueToTree(handles)));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("writing to memory failed", ex);
+		}
+	}
+
+	/**
+	 * Returns the address of the endpoint that holds a result.
+	 * @param handle handle of the result
+	 * @return host and port
+	 */
+	public static String address(String handle) {
+		int slash = handle.indexOf('/');
+		return (slash < 0) ? handle : handle.substring(0, slash);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/platform/StoreFormat.java
@@ -0,0 +1,133 @@
+package org.magnoliahub.platform;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Calls of the platform's store.
+ */
+public final class StoreFormat {
+
+	/** Table that holds the operator's configuration. */
+	public static final String CONFIGURATION_TABLE = "op";
+
+	/** Key of the configuration in its table. */
+	public static final String CONFIGURATION_KEY = "config";
+
+	/** Table in which endpoints list themselves. */
+	public static final String ENDPOINT_TABLE = "servers";
+
+	/** Table in which gateways list themselves. */
+	public static final String MEMBER_TABLE = "gateways";
+
+	/** Path of the call that changes rows. */
+	public static final String WRITE_PATH = "/api/rows-tx";
+
+	/** Status of a feed whose history is no longer there. */
+	public static final int HISTORY_GONE = 410;
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	/**
+	 * Returns the target of a call that reads rows.
+	 * @param table the table
+	 * @param from first key, empty for all
+	 * @return path and query
+	 */
+	public String readTarget(String table, String from) {
+		String target = "/api/rows-get?table=" + table + "&part=&limit=500";
+		return from.isEmpty() ? target : target + "&from=" + URLEncoder.encode(from, StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Returns the target of a call that reads changes.
+	 * @param table the table
+	 * @param after revision after which changes are wanted
+	 * @param waitMillis how long the store may wait for a change
+	 * @return path and query
+	 */
+	public String feedTarget(String table, long after, long waitMillis) {
+		return "/api/rows-feed?table=" + table + "&after=" + after + "&wait_ms=" + waitMillis;
+	}
+
+	/**
+	 * Reads rows or changes.
+	 * @param body body of the answer
+	 * @return the rows
+	 * @throws PlatformFormatException if the body is not such an answer
+	 */
+	public StoredRows rows(byte[] body) throws PlatformFormatException {
+		try {
+			JsonNode root = this.mapper.readTree(body);
+			List<StoredRow> rows = new ArrayList<>();
+			for (JsonNode row : root.path("rows")) {
+				boolean removed = row.path("tombstone").asBoolean(false);
+				byte[] value = removed ? new byte[0] : Base64.getDecoder().decode(row.path("value").asText(""));
+				rows.add(new StoredRow(row.path("key").asText(), value, row.path("ver").asLong(), removed));
+			}
+			if (!root.path("ver").isIntegralNumber()) {
+				throw new PlatformFormatException("the answer of the store lacks its revision");
+			}
+			return new StoredRows(rows, root.path("ver").asLong(), root.path("has_more").asBoolean(false));
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			throw new PlatformFormatException("the answer of the store cannot be read: " + ex.getMessage(), ex);
+		}
+	}
+
+	/**
+	 * Writes the call that sets a row.
+	 * @param table the table
+	 * @param key key of the row
+	 * @param value its bytes
+	 * @return the body
+	 */
+	public byte[] put(String table, String key, byte[] value) {
+		ObjectNode root = transaction();
+		ObjectNode row = root.withArray("writes").addObject();
+		row.put("table", table).put("part", "").put("key", key);
+		row.put("value", Base64.getEncoder().encodeToString(value));
+		return bytes(root);
+	}
+
+	/**
+	 * Writes the call that removes a row if it is still the same.
+	 * @param table the table
+	 * @param key key of the row
+	 * @param revision revision that the row must have
+	 * @return the body
+	 */
+	public byte[] remove(String table, String key, long revision) {
+		ObjectNode root = transaction();
+		root.withArray("expected").addObject().put("table", table).put("part", "").put("key", key).put("ver", revision);
+		root.withArray("remove").addObject().put("table", table).put("part", "").put("key", key);
+		return bytes(root);
+	}
+
+	private ObjectNode transaction() {
+		ObjectNode root = this.mapper.createObjectNode();
+		root.putArray("expected");
+		root.putArray("writes");
+		root.putArray("remove");
+		return root;
+	}
+
+	private byte[] bytes(ObjectNode root) {
+		try {
+			return this.mapper.writeValueAsBytes(root);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("writing to memory failed", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/serving/AnswerHead.java
@@ -0,0 +1,28 @@
+package org.magnoliahub.serving;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What the head of an endpoint's answer says.
+ *
+ * @param status status code
+ * @param requestId id of the request it belongs to, if stated
+ * @param signed whether it bears the endpoint's signature
+ * @param notExecuted whether it proves that the request did not and will not run
+ * @param encoded whether the body is encoded, and so is not the endpoint's body
+ * @param closing whether the endpoint closes the connection after it
+ * @param keepAliveMillis stated idle time of the connection, in milliseconds, or -1
+ * @param load the stated load, if any
+ */
+public record AnswerHead(int status, @Nullable String requestId, boolean signed, boolean notExecuted, boolean encoded,
+		boolean closing, long keepAliveMillis, @Nullable EndpointLoad load) {
+
+	/**
+	 * Returns whether the answer is a success.
+	 * @return whether the status is 2xx
+	 */
+	public boolean isSuccess() {
+		return this.status >= 200 && this.status < 300;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/serving/EndpointCall.java
@@ -0,0 +1,70 @@
+package org.magnoliahub.serving;
+
+/**
+ * One request at an endpoint, from its sending to its end.
+ */
+public final class EndpointCall {
+
+	private final EndpointState endpoint;
+
+	private final long sentMillis;
+
+	private final double expectedMillis;
+
+	private final double factorAtSend;
+
+	private final int tokens;
+
+	private boolean ended;
+
+	EndpointCall(EndpointState endpoint, long sentMillis, double expectedMillis, int tokens) {
+		this.endpoint = endpoint;
+		this.sentMillis = sentMillis;
+		this.expectedMillis = expectedMillis;
+		this.factorAtSend = endpoint.speedFactor(sentMillis);
+		this.tokens = tokens;
+	}
+
+	long sentMillis() {
+		return this.sentMillis;
+	}
+
+	double expectedMillis() {
+		return this.expectedMillis;
+	}
+
+	double factorAtSend() {
+		return this.factorAtSend;
+	}
+
+	int tokens() {
+		return this.tokens;
+	}
+
+	/**
+	 * Returns the endpoint.
+	 * @return the endpoint that has the request
+	 */
+	public EndpointState endpoint() {
+		return this.endpoint;
+	}
+
+	/**
+	 * Notes the first part of the answer.
+	 * @param now monotonic time, in milliseconds
+	 */
+	public void answered(long now) {
+		this.endpoint.answered(this, now);
+	}
+
+	/**
+	 * Notes the end of the call, whatever its outcome; later calls have no effect.
+	 */
+	public void end() {
+		if (!this.ended) {
+			this.ended = true;
+			this.endpoint.ended(this);
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/serving/EndpointState.java
@@ -0,0 +1,244 @@
+package org.magnoliahub.serving;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What this gateway believes of one endpoint, from its entry in the store and from its
+ * answers.
+ */
+public final class EndpointState {
+
+	private static final long FIRST_PAUSE_MILLIS = 250;
+
+	private static final long LONGEST_PAUSE_MILLIS = 4_000;
+
+	private static final double SMOOTHING = 0.2;
+
+	/** Time in which what was learned of failures loses half of its weight. */
+	private static final double FAILURE_HALF_LIFE_MILLIS = 3_000;
+
+	/** Time in which what was learned of the speed loses half of its weight. */
+	private static final double SPEED_HALF_LIFE_MILLIS = 8_000;
+
+	private EndpointRecord record;
+
+	private long lapsesAt = Long.MAX_VALUE;
+
+	private boolean announcedClose;
+
+	private final List<EndpointCall> unanswered = new ArrayList<>();
+
+	private int outstanding;
+
+	private long lastAnswerMillis = Long.MIN_VALUE / 2;
+
+	private int failuresInRow;
+
+	private long pausedUntil = Long.MIN_VALUE / 2;
+
+	private double failureShare;
+
+	private long failureUpdated;
+
+	private double speedFactor = 1;
+
+	private long speedUpdated;
+
+	private long unreadTokens;
+
+	private @Nullable EndpointLoad load;
+
+	private long loadMillis = Long.MIN_VALUE / 2;
+
+	private int outstandingAtLoad;
+
+	private final PromptCacheEstimate promptCache = new PromptCacheEstimate();
+
+	EndpointState(EndpointRecord record) {
+		this.record = record;
+	}
+
+	/**
+	 * Returns the entry of the endpoint.
+	 * @return the newest entry
+	 */
+	public EndpointRecord record() {
+		return this.record;
+	}
+
+	void update(EndpointRecord newer) {
+		boolean restarted = newer.bornMillis() != this.record.bornMillis()
+				|| !newer.address().equals(this.record.address());
+		this.record = newer;
+		this.lapsesAt = Long.MAX_VALUE;
+		if (restarted) {
+			this.promptCache.clear();
+			this.failuresInRow = 0;
+			this.pausedUntil = Long.MIN_VALUE / 2;
+			this.speedFactor = 1;
+			this.announcedClose = false;
+		}
+	}
+
+	void lapse(long until) {
+		this.lapsesAt = until;
+	}
+
+	boolean isLapsed() {
+		return this.lapsesAt != Long.MAX_VALUE;
+	}
+
+	boolean isGone(long now) {
+		return now >= this.lapsesAt;
+	}
+
+	/**
+	 * Notes that a request was sent.
+	 * @param now monotonic time, in milliseconds
+	 * @param expectedMillis expected time to its first answer
+	 * @param tokens prompt tokens that the endpoint has to read for it
+	 * @return the call, to be passed to the other methods
+	 */
+	public EndpointCall begin(long now, double expectedMillis, int tokens) {
+		EndpointCall call = new EndpointCall(this, now, expectedMillis, tokens);
+		this.unanswered.add(call);
+		this.outstanding++;
+		this.unreadTokens += tokens;
+		return call;
+	}
+
+	void answered(EndpointCall call, long now) {
+		if (!this.unanswered.remove(call)) {
+			return;
+		}
+		this.unreadTokens -= call.tokens();
+		this.lastAnswerMillis = now;
+		double ratio = Math.max(0.05, now - call.sentMillis()) / Math.max(1, call.expectedMillis());
+		double factor = speedFactor(now);
+		this.speedFactor = factor + SMOOTHING * (Math.min(10, ratio * call.factorAtSend()) - factor);
+		this.speedUpdated = now;
+	}
+
+	void ended(EndpointCall call) {
+		if (this.unanswered.remove(call)) {
+			this.unreadTokens -= call.tokens();
+		}
+		this.outstanding--;
+	}
+
+	/**
+	 * Notes a request that ended well.
+	 * @param now monotonic time, in milliseconds
+	 */
+	public void succeeded(long now) {
+		this.failuresInRow = 0;
+		this.pausedUntil = Long.MIN_VALUE / 2;
+		recordFailureShare(0, now);
+	}
+
+	/**
+	 * Notes a request that the endpoint refused or failed.
+	 * @param now monotonic time, in milliseconds
+	 * @param unreachable whether nothing could be sent, or no answer came
+	 */
+	public void failed(long now, boolean unreachable) {
+		recordFailureShare(1, now);
+		if (!unreachable) {
+			return;
+		}
+		this.failuresInRow++;
+		long pause = FIRST_PAUSE_MILLIS << Math.min(4, this.failuresInRow - 1);
+		this.pausedUntil = now + Math.min(LONGEST_PAUSE_MILLIS, pause);
+	}
+
+	/**
+	 * Notes that the endpoint is another one than its entry says, or that it leaves.
+	 * @param now monotonic time, in milliseconds
+	 * @param pauseMillis how long it gets no work unless its entry changes
+	 */
+	public void pause(long now, long pauseMillis) {
+		this.pausedUntil = Math.max(this.pausedUntil, now + pauseMillis);
+	}
+
+	/**
+	 * Notes the load that the endpoint stated.
+	 * @param newer the load
+	 * @param now monotonic time, in milliseconds
+	 */
+	public void reported(EndpointLoad newer, long now) {
+		this.load = newer;
+		this.loadMillis = now;
+		this.outstandingAtLoad = this.outstanding;
+	}
+
+	private void recordFailureShare(double value, long now) {
+		this.failureShare = failureShare(now) + SMOOTHING * (value - failureShare(now));
+		this.failureUpdated = now;
+	}
+
+	double failureShare(long now) {
+		return this.failureShare * Math.pow(0.5, (now - this.failureUpdated) / FAILURE_HALF_LIFE_MILLIS);
+	}
+
+	/**
+	 * Returns how slow the endpoint is relative to expectation.
+	 * @param now monotonic time, in milliseconds
+	 * @return factor on expected times, 1 for the usual speed
+	 */
+	double speedFactor(long now) {
+		double weight = Math.pow(0.5, (now - this.speedUpdated) / SPEED_HALF_LIFE_MILLIS);
+		return 1 + (this.speedFactor - 1) * weight;
+	}
+
+	boolean isPaused(long now) {
+		return now < this.pausedUntil;
+	}
+
+	/**
+	 * Returns whether requests wait for an answer much longer than expected while no
+	 * other answer comes.
+	 * @param now monotonic time, in milliseconds
+	 * @param floorMillis shortest wait that counts
+	 * @return whether the endpoint seems to be silent
+	 */
+	boolean isSilent(long now, long floorMillis) {
+		for (EndpointCall call : this.unanswered) {
+			double limit = Math.max(floorMillis, 4 * call.expectedMillis());
+			if (now - Math.max(call.sentMillis(), this.lastAnswerMillis) > limit) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	/**
+	 * Returns requests that the endpoint has, own ones and an estimate of others.
+	 * @param now monotonic time, in milliseconds
+	 * @return number of requests
+	 */
+	double occupancy(long now) {
+		EndpointLoad known = this.load;
+		if (known == null || now - this.loadMillis > 2_000) {
+			return this.outstanding;
+		}
+		double others = Math.max(0, known.running() + known.waiting() - this.outstandingAtLoad);
+		double fading = 1 - (now - this.loadMillis) / 2_000.0;
+		return this.outstanding + others * fading;
+	}
+
+	long unreadTokens() {
+		return this.unreadTokens;
+	}
+
+	int outstanding() {
+		return this.outstanding;
+	}
+
+	PromptCacheEstimate promptCache() {
+		return this.promptCache;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/serving/PieceResult.java
@@ -0,0 +1,23 @@
+package org.magnoliahub.serving;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Result of one piece.
+ *
+ * @param handle where the result lies, or {@code null} if there is none
+ * @param availabilityZone zone of the endpoint that made it
+ * @param failure why there is no result, or {@code null}
+ */
+public record PieceResult(@Nullable String handle, String availabilityZone, @Nullable PieceFailure failure) {
+
+	/**
+	 * Creates a failure.
+	 * @param failure the reason
+	 * @return the result
+	 */
+	public static PieceResult failed(PieceFailure failure) {
+		return new PieceResult(null, "", failure);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/serving/ServiceDefinition.java
@@ -0,0 +1,14 @@
+package org.magnoliahub.serving;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A service of the configuration.
+ *
+ * @param name unique name
+ * @param healthPath path of the health check
+ * @param stagePool set for services that work on stages
+ * @param engine whether the endpoints are model engines
+ */
+public record ServiceDefinition(String name, String healthPath, @Nullable StagePool stagePool, boolean engine) {
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/serving/ServingConfiguration.java
@@ -0,0 +1,133 @@
+package org.magnoliahub.serving;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the operator's configuration, immutable.
+ */
+public final class ServingConfiguration {
+
+	private final long version;
+
+	private final Map<String, List<Route>> routesByHost;
+
+	private final Map<String, ServiceDefinition> services;
+
+	private final CallerLimits limits;
+
+	private final boolean keysRequired;
+
+	private final Map<String, WorkspaceKey> keys;
+
+	private ServingConfiguration(long version, Map<String, List<Route>> routesByHost,
+			Map<String, ServiceDefinition> services, CallerLimits limits, boolean keysRequired,
+			Map<String, WorkspaceKey> keys) {
+		this.version = version;
+		this.routesByHost = routesByHost;
+		this.services = services;
+		this.limits = limits;
+		this.keysRequired = keysRequired;
+		this.keys = keys;
+	}
+
+	/**
+	 * Creates a configuration.
+	 * @param version number that grows with each change
+	 * @param routes all routes
+	 * @param services all services
+	 * @param limits bounds on callers
+	 * @param keysRequired whether requests of routes that are not anonymous need a key
+	 * @param keys workspaces by key
+	 * @return the configuration
+	 */
+	public static ServingConfiguration of(long version, List<Route> routes, List<ServiceDefinition> services,
+			CallerLimits limits, boolean keysRequired, Map<String, WorkspaceKey> keys) {
+		Map<String, List<Route>> byHost = new HashMap<>();
+		for (Route route : routes) {
+			byHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), (host) -> new ArrayList<>()).add(route);
+		}
+		for (List<Route> list : byHost.values()) {
+			list.sort((a, b) -> Integer.compare(b.pathPrefix().length(), a.pathPrefix().length()));
+		}
+		Map<String, ServiceDefinition> byName = new HashMap<>();
+		for (ServiceDefinition service : services) {
+			byName.put(service.name(), service);
+		}
+		return new ServingConfiguration(version, byHost, byName, limits, keysRequired, Map.copyOf(keys));
+	}
+
+	/**
+	 * Returns the version.
+	 * @return a number that grows with each change
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns the bounds on callers.
+	 * @return the limits
+	 */
+	public CallerLimits limits() {
+		return this.limits;
+	}
+
+	/**
+	 * Finds the route with the longest prefix of a path.
+	 * @param host value of the host header, with or without a port
+	 * @param target request target, with or without a query
+	 * @return the route, or empty if none matches
+	 */
+	public Optional<Route> route(String host, String target) {
+		int colon = host.lastIndexOf(':');
+		String name = ((colon >= 0) ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+		int query = target.indexOf('?');
+		String path = (query >= 0) ? target.substring(0, query) : target;
+		for (Route route : this.routesByHost.getOrDefault(name, List.of())) {
+			if (path.startsWith(route.pathPrefix())) {
+				return Optional.of(route);
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Returns a service.
+	 * @param name its name
+	 * @return the service, or empty if it is not configured
+	 */
+	public Optional<ServiceDefinition> service(String name) {
+		return Optional.ofNullable(this.services.get(name));
+	}
+
+	/**
+	 * Returns all services.
+	 * @return services in no particular order
+	 */
+	public Iterable<ServiceDefinition> services() {
+		return this.services.values();
+	}
+
+	/**
+	 * Returns whether requests of routes that are not anonymous need a key.
+	 * @return whether workspaces are configured
+	 */
+	public boolean keysRequired() {
+		return this.keysRequired;
+	}
+
+	/**
+	 * Returns the workspace that holds a key.
+	 * @param key the key
+	 * @return the workspace, or empty if the key is unknown
+	 */
+	public Optional<WorkspaceKey> workspace(String key) {
+		return Optional.ofNullable(this.keys.get(key));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/serving/StageCall.java
@@ -0,0 +1,30 @@
+package org.magnoliahub.serving;
+
+import java.util.List;
+
+/**
+ * A call to a stage endpoint.
+ *
+ * @param endpoint the endpoint
+ * @param tasks pieces in the order of the call
+ * @param expectedMillis expected time, in milliseconds
+ * @param call the endpoint's record of the call
+ */
+public record StageCall(EndpointState endpoint, List<StageTask> tasks, double expectedMillis, EndpointCall call) {
+
+	/**
+	 * Copies the list.
+	 */
+	public StageCall {
+		tasks = List.copyOf(tasks);
+	}
+
+	long resultBytes() {
+		long bytes = 0;
+		for (StageTask task : this.tasks) {
+			bytes += task.work().resultBytes();
+		}
+		return bytes;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/serving/StageProgress.java
@@ -0,0 +1,191 @@
+package org.magnoliahub.serving;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The stages of one request: which pieces are done, which stages can start, and what the
+ * request itself takes as input.
+ */
+public final class StageProgress {
+
+	private final List<RouteStage> stages;
+
+	private final List<Map<Integer, PieceResult>> results = new ArrayList<>();
+
+	private final int[] pieces;
+
+	private final boolean[] started;
+
+	/**
+	 * Creates the progress of a request whose stages have not started.
+	 * @param stages stages of its route
+	 * @param pieceCounts pieces of each stage; a missing count stands for one piece
+	 */
+	public StageProgress(List<RouteStage> stages, List<Integer> pieceCounts) {
+		this.stages = stages;
+		this.pieces = new int[stages.size()];
+		this.started = new boolean[stages.size()];
+		for (int stage = 0; stage < stages.size(); stage++) {
+			this.pieces[stage] = (stage < pieceCounts.size()) ? pieceCounts.get(stage) : 1;
+			this.results.add(new HashMap<>());
+		}
+	}
+
+	/**
+	 * Returns the number of pieces of a stage.
+	 * @param stage index of the stage
+	 * @return pieces, zero if the stage is omitted
+	 */
+	public int pieces(int stage) {
+		return this.pieces[stage];
+	}
+
+	/**
+	 * Returns the stages that can start, and counts them as started.
+	 * @return indexes of stages
+	 */
+	public List<Integer> startReady() {
+		List<Integer> ready = new ArrayList<>();
+		for (int stage = 0; stage < this.pieces.length; stage++) {
+			if (this.started[stage] || this.pieces[stage] == 0) {
+				continue;
+			}
+			if (this.stages.get(stage).inputStages().stream().allMatch(this::isDone)) {
+				this.started[stage] = true;
+				ready.add(stage);
+			}
+		}
+		return ready;
+	}
+
+	/**
+	 * Notes the result of a piece.
+	 * @param stage index of the stage
+	 * @param piece index of the piece
+	 * @param result the result, with a handle
+	 * @return whether it is the first result of the piece
+	 */
+	public boolean done(int stage, int piece, PieceResult result) {
+		return this.results.get(stage).putIfAbsent(piece, result) == null;
+	}
+
+	/**
+	 * Returns whether all pieces of a stage are done.
+	 * @param stage index of the stage
+	 * @return whether it is done or omitted
+	 */
+	public boolean isDone(int stage) {
+		return this.results.get(stage).size() >= this.pieces[stage];
+	}
+
+	/**
+	 * Returns whether all stages are done.
+	 * @return whether the request itself can run
+	 */
+	public boolean isComplete() {
+		for (int stage = 0; stage < this.pieces.length; stage++) {
+			if (!isDone(stage)) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	/**
+	 * Returns the pieces of a stage that have no result.
+	 * @param stage index of the stage
+	 * @return indexes of pieces
+	 */
+	public List<Integer> missing(int stage) {
+		List<Integer> missing = new ArrayList<>();
+		for (int piece = 0; piece < this.pieces[stage]; piece++) {
+			if (!this.results.get(stage).containsKey(piece)) {
+				missing.add(piece);
+			}
+		}
+		return missing;
+	}
+
+	/**
+	 * Returns what the pieces of a stage take as input.
+	 * @param stage index of the stage
+	 * @return handles in the order of stages and pieces
+	 */
+	public List<String> inputs(int stage) {
+		List<String> inputs = new ArrayList<>();
+		for (int source : this.stages.get(stage).inputStages()) {
+			inputs.addAll(handles(source));
+		}
+		return inputs;
+	}
+
+	/**
+	 * Returns what the request itself takes as input.
+	 * @return handles of the stages that no other stage follows
+	 */
+	public List<String> requestInputs() {
+		List<String> inputs = new ArrayList<>();
+		for (int stage = 0; stage < this.pieces.length; stage++) {
+			if (isLast(stage)) {
+				inputs.addAll(handles(stage));
+			}
+		}
+		return inputs;
+	}
+
+	/**
+	 * Returns how the input of the request is spread over zones.
+	 * @return bytes by zone
+	 */
+	public Map<String, Long> requestInputZones() {
+		Map<String, Long> bytes = new HashMap<>();
+		for (int stage = 0; stage < this.pieces.length; stage++) {
+			if (!isLast(stage)) {
+				continue;
+			}
+			for (PieceResult result : this.results.get(stage).values()) {
+				bytes.merge(result.availabilityZone(), this.stages.get(stage).resultBytes(), Long::sum);
+			}
+		}
+		return bytes;
+	}
+
+	/**
+	 * Returns the handles of a stage.
+	 * @param stage index of the stage
+	 * @return handles in the order of pieces
+	 */
+	public List<String> handles(int stage) {
+		List<String> handles = new ArrayList<>();
+		for (int piece = 0; piece < this.pieces[stage]; piece++) {
+			PieceResult result = this.results.get(stage).get(piece);
+			if (result != null && result.handle() != null) {
+				handles.add(result.handle());
+			}
+		}
+		return handles;
+	}
+
+	/**
+	 * Returns the number of stages that follow a stage, the request itself not counted.
+	 * @param stage index of the stage
+	 * @return length of the longest chain behind it
+	 */
+	public int stagesAfter(int stage) {
+		int longest = 0;
+		for (int next = 0; next < this.pieces.length; next++) {
+			if (this.pieces[next] > 0 && this.stages.get(next).inputStages().contains(stage)) {
+				longest = Math.max(longest, 1 + stagesAfter(next));
+			}
+		}
+		return longest;
+	}
+
+	private boolean isLast(int stage) {
+		return this.stages.stream().noneMatch((other) -> other.inputStages().contains(stage));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -0,0 +1,372 @@
+package org.magnoliahub.serving;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Forms the calls of one stage service from the pieces of all gateways.
+ * <p>
+ * An endpoint works on one call at a time, and a call costs much more than a piece. So a
+ * call is formed only when an endpoint is free, from the pieces that are most urgent
+ * then; under load the calls fill by themselves. Pieces of requests that can still meet
+ * their latency objective go first.
+ */
+public final class StageQueue {
+
+	/** How much one rank of priority counts against urgency. */
+	private static final long PRIORITY_MILLIS = 300;
+
+	private static final int MAXIMUM_TRIES = 3;
+
+	/** Pause of an endpoint that has no room for results or is full with other calls. */
+	private static final long FULL_PAUSE_MILLIS = 150;
+
+	private static final long SILENCE_MILLIS = 900;
+
+	/** An endpoint this much slower than usual gets calls only under pressure. */
+	private static final double SLOW_FACTOR = 1.6;
+
+	private final String service;
+
+	private final EndpointDirectory directory;
+
+	private final RepeatBudget budget;
+
+	private final List<StageTask> waiting = new ArrayList<>();
+
+	private final Map<String, StageCall> running = new HashMap<>();
+
+	private final Map<String, Map<String, StoredResult>> stored = new HashMap<>();
+
+	private final Set<GroupKey> cancelled = new HashSet<>();
+
+	private StagePool pool;
+
+	/**
+	 * Creates an empty queue.
+	 * @param service the service
+	 * @param pool its limits
+	 * @param directory the endpoints
+	 * @param budget limits pieces that are sent again
+	 */
+	public StageQueue(String service, StagePool pool, EndpointDirectory directory, RepeatBudget budget) {
+		this.service = service;
+		this.pool = pool;
+		this.directory = directory;
+		this.budget = budget;
+	}
+
+	/**
+	 * Returns the service.
+	 * @return its name
+	 */
+	public String service() {
+		return this.service;
+	}
+
+	/**
+	 * Sets the limits of a newer configuration.
+	 * @param newer the limits
+	 */
+	public void setPool(StagePool newer) {
+		this.pool = newer;
+	}
+
+	/**
+	 * Adds pieces.
+	 * @param work the submission
+	 * @param now monotonic time, in milliseconds
+	 */
+	public void add(StageWork work, long now) {
+		for (int piece : work.pieces()) {
+			this.waiting.add(new StageTask(work, piece, 0));
+			this.budget.first(this.service, now);
+		}
+	}
+
+	/**
+	 * Drops the pieces of a submission that have not started; the results of those that
+	 * have are to be freed when they arrive.
+	 * @param origin name of the gateway
+	 * @param group number of the submission
+	 */
+	public void cancel(String origin, long group) {
+		GroupKey key = new GroupKey(origin, group);
+		this.waiting.removeIf((task) -> GroupKey.of(task).equals(key));
+		for (StageCall call : this.running.values()) {
+			if (call.tasks().stream().anyMatch((task) -> GroupKey.of(task).equals(key))) {
+				this.cancelled.add(key);
+			}
+		}
+	}
+
+	/**
+	 * Returns whether the submission of a piece was cancelled.
+	 * @param task the piece
+	 * @return whether its result is no longer wanted
+	 */
+	public boolean isCancelled(StageTask task) {
+		return this.cancelled.contains(GroupKey.of(task));
+	}
+
+	/**
+	 * Removes pieces whose request ends before they could be done.
+	 * @param now monotonic time, in milliseconds
+	 * @return the removed pieces
+	 */
+	public List<StageTask> removeExpired(long now) {
+		List<StageTask> expired = new ArrayList<>();
+		double least = this.pool.expectedMillis(1);
+		Iterator<StageTask> tasks = this.waiting.iterator();
+		while (tasks.hasNext()) {
+			StageTask task = tasks.next();
+			if (task.work().expiresAt() - now < least) {
+				tasks.remove();
+				expired.add(task);
+			}
+		}
+		return expired;
+	}
+
+	/**
+	 * Forms the next call if an endpoint is free and pieces wait.
+	 * @param now monotonic time, in milliseconds
+	 * @return the call, which counts as running until it is completed or failed
+	 */
+	public Optional<StageCall> next(long now) {
+		if (this.waiting.isEmpty()) {
+			return Optional.empty();
+		}
+		EndpointState endpoint = freeEndpoint(now);
+		if (endpoint == null) {
+			return Optional.empty();
+		}
+		this.waiting.sort(Comparator.comparingLong((task) -> urgency(task.work(), now)));
+		List<StageTask> tasks = take(freeBytes(endpoint, now));
+		if (tasks.isEmpty()) {
+			endpoint.pause(now, FULL_PAUSE_MILLIS);
+			return Optional.empty();
+		}
+		double expected = this.pool.expectedMillis(tasks.size());
+		StageCall call = new StageCall(endpoint, tasks, expected, endpoint.begin(now, expected, 0));
+		this.running.put(endpoint.record().id(), call);
+		return Optional.of(call);
+	}
+
+	private List<StageTask> take(long freeBytes) {
+		List<StageTask> tasks = new ArrayList<>();
+		long bytes = freeBytes;
+		Iterator<StageTask> candidates = this.waiting.iterator();
+		while (candidates.hasNext() && tasks.size() < this.pool.batchSize()) {
+			StageTask task = candidates.next();
+			if (task.work().resultBytes() > bytes) {
+				continue;
+			}
+			bytes -= task.work().resultBytes();
+			candidates.remove();
+			tasks.add(task);
+		}
+		return tasks;
+	}
+
+	private static long urgency(StageWork work, long now) {
+		long late = (work.startBy() < now) ? 1_000_000 : 0;
+		return late + work.startBy() + PRIORITY_MILLIS * work.priority();
+	}
+
+	private @Nullable EndpointState freeEndpoint(long now) {
+		EndpointState best = null;
+		int usual = 0;
+		for (EndpointState endpoint : this.directory.usable(this.service, now)) {
+			boolean sound = !endpoint.isPaused(now) && !endpoint.isSilent(now, SILENCE_MILLIS);
+			if (sound && endpoint.speedFactor(now) < SLOW_FACTOR) {
+				usual++;
+			}
+			if (!sound || this.running.containsKey(endpoint.record().id())) {
+				continue;
+			}
+			if (best == null || cost(endpoint, now) < cost(best, now)) {
+				best = endpoint;
+			}
+		}
+		if (best != null && best.speedFactor(now) >= SLOW_FACTOR
+				&& this.waiting.size() < usual * this.pool.batchSize()) {
+			return null;
+		}
+		return best;
+	}
+
+	private static double cost(EndpointState endpoint, long now) {
+		return endpoint.speedFactor(now) / Math.max(0.05, 1 - endpoint.failureShare(now));
+	}
+
+	private long freeBytes(EndpointState endpoint, long now) {
+		Map<String, StoredResult> results = this.stored.getOrDefault(endpoint.record().id(), Map.of());
+		long used = 0;
+		Iterator<StoredResult> stored = results.values().iterator();
+		while (stored.hasNext()) {
+			StoredResult result = stored.next();
+			if (result.expiresAt() <= now) {
+				stored.remove();
+			}
+			else {
+				used += result.bytes();
+			}
+		}
+		return this.pool.resultBytes() - used;
+	}
+
+	/**
+	 * Notes the answer of a call.
+	 * @param call the call
+	 * @param results a result for each of its pieces
+	 * @param now monotonic time, in milliseconds
+	 * @return pieces that are done, with their results; the others wait again
+	 */
+	public List<CompletedPiece> completed(StageCall call, List<PieceResult> results, long now) {
+		end(call);
+		call.call().answered(now);
+		call.call().end();
+		call.endpoint().succeeded(now);
+		List<CompletedPiece> done = new ArrayList<>();
+		boolean room = true;
+		for (int index = 0; index < call.tasks().size(); index++) {
+			StageTask task = call.tasks().get(index);
+			PieceResult result = results.get(index);
+			if (result.handle() != null) {
+				store(call.endpoint(), result.handle(), task.work().resultBytes(), now);
+			}
+			PieceFailure failure = result.failure();
+			room &= failure != PieceFailure.NO_ROOM;
+			boolean again = (failure == PieceFailure.NO_ROOM || failure == PieceFailure.FAILED) && retry(task, now);
+			if (!again) {
+				done.add(new CompletedPiece(task, result));
+			}
+		}
+		if (!room) {
+			call.endpoint().pause(now, FULL_PAUSE_MILLIS);
+		}
+		return done;
+	}
+
+	/**
+	 * Notes that a call has no answer, or that the endpoint refused it.
+	 * @param call the call
+	 * @param refused whether the endpoint is full with other calls
+	 * @param now monotonic time, in milliseconds
+	 * @return pieces that are given up; the others wait again
+	 */
+	public List<CompletedPiece> failed(StageCall call, boolean refused, long now) {
+		end(call);
+		call.call().end();
+		if (refused) {
+			call.endpoint().pause(now, FULL_PAUSE_MILLIS);
+		}
+		else {
+			call.endpoint().failed(now, true);
+		}
+		List<CompletedPiece> givenUp = new ArrayList<>();
+		for (StageTask task : call.tasks()) {
+			if (!retry(task, now)) {
+				givenUp.add(new CompletedPiece(task, PieceResult.failed(PieceFailure.FAILED)));
+			}
+		}
+		return givenUp;
+	}
+
+	private void end(StageCall call) {
+		this.running.remove(call.endpoint().record().id(), call);
+	}
+
+	private boolean retry(StageTask task, long now) {
+		if (isCancelled(task) || task.tries() + 1 >= MAXIMUM_TRIES || !this.budget.tryRepeat(this.service, now)) {
+			return false;
+		}
+		this.waiting.add(task.again());
+		return true;
+	}
+
+	private void store(EndpointState endpoint, String handle, long bytes, long now) {
+		this.stored.computeIfAbsent(endpoint.record().id(), (id) -> new HashMap<>())
+			.put(handle, new StoredResult(bytes, now + this.pool.resultLifetimeMillis()));
+	}
+
+	/**
+	 * Notes that results were given up.
+	 * @param handles their handles
+	 */
+	public void freed(List<String> handles) {
+		for (Map<String, StoredResult> results : this.stored.values()) {
+			handles.forEach(results::remove);
+		}
+	}
+
+	/**
+	 * Forgets cancelled submissions that have no running call.
+	 */
+	public void forgetCancelled() {
+		Set<GroupKey> live = new HashSet<>();
+		for (StageCall call : this.running.values()) {
+			call.tasks().forEach((task) -> live.add(GroupKey.of(task)));
+		}
+		this.cancelled.retainAll(live);
+	}
+
+	/**
+	 * Returns how long a new piece of usual urgency waits for its call.
+	 * @param now monotonic time, in milliseconds
+	 * @return milliseconds, very large if no endpoint is usable
+	 */
+	public double expectedWaitMillis(long now) {
+		double capacity = 0;
+		for (EndpointState endpoint : this.directory.usable(this.service, now)) {
+			if (!endpoint.isPaused(now) && !endpoint.isSilent(now, SILENCE_MILLIS)) {
+				capacity += 1 / Math.max(0.3, endpoint.speedFactor(now));
+			}
+		}
+		if (capacity == 0) {
+			return Long.MAX_VALUE;
+		}
+		double fullCall = this.pool.expectedMillis(this.pool.batchSize());
+		double calls = Math.floor((double) this.waiting.size() / this.pool.batchSize());
+		return calls * fullCall / capacity;
+	}
+
+	/**
+	 * Returns the number of pieces that wait.
+	 * @return pieces
+	 */
+	public int size() {
+		return this.waiting.size();
+	}
+
+	/**
+	 * A piece that is done.
+	 *
+	 * @param task the piece
+	 * @param result its result
+	 */
+	public record CompletedPiece(StageTask task, PieceResult result) {
+	}
+
+	private record StoredResult(long bytes, long expiresAt) {
+	}
+
+	private record GroupKey(String origin, long group) {
+
+		private static GroupKey of(StageTask task) {
+			return new GroupKey(task.work().origin(), task.work().group());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/serving/StageTask.java
@@ -0,0 +1,16 @@
+package org.magnoliahub.serving;
+
+/**
+ * One piece that waits for or is part of a call.
+ *
+ * @param work the submission it belongs to
+ * @param piece index of the piece
+ * @param tries calls that it was part of before
+ */
+public record StageTask(StageWork work, int piece, int tries) {
+
+	StageTask again() {
+		return new StageTask(this.work, this.piece, this.tries + 1);
+	}
+
+}
