Write the event log to standard output

Cause: the logging context had no MDC adapter, so the asynchronous appender failed for each line and nothing reached standard output. Ruled out: the limits of the event log; a line written directly was lost too.

--- a/src/main/java/org/magnoliahub/entry/EntryMain.java
+++ b/src/main/java/org/magnoliahub/entry/EntryMain.java
@@ -30,6 +30,9 @@
 	 */
 	public static void main(String[] arguments) throws InterruptedException {
 		InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+		// Netty only uses it for ids of channels; without it, it looks for a hardware
+		// address.
+		System.setProperty("io.netty.machineId", "02:00:00:00:00:00:00:01");
 		if (arguments.length == 1 && arguments[0].equals(WARM_UP)) {
 			WarmUp.run();
 			return;
--- a/src/main/java/org/magnoliahub/entry/StandardOutput.java
+++ b/src/main/java/org/magnoliahub/entry/StandardOutput.java
@@ -8,6 +8,7 @@
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.ConsoleAppender;
 
 /**
@@ -27,6 +28,7 @@
 	 */
 	static Consumer<String> open() {
 		LoggerContext context = new LoggerContext();
+		context.setMDCAdapter(new LogbackMDCAdapter());
 		PatternLayoutEncoder encoder = new PatternLayoutEncoder();
 		encoder.setContext(context);
 		encoder.setPattern("%msg");
