--- a/src/main/java/org/magnoliahub/entry/EntryContext.java
+++ b/src/main/java/org/magnoliahub/entry/EntryContext.java
@@ -7,6 +7,7 @@
 import org.magnoliahub.serving.EndpointSelector;
 import org.magnoliahub.serving.RepeatBudget;
 import org.magnoliahub.serving.ServingConfiguration;
+import org.magnoliahub.serving.StopPlan;
 import org.magnoliahub.time.TimerService;
 
 /**
@@ -19,9 +20,11 @@
  * @param selector chooses endpoints
  * @param budget limits repeats
  * @param currentConfiguration the configuration in force
+ * @param stopPlan what is still taken during a planned stop
  */
 record EntryContext(TimerService timers, EntryLog log, HttpClient http, EndpointDirectory directory,
-		EndpointSelector selector, RepeatBudget budget, Supplier<Optional<ServingConfiguration>> currentConfiguration) {
+		EndpointSelector selector, RepeatBudget budget, Supplier<Optional<ServingConfiguration>> currentConfiguration,
+		StopPlan stopPlan) {
 
 	long now() {
 		return this.timers.milliTime();
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -45,6 +45,9 @@
 	/** A request was accepted. */
 	REQUEST_ADMITTED(Importance.LOW, "id", "route", "workspace", "budget_ms", "pieces", "configuration"),
 
+	/** The stages of a request wait until the queues are short. */
+	REQUEST_QUEUED(Importance.LOW, "id", "wait_ms", "chain_ms", "queued"),
+
 	/** A request was refused; nothing of it ran. */
 	REQUEST_REFUSED(Importance.HIGH, "id", "route", "status", "reason", "age_ms", "retry_after_ms"),
 
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -31,6 +31,7 @@
 import org.magnoliahub.serving.EndpointSelector;
 import org.magnoliahub.serving.RepeatBudget;
 import org.magnoliahub.serving.ServingConfiguration;
+import org.magnoliahub.serving.StopPlan;
 import org.magnoliahub.time.SchedulerTimerService;
 import org.magnoliahub.time.TimerService;
 
@@ -52,12 +53,6 @@
 
 	private static final int OK = 200;
 
-	/** Time in which the platform's balancer takes a gateway out of rotation. */
-	private static final long ROTATION_MILLIS = 2_500;
-
-	/** Time before the kill at which the process ends by itself. */
-	private static final long GRACE_MARGIN_MILLIS = 300;
-
 	private static final long STOP_CHECK_MILLIS = 50;
 
 	private final NodeSettings settings;
@@ -96,20 +91,21 @@
 
 	private int openRequests;
 
-	private boolean draining;
+	private final StopPlan stopPlan;
 
 	private EntryGateway(NodeSettings settings, Consumer<String> output) {
 		this.settings = settings;
 		this.group = new NioEventLoopGroup(1);
 		this.timers = SchedulerTimerService.of(Schedulers.from(this.group.next()), System::nanoTime);
 		this.log = new EntryLog(this.timers, output);
+		this.stopPlan = new StopPlan(settings.bounds().graceMillis());
 		HttpClient http = new HttpClient(this.group, this.timers);
 		NodeSettings.Bounds bounds = settings.bounds();
 		RepeatBudget budget = new RepeatBudget(bounds.repeatRatio(), bounds.repeatConstant(),
 				bounds.repeatWindowMillis());
 		EndpointSelector selector = new EndpointSelector(this.directory, settings.availabilityZone(), this.random);
 		this.context = new EntryContext(this.timers, this.log, http, this.directory, selector, budget,
-				() -> Optional.ofNullable(this.configuration));
+				() -> Optional.ofNullable(this.configuration), this.stopPlan);
 		this.store = new StoreClient(http, this.timers, text(settings.storeAddress()));
 		this.stages = new StageCoordinator(this.context, this.group, settings.nodeName());
 		this.callers = new CallerServer(this.timers, this::limits, this::accept, this.log);
@@ -175,7 +171,7 @@
 	}
 
 	private boolean isReady() {
-		return !this.draining && this.configuration != null && this.directory.isKnown();
+		return !this.stopPlan.isStopping() && this.configuration != null && this.directory.isKnown();
 	}
 
 	private void accept(CallerExchange exchange) {
@@ -184,7 +180,7 @@
 	}
 
 	private void register() {
-		if (this.draining) {
+		if (this.stopPlan.isStopping()) {
 			return;
 		}
 		MemberRecord own = new MemberRecord(this.settings.nodeName(),
@@ -228,20 +224,18 @@
 	}
 
 	private void drain(CountDownLatch done) {
-		this.draining = true;
-		long began = this.timers.milliTime();
+		this.stopPlan.begin(this.timers.milliTime());
 		this.log.event(EntryEvent.STOPPING)
 			.field("open_requests", this.openRequests)
 			.field("connections", this.callers.connectionCount())
 			.write();
 		this.callers.drain();
-		this.timers.after(Duration.ofMillis(ROTATION_MILLIS)).subscribe(this.callers::closeIdle);
-		long last = began + this.settings.bounds().graceMillis() - GRACE_MARGIN_MILLIS;
+		this.timers.after(Duration.ofMillis(StopPlan.ROTATION_MILLIS)).subscribe(this.callers::closeIdle);
 		this.timers.every(Duration.ofMillis(STOP_CHECK_MILLIS)).subscribe((tick) -> {
 			long now = this.timers.milliTime();
 			boolean idle = this.openRequests == 0 && this.callers.connectionCount() == 0
-					&& now - began > ROTATION_MILLIS;
-			if (idle || now >= last) {
+					&& this.stopPlan.isOutOfRotation(now);
+			if (idle || now >= this.stopPlan.endsAt()) {
 				this.log.event(EntryEvent.STOPPED).field("open_requests", this.openRequests).write();
 				this.log.flush();
 				done.countDown();
--- a/src/main/java/org/magnoliahub/entry/PeerCodec.java
+++ b/src/main/java/org/magnoliahub/entry/PeerCodec.java
@@ -66,10 +66,10 @@
 			packOptional(packer, submit.key());
 			packTexts(packer, submit.inputs());
 			packer.packLong(submit.resultBytes()).packLong(submit.startBudgetMillis());
-			packer.packLong(submit.budgetMillis()).packInt(submit.priority());
+			packer.packLong(submit.budgetMillis()).packInt(submit.priority()).packString(submit.preferredZone());
 		}
 		else if (message instanceof PeerMessage.Result result) {
-			packer.packInt(RESULT).packLong(result.group()).packInt(result.piece());
+			packer.packInt(RESULT).packString(result.service()).packLong(result.group()).packInt(result.piece());
 			packOptional(packer, result.handle());
 			packer.packString(result.availabilityZone());
 			packOptional(packer, (result.failure() != null) ? result.failure().name() : null);
@@ -140,16 +140,17 @@
 		String key = optional(unpacker);
 		List<String> inputs = texts(unpacker);
 		return new PeerMessage.Submit(service, group, requestId, stage, pieces, key, inputs, unpacker.unpackLong(),
-				unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackInt());
+				unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackInt(), unpacker.unpackString());
 	}
 
 	private static PeerMessage result(MessageUnpacker unpacker) throws IOException {
+		String service = unpacker.unpackString();
 		long group = unpacker.unpackLong();
 		int piece = unpacker.unpackInt();
 		String handle = optional(unpacker);
 		String zone = unpacker.unpackString();
 		String failure = optional(unpacker);
-		return new PeerMessage.Result(group, piece, handle, zone,
+		return new PeerMessage.Result(service, group, piece, handle, zone,
 				(failure != null) ? PieceFailure.valueOf(failure) : null);
 	}
 
--- a/src/main/java/org/magnoliahub/entry/PeerMessage.java
+++ b/src/main/java/org/magnoliahub/entry/PeerMessage.java
@@ -41,22 +41,24 @@
 	 * @param startBudgetMillis time within which they have to start to be in time
 	 * @param budgetMillis time until the request ends
 	 * @param priority rank of the route
+	 * @param preferredZone zone of the inputs or of the use of the results, or empty
 	 */
 	record Submit(String service, long group, String requestId, int stage, List<Integer> pieces, @Nullable String key,
-			List<String> inputs, long resultBytes, long startBudgetMillis, long budgetMillis,
-			int priority) implements PeerMessage {
+			List<String> inputs, long resultBytes, long startBudgetMillis, long budgetMillis, int priority,
+			String preferredZone) implements PeerMessage {
 	}
 
 	/**
 	 * Result of a piece.
 	 *
+	 * @param service the service that made it
 	 * @param group number of the submission
 	 * @param piece index of the piece
 	 * @param handle where the result lies, or {@code null}
 	 * @param availabilityZone zone in which it lies
 	 * @param failure why there is no result, or {@code null}
 	 */
-	record Result(long group, int piece, @Nullable String handle, String availabilityZone,
+	record Result(String service, long group, int piece, @Nullable String handle, String availabilityZone,
 			@Nullable PieceFailure failure) implements PeerMessage {
 	}
 
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -19,6 +19,7 @@
 import org.magnoliahub.serving.Route;
 import org.magnoliahub.serving.ServiceDefinition;
 import org.magnoliahub.serving.ServingConfiguration;
+import org.magnoliahub.serving.StartGate;
 import org.magnoliahub.serving.WorkspaceKey;
 
 /**
@@ -71,6 +72,8 @@
 
 	private @Nullable StageRun stageRun;
 
+	private StartGate.@Nullable Entry gateEntry;
+
 	private @Nullable Attempt attempt;
 
 	private final Set<String> tried = new HashSet<>();
@@ -115,6 +118,10 @@
 			refuse(UNAUTHORIZED, "unknown_key", -1);
 			return;
 		}
+		if (!this.context.stopPlan().mayTake(matched.kind(), this.context.now())) {
+			refuse(UNAVAILABLE, "stopping", 0);
+			return;
+		}
 		admit(configuration.get(), matched);
 	}
 
@@ -157,10 +164,25 @@
 			dispatch();
 			return;
 		}
+		String zone = this.engine ? this.context.selector().expectedZone(this.service, this.request, this.context.now())
+				: "";
 		StageRun run = new StageRun(this.context, this.stages, matched, this.request, this.exchange.arrivedMillis(),
-				this.deadlineMillis, new StageOutcome());
+				this.deadlineMillis, zone, new StageOutcome());
 		this.stageRun = run;
-		run.start();
+		StartGate.Entry entry = new StartGate.Entry(run::expectedWaitMillis, run.chainMillis(),
+				this.exchange.arrivedMillis() + matched.latencyObjectiveMillis(), matched.priority(), run::start);
+		if (this.stages.gate().offer(entry, this.context.now())) {
+			run.start();
+			return;
+		}
+		this.gateEntry = entry;
+		this.context.log()
+			.event(EntryEvent.REQUEST_QUEUED)
+			.field("id", this.request.requestId())
+			.field("wait_ms", run.expectedWaitMillis())
+			.field("chain_ms", entry.chainMillis())
+			.field("queued", this.stages.gate().size())
+			.write();
 	}
 
 	private void dispatch() {
@@ -464,6 +486,9 @@
 			this.attempt.cancel();
 			this.attempt = null;
 		}
+		if (this.gateEntry != null) {
+			this.stages.gate().remove(this.gateEntry);
+		}
 		if (this.stageRun != null) {
 			this.stageRun.cancel();
 		}
--- a/src/main/java/org/magnoliahub/entry/StageCalls.java
+++ b/src/main/java/org/magnoliahub/entry/StageCalls.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.reactivex.rxjava3.disposables.Disposable;
+import org.jspecify.annotations.Nullable;
 import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.platform.PlatformHeaders;
 import org.magnoliahub.platform.StageCallFormat;
@@ -44,8 +46,6 @@
 
 	private final StageCallFormat format = new StageCallFormat();
 
-	private final Map<String, List<String>> freed = new HashMap<>();
-
 	StageCalls(EntryContext context, PieceDelivery delivery) {
 		this.context = context;
 		this.delivery = delivery;
@@ -87,24 +87,25 @@
 	}
 
 	/**
-	 * Notes results to be given up with the next call.
+	 * Gives results up. Their room counts as free when the endpoint has answered.
+	 * @param queue the queue of the service, or {@code null} if this gateway has none
 	 * @param handles their handles
+	 * @param done called when room is free
 	 */
-	void free(List<String> handles) {
+	void free(@Nullable StageQueue queue, List<String> handles, Consumer<StageQueue> done) {
+		Map<String, List<String>> byAddress = new HashMap<>();
 		for (String handle : handles) {
-			this.freed.computeIfAbsent(StageCallFormat.address(handle), (address) -> new ArrayList<>()).add(handle);
+			byAddress.computeIfAbsent(StageCallFormat.address(handle), (address) -> new ArrayList<>()).add(handle);
 		}
-	}
-
-	/**
-	 * Sends the calls that give results up.
-	 */
-	void flushFreed() {
-		this.freed.forEach((address, handles) -> this.context.http()
+		byAddress.forEach((address, list) -> this.context.http()
 			.send(new HttpCall(address, HttpMethod.POST, StageCallFormat.FREE_PATH,
-					PlatformHeaders.ownCallHeaders("", 0), this.format.free(handles), IDLE_MILLIS, CONNECT_MILLIS,
-					(response) -> true), new IgnoredAnswer()));
-		this.freed.clear();
+					PlatformHeaders.ownCallHeaders("", 0), this.format.free(list), IDLE_MILLIS, CONNECT_MILLIS,
+					(response) -> true), new FreeAnswer(() -> {
+						if (queue != null) {
+							queue.freed(list);
+							done.accept(queue);
+						}
+					})));
 	}
 
 	/**
@@ -114,14 +115,21 @@
 
 		/**
 		 * Called once for each piece that is done or given up.
+		 * @param service the service
 		 * @param task the piece
 		 * @param result its result
 		 */
-		void deliver(StageTask task, PieceResult result);
+		void deliver(String service, StageTask task, PieceResult result);
 
 	}
 
-	private static final class IgnoredAnswer implements AnswerListener {
+	private static final class FreeAnswer implements AnswerListener {
+
+		private final Runnable done;
+
+		private FreeAnswer(Runnable done) {
+			this.done = done;
+		}
 
 		@Override
 		public void onHead(HttpResponse response) {
@@ -133,6 +141,7 @@
 
 		@Override
 		public void onEnd() {
+			this.done.run();
 		}
 
 		@Override
@@ -230,11 +239,10 @@
 			for (StageQueue.CompletedPiece piece : pieces) {
 				String handle = piece.result().handle();
 				if (handle != null && this.queue.isCancelled(piece.task())) {
-					this.queue.freed(List.of(handle));
-					free(List.of(handle));
+					free(this.queue, List.of(handle), (queue) -> this.done.run());
 					continue;
 				}
-				StageCalls.this.delivery.deliver(piece.task(), piece.result());
+				StageCalls.this.delivery.deliver(this.queue.service(), piece.task(), piece.result());
 			}
 		}
 
--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -20,6 +20,7 @@
 import org.magnoliahub.serving.StageQueue;
 import org.magnoliahub.serving.StageTask;
 import org.magnoliahub.serving.StageWork;
+import org.magnoliahub.serving.StartGate;
 
 /**
  * Brings the pieces for a stage service together at one gateway, which forms its calls.
@@ -30,7 +31,7 @@
 
 	private static final Duration TICK = Duration.ofMillis(50);
 
-	private static final int TICKS_PER_HEARTBEAT = 5;
+	private static final int TICKS_PER_HEARTBEAT = 3;
 
 	/** Gateways that are kept in touch with for each service. */
 	private static final int CANDIDATES = 3;
@@ -55,6 +56,8 @@
 
 	private final Map<Long, Submission> submissions = new HashMap<>();
 
+	private final StartGate gate = new StartGate();
+
 	private long nextGroup = 1;
 
 	private int ticks;
@@ -66,6 +69,10 @@
 		this.calls = new StageCalls(context, this::deliver);
 	}
 
+	StartGate gate() {
+		return this.gate;
+	}
+
 	PeerServer server() {
 		return this.server;
 	}
@@ -178,7 +185,8 @@
 	long submit(String service, StageWork work, PieceListener listener) {
 		long number = this.nextGroup++;
 		StageWork numbered = new StageWork(this.ownName, number, work.requestId(), work.stage(), work.pieces(),
-				work.key(), work.inputs(), work.resultBytes(), work.startBy(), work.expiresAt(), work.priority());
+				work.key(), work.inputs(), work.resultBytes(), work.startBy(), work.expiresAt(), work.priority(),
+				work.preferredZone());
 		Submission submission = new Submission(service, numbered, listener, owner(service));
 		this.submissions.put(number, submission);
 		this.context.log()
@@ -201,8 +209,8 @@
 			StageQueue queue = queue(submission.service);
 			if (queue == null) {
 				submission.work.pieces()
-					.forEach((piece) -> onResult(
-							new PeerMessage.Result(work.group(), piece, null, "", PieceFailure.FAILED)));
+					.forEach((piece) -> onResult(new PeerMessage.Result(submission.service, work.group(), piece, null,
+							"", PieceFailure.FAILED)));
 				return;
 			}
 			queue.add(work, now);
@@ -211,7 +219,7 @@
 		}
 		link.send(new PeerMessage.Submit(submission.service, work.group(), work.requestId(), work.stage(),
 				work.pieces(), work.key(), work.inputs(), work.resultBytes(), work.startBy() - now,
-				work.expiresAt() - now, work.priority()));
+				work.expiresAt() - now, work.priority(), work.preferredZone()));
 	}
 
 	/**
@@ -253,12 +261,7 @@
 	}
 
 	private void freeHere(String service, List<String> handles) {
-		StageQueue queue = this.queues.get(service);
-		if (queue != null) {
-			queue.freed(handles);
-			pump(queue);
-		}
-		this.calls.free(handles);
+		this.calls.free(this.queues.get(service), handles, this::pump);
 	}
 
 	private @Nullable StageQueue queue(String service) {
@@ -287,8 +290,8 @@
 		}
 	}
 
-	private void deliver(StageTask task, PieceResult result) {
-		PeerMessage.Result message = new PeerMessage.Result(task.work().group(), task.piece(), result.handle(),
+	private void deliver(String service, StageTask task, PieceResult result) {
+		PeerMessage.Result message = new PeerMessage.Result(service, task.work().group(), task.piece(), result.handle(),
 				result.availabilityZone(), result.failure());
 		if (task.work().origin().equals(this.ownName)) {
 			onResult(message);
@@ -301,13 +304,16 @@
 		long now = this.context.now();
 		for (StageQueue queue : this.queues.values()) {
 			for (StageTask task : queue.removeExpired(now)) {
-				deliver(task, PieceResult.failed(PieceFailure.LATE));
+				deliver(queue.service(), task, PieceResult.failed(PieceFailure.LATE));
 			}
 			queue.forgetCancelled();
 			pump(queue);
 		}
-		this.calls.flushFreed();
 		this.links.values().forEach(PeerLink::check);
+		StartGate.Entry next = this.gate.next();
+		if (next != null) {
+			next.start().run();
+		}
 		if (++this.ticks % TICKS_PER_HEARTBEAT == 0) {
 			this.server.beat(this::heartbeat);
 		}
@@ -327,12 +333,12 @@
 		if (message instanceof PeerMessage.Submit submit) {
 			StageWork work = new StageWork(member, submit.group(), submit.requestId(), submit.stage(), submit.pieces(),
 					submit.key(), submit.inputs(), submit.resultBytes(), now + submit.startBudgetMillis(),
-					now + submit.budgetMillis(), submit.priority());
+					now + submit.budgetMillis(), submit.priority(), submit.preferredZone());
 			StageQueue queue = queue(submit.service());
 			if (queue == null) {
 				submit.pieces()
-					.forEach((piece) -> this.server.send(member,
-							new PeerMessage.Result(submit.group(), piece, null, "", PieceFailure.FAILED)));
+					.forEach((piece) -> this.server.send(member, new PeerMessage.Result(submit.service(),
+							submit.group(), piece, null, "", PieceFailure.FAILED)));
 				return;
 			}
 			queue.add(work, now);
@@ -354,7 +360,7 @@
 		Submission submission = this.submissions.get(result.group());
 		if (submission == null) {
 			if (result.handle() != null) {
-				this.calls.free(List.of(result.handle()));
+				free(result.service(), List.of(result.handle()));
 			}
 			return;
 		}
@@ -378,7 +384,7 @@
 			this.submissions.remove(old.group());
 			StageWork rest = new StageWork(this.ownName, old.group(), old.requestId(), old.stage(),
 					new ArrayList<>(submission.open), old.key(), old.inputs(), old.resultBytes(), old.startBy(),
-					old.expiresAt(), old.priority());
+					old.expiresAt(), old.priority(), old.preferredZone());
 			Submission moved = new Submission(submission.service, rest, submission.listener, owner(submission.service));
 			this.submissions.put(old.group(), moved);
 			dispatch(moved);
--- a/src/main/java/org/magnoliahub/entry/StageRun.java
+++ b/src/main/java/org/magnoliahub/entry/StageRun.java
@@ -24,6 +24,9 @@
 	/** Time that the request itself takes to its first event, for the start of stages. */
 	private static final long FIRST_EVENT_MILLIS = 250;
 
+	/** Results from this size on are made near the engine that needs them. */
+	private static final long LARGE_RESULT_BYTES = 100_000;
+
 	private final EntryContext context;
 
 	private final StageCoordinator coordinator;
@@ -38,6 +41,8 @@
 
 	private final Listener listener;
 
+	private final String engineZone;
+
 	private final StageProgress progress;
 
 	private final Map<Integer, Long> submissions = new HashMap<>();
@@ -47,7 +52,7 @@
 	private boolean released;
 
 	StageRun(EntryContext context, StageCoordinator coordinator, Route route, CallerRequest request, long arrivedMillis,
-			long expiresAt, Listener listener) {
+			long expiresAt, String engineZone, Listener listener) {
 		this.context = context;
 		this.coordinator = coordinator;
 		this.route = route;
@@ -55,6 +60,7 @@
 		this.objectiveAt = arrivedMillis + route.latencyObjectiveMillis();
 		this.expiresAt = expiresAt;
 		this.listener = listener;
+		this.engineZone = engineZone;
 		this.progress = new StageProgress(route.stages(), request.pieces());
 	}
 
@@ -62,6 +68,42 @@
 		submitReady();
 	}
 
+	/**
+	 * Returns how long the pieces of the longest chain would wait if they were submitted
+	 * now.
+	 * @return milliseconds
+	 */
+	long expectedWaitMillis() {
+		long wait = 0;
+		for (int stage = firstOfChain(); stage >= 0; stage = follower(stage)) {
+			wait += this.coordinator.expectedWaitMillis(this.route.stages().get(stage).service());
+		}
+		return wait;
+	}
+
+	/**
+	 * Returns the least time from the start of the longest chain to the first event.
+	 * @return milliseconds
+	 */
+	long chainMillis() {
+		double millis = FIRST_EVENT_MILLIS;
+		for (int stage = firstOfChain(); stage >= 0; stage = follower(stage)) {
+			millis += callMillis(stage);
+		}
+		return (long) millis;
+	}
+
+	private int firstOfChain() {
+		int first = -1;
+		for (int stage = 0; stage < this.route.stages().size(); stage++) {
+			if (this.progress.pieces(stage) > 0
+					&& (first < 0 || this.progress.stagesAfter(stage) > this.progress.stagesAfter(first))) {
+				first = stage;
+			}
+		}
+		return first;
+	}
+
 	List<String> requestInputs() {
 		return this.progress.requestInputs();
 	}
@@ -85,10 +127,18 @@
 		List<String> inputs = this.progress.inputs(stage);
 		StageWork work = new StageWork("", 0, this.request.requestId(), stage, this.progress.missing(stage),
 				inputs.isEmpty() ? this.request.pieceKey() : null, inputs, definition.resultBytes(), startBy(stage),
-				this.expiresAt, this.route.priority());
+				this.expiresAt, this.route.priority(), zone(stage, inputs.isEmpty()));
 		this.submissions.put(stage, this.coordinator.submit(definition.service(), work, this));
 	}
 
+	private String zone(int stage, boolean withoutInputs) {
+		if (!withoutInputs) {
+			return this.progress.inputZone(stage);
+		}
+		boolean large = this.route.stages().get(stage).resultBytes() >= LARGE_RESULT_BYTES;
+		return (large && isLast(stage)) ? this.engineZone : "";
+	}
+
 	private long startBy(int stage) {
 		double rest = FIRST_EVENT_MILLIS + callMillis(stage);
 		int next = stage;
--- a/src/main/java/org/magnoliahub/entry/WarmUp.java
+++ b/src/main/java/org/magnoliahub/entry/WarmUp.java
@@ -10,6 +10,7 @@
 import org.magnoliahub.platform.NodeSettings;
 import org.magnoliahub.platform.NodeSettingsReader;
 import org.magnoliahub.platform.PlatformFormatException;
+import org.magnoliahub.platform.PlatformHeaders;
 
 /**
  * Runs a gateway for a moment without a platform, so that the archive of classes that the
@@ -29,7 +30,7 @@
 			NodeSettings settings = NodeSettingsReader.parse(settings(callers, readiness));
 			EntryGateway.start(settings, StandardOutput.open());
 			request(callers, "/");
-			request(readiness, "/api/readyz");
+			request(readiness, PlatformHeaders.READINESS_PATH);
 			Thread.sleep(PAUSE_MILLIS);
 			request(callers, "/again");
 		}
--- a/src/main/java/org/magnoliahub/serving/EndpointSelector.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointSelector.java
@@ -31,6 +31,11 @@
 	/** Time that moving one byte of stage results between zones is worth. */
 	private static final double OTHER_ZONE_MILLIS_PER_BYTE = 25e-6;
 
+	/**
+	 * Time that not reading a shared token again is worth, besides the time to read it.
+	 */
+	private static final double READ_AGAIN_MILLIS_PER_TOKEN = 0.045;
+
 	private static final long PLAIN_SILENCE_MILLIS = 250;
 
 	private static final long ENGINE_SILENCE_MILLIS = 500;
@@ -121,7 +126,8 @@
 			int unread = Math.max(0, request.promptTokens() - cached);
 			double expected = FIRST_EVENT_MILLIS + (endpoint.unreadTokens() + unread) / PROMPT_TOKENS_PER_MILLI;
 			double crowd = endpoint.occupancy(now) / Math.max(1, endpoint.record().slots());
-			double total = expected * endpoint.speedFactor(now) + crowdMillis(crowd);
+			double total = expected * endpoint.speedFactor(now) + crowdMillis(crowd)
+					+ Math.max(0, shared - cached) * READ_AGAIN_MILLIS_PER_TOKEN;
 			double cost = penalised(endpoint, total, ENGINE_SILENCE_MILLIS, now) + zoneCost(endpoint)
 					+ inputCost(endpoint, inputZones) + this.random.nextDouble();
 			if (cost < bestCost) {
@@ -132,6 +138,19 @@
 		return Optional.ofNullable(best);
 	}
 
+	/**
+	 * Returns the zone of the engine that a request will probably go to.
+	 * @param service the service
+	 * @param request the caller's request
+	 * @param now monotonic time, in milliseconds
+	 * @return the zone, empty if no engine is usable
+	 */
+	public String expectedZone(String service, CallerRequest request, long now) {
+		return engine(service, request, Map.of(), Set.of(), now)
+			.map((choice) -> choice.endpoint().record().availabilityZone())
+			.orElse("");
+	}
+
 	private static double crowdMillis(double crowd) {
 		return (crowd < 1) ? 60 * crowd : 60 + 1_000 * (crowd - 1);
 	}
--- a/src/main/java/org/magnoliahub/serving/StageProgress.java
+++ b/src/main/java/org/magnoliahub/serving/StageProgress.java
@@ -44,13 +44,16 @@
 	}
 
 	/**
-	 * Returns the stages that can start, and counts them as started.
+	 * Returns the stages that can start, and counts them as started. A stage of a short
+	 * chain starts only when no longer chain is open, because its results would hold room
+	 * meanwhile.
 	 * @return indexes of stages
 	 */
 	public List<Integer> startReady() {
 		List<Integer> ready = new ArrayList<>();
+		int longest = longestOpen();
 		for (int stage = 0; stage < this.pieces.length; stage++) {
-			if (this.started[stage] || this.pieces[stage] == 0) {
+			if (this.started[stage] || this.pieces[stage] == 0 || stagesAfter(stage) < longest) {
 				continue;
 			}
 			if (this.stages.get(stage).inputStages().stream().allMatch(this::isDone)) {
@@ -61,6 +64,16 @@
 		return ready;
 	}
 
+	private int longestOpen() {
+		int longest = 0;
+		for (int stage = 0; stage < this.pieces.length; stage++) {
+			if (!isDone(stage)) {
+				longest = Math.max(longest, stagesAfter(stage));
+			}
+		}
+		return longest;
+	}
+
 	/**
 	 * Notes the result of a piece.
 	 * @param stage index of the stage
@@ -153,6 +166,21 @@
 		return bytes;
 	}
 
+	/**
+	 * Returns the zone that holds most of the input of a stage.
+	 * @param stage index of the stage
+	 * @return the zone, empty if the stage has no input
+	 */
+	public String inputZone(int stage) {
+		Map<String, Long> bytes = new HashMap<>();
+		for (int source : this.stages.get(stage).inputStages()) {
+			for (PieceResult result : this.results.get(source).values()) {
+				bytes.merge(result.availabilityZone(), this.stages.get(source).resultBytes(), Long::sum);
+			}
+		}
+		return bytes.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse("");
+	}
+
 	/**
 	 * Returns the handles of a stage.
 	 * @param stage index of the stage
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -25,6 +25,12 @@
 	/** How much one rank of priority counts against urgency. */
 	private static final long PRIORITY_MILLIS = 300;
 
+	/** How much moving inputs or results between zones counts against urgency. */
+	private static final long OTHER_ZONE_MILLIS = 250;
+
+	/** Puts pieces that cannot be in time behind all others. */
+	private static final long LATE_MILLIS = 1_000_000;
+
 	private static final int MAXIMUM_TRIES = 3;
 
 	/** Pause of an endpoint that has no room for results or is full with other calls. */
@@ -88,7 +94,7 @@
 	 */
 	public void add(StageWork work, long now) {
 		for (int piece : work.pieces()) {
-			this.waiting.add(new StageTask(work, piece, 0));
+			this.waiting.add(new StageTask(work, piece, 0, now));
 			this.budget.first(this.service, now);
 		}
 	}
@@ -150,7 +156,8 @@
 		if (endpoint == null) {
 			return Optional.empty();
 		}
-		this.waiting.sort(Comparator.comparingLong((task) -> urgency(task.work(), now)));
+		String zone = endpoint.record().availabilityZone();
+		this.waiting.sort(Comparator.comparingLong((task) -> urgency(task.work(), zone, now)));
 		List<StageTask> tasks = take(freeBytes(endpoint, now));
 		if (tasks.isEmpty()) {
 			endpoint.pause(now, FULL_PAUSE_MILLIS);
@@ -178,9 +185,18 @@
 		return tasks;
 	}
 
-	private static long urgency(StageWork work, long now) {
-		long late = (work.startBy() < now) ? 1_000_000 : 0;
-		return late + work.startBy() + PRIORITY_MILLIS * work.priority();
+	private static long urgency(StageWork work, String zone, long now) {
+		long key = work.startBy() + PRIORITY_MILLIS * work.priority();
+		if (!work.preferredZone().isEmpty() && !work.preferredZone().equals(zone)) {
+			key += OTHER_ZONE_MILLIS;
+		}
+		// Inputs hold room at their makers and expire, so pieces that have inputs are
+		// never
+		// put behind others for being late.
+		if (work.inputs().isEmpty() && work.startBy() < now) {
+			key += LATE_MILLIS;
+		}
+		return key;
 	}
 
 	private @Nullable EndpointState freeEndpoint(long now) {
@@ -291,7 +307,7 @@
 		if (isCancelled(task) || task.tries() + 1 >= MAXIMUM_TRIES || !this.budget.tryRepeat(this.service, now)) {
 			return false;
 		}
-		this.waiting.add(task.again());
+		this.waiting.add(task.again(now));
 		return true;
 	}
 
@@ -338,7 +354,11 @@
 		}
 		double fullCall = this.pool.expectedMillis(this.pool.batchSize());
 		double calls = Math.floor((double) this.waiting.size() / this.pool.batchSize());
-		return calls * fullCall / capacity;
+		double oldest = 0;
+		for (StageTask task : this.waiting) {
+			oldest = Math.max(oldest, now - task.waitingSince());
+		}
+		return Math.max(oldest, calls * fullCall / capacity);
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/serving/StageTask.java
+++ b/src/main/java/org/magnoliahub/serving/StageTask.java
@@ -6,11 +6,12 @@
  * @param work the submission it belongs to
  * @param piece index of the piece
  * @param tries calls that it was part of before
+ * @param waitingSince monotonic time since which it waits, in milliseconds
  */
-public record StageTask(StageWork work, int piece, int tries) {
+public record StageTask(StageWork work, int piece, int tries, long waitingSince) {
 
-	StageTask again() {
-		return new StageTask(this.work, this.piece, this.tries + 1);
+	StageTask again(long now) {
+		return new StageTask(this.work, this.piece, this.tries + 1, now);
 	}
 
 }
--- a/src/test/java/org/magnoliahub/ArchitectureTests.java
+++ b/src/test/java/org/magnoliahub/ArchitectureTests.java
@@ -18,7 +18,7 @@
 	}
 
 	private static final String[] CORE = { "..model..", "..time..", "..store..", "..protocol..", "..claim..",
-			"..agent..", "..gateway..", "..routing..", "..configuration..", "..lease.." };
+			"..agent..", "..gateway..", "..routing..", "..configuration..", "..lease..", "..serving.." };
 
 	@ArchTest
 	static final ArchRule coreHasNoInputOrOutput = noClasses().that()
@@ -50,6 +50,6 @@
 		.should()
 		.dependOnClassesThat()
 		.resideInAnyPackage("..transport..", "..platformhttp..", "..enginehttp..", "..server..", "..standin..",
-				"..command..");
+				"..command..", "..platform..", "..entry..");
 
 }
--- /dev/null
+++ b/src/test/java/org/magnoliahub/entry/PeerCodecTests.java
@@ -0,0 +1,46 @@
+package org.magnoliahub.entry;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.magnoliahub.serving.PieceFailure;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards the messages between gateways, and against frames of other processes.
+ */
+class PeerCodecTests {
+
+	static Stream<PeerMessage> messages() {
+		return Stream.of(new PeerMessage.Hello("a"), new PeerMessage.Heartbeat(Map.of("s", 12L)),
+				new PeerMessage.Submit("s", 1, "r", 2, List.of(0, 3), "k", List.of(), 800, -5, 900, 1, ""),
+				new PeerMessage.Submit("s", 1, "r", 2, List.of(0), null, List.of("a/b", "c/d"), 800, 5, 900, 1, "z"),
+				new PeerMessage.Result("s", 4, 5, "a/b", "z", null),
+				new PeerMessage.Result("s", 4, 5, null, "", PieceFailure.LATE), new PeerMessage.Cancel("s", 9),
+				new PeerMessage.Free("s", List.of("a/b")));
+	}
+
+	@ParameterizedTest
+	@MethodSource("messages")
+	void messageIsTheSameAfterDecoding(PeerMessage message) throws IOException {
+		assertThat(PeerCodec.decode(PeerCodec.encode(message))).isEqualTo(message);
+	}
+
+	@Property(tries = 2_000)
+	void otherBytesNeverFailInAnotherWay(@ForAll byte[] bytes) {
+		try {
+			PeerCodec.decode(bytes);
+		}
+		catch (IOException ex) {
+			assertThat(ex).hasMessageNotContaining("null");
+		}
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/platform/NodeSettingsReaderTests.java
@@ -0,0 +1,86 @@
+package org.magnoliahub.platform;
+
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Guards against a start with settings that are missing or wrong.
+ */
+class NodeSettingsReaderTests {
+
+	private static final String SETTINGS = """
+			node_name: "front-1"
+			ip: "10.1.0.41"
+			zone: "z1"
+			unknown: true
+			listen:
+			  front: "10.1.0.41:8625"
+			  ready_address: "10.1.0.41:8621"
+			internal_ports:
+			  - 7740
+			  - 7755
+			limits:
+			  memory_mb: 430
+			bounds:
+			  drain_ms: 2000
+			  config_apply_ms: 2000
+			  grace_s: 8
+			  retry_budget_ratio: 0.2
+			  retry_budget_extra: 58
+			  budget_window_s: 10
+			platform_settings:
+			  address: "10.200.1.7:8624"
+			""";
+
+	@Test
+	void readsAllFieldsAndIgnoresUnknownOnes() throws PlatformFormatException {
+		NodeSettings settings = NodeSettingsReader.parse(SETTINGS);
+		assertThat(settings.nodeName()).isEqualTo("front-1");
+		assertThat(settings.storeAddress().getPort()).isEqualTo(8624);
+		assertThat(settings.internalPort()).isEqualTo(7740);
+		assertThat(settings.bounds().graceMillis()).isEqualTo(8_000);
+		assertThat(settings.bounds().repeatConstant()).isEqualTo(58);
+	}
+
+	@Test
+	void vmWithoutCallersHasNoCallerAddress() throws PlatformFormatException {
+		NodeSettings settings = NodeSettingsReader.parse(SETTINGS.replaceAll("(?m)^  (front|ready_address):.*\n", ""));
+		assertThat(settings.callerAddress()).isNull();
+		assertThat(settings.readinessAddress()).isNull();
+	}
+
+	@Test
+	void namesAllFaultsAtOnce() {
+		String faulty = SETTINGS.replace("front-1", "")
+			.replace("drain_ms: 2000", "drain_ms: soon")
+			.replace("7740", "99999");
+		assertThatExceptionOfType(PlatformFormatException.class).isThrownBy(() -> NodeSettingsReader.parse(faulty))
+			.withMessageContaining("node_name")
+			.withMessageContaining("drain_ms")
+			.withMessageContaining("internal_ports");
+	}
+
+	@Test
+	void missingStoreIsAFault() {
+		String faulty = SETTINGS.substring(0, SETTINGS.indexOf("platform_settings"));
+		assertThatExceptionOfType(PlatformFormatException.class).isThrownBy(() -> NodeSettingsReader.parse(faulty))
+			.withMessageContaining("platform_settings.address");
+	}
+
+	@Test
+	void emptyOrOtherTextIsAFault() {
+		assertThatExceptionOfType(PlatformFormatException.class).isThrownBy(() -> NodeSettingsReader.parse(""));
+		assertThatExceptionOfType(PlatformFormatException.class).isThrownBy(() -> NodeSettingsReader.parse("{a: ["));
+	}
+
+	@Test
+	void missingVariableIsAFault() {
+		assertThatExceptionOfType(PlatformFormatException.class).isThrownBy(() -> NodeSettingsReader.read(Map.of()))
+			.withMessageContaining(NodeSettingsReader.PATH_VARIABLE);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/platform/PlatformHeadersTests.java
@@ -0,0 +1,95 @@
+package org.magnoliahub.platform;
+
+import java.util.List;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.Test;
+import org.magnoliahub.serving.AnswerHead;
+import org.magnoliahub.serving.CallerRequest;
+import org.magnoliahub.serving.EndpointLoad;
+import org.magnoliahub.serving.PromptPart;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards what passes between callers and endpoints, and what the system sets itself.
+ */
+class PlatformHeadersTests {
+
+	private static HttpHeaders headers(String... namesAndValues) {
+		HttpHeaders headers = new DefaultHttpHeaders();
+		for (int index = 0; index < namesAndValues.length; index += 2) {
+			headers.add(namesAndValues[index], namesAndValues[index + 1]);
+		}
+		return headers;
+	}
+
+	@Test
+	void readsWhatARequestSaysOfItself() {
+		CallerRequest request = PlatformHeaders.callerRequest(
+				headers("Request-Id", "r", "Deadline-Ms", "900", "Authorization", "Bearer k", "Prompt-Prefix",
+						"a:10,b:20", "Token-Count", "30,40", "Pieces", "2,0", "Piece-Key", "p", "Last-Event-Id", "7"));
+		assertThat(request).isEqualTo(new CallerRequest("r", 900, "k",
+				List.of(new PromptPart("a", 10), new PromptPart("b", 20)), 30, 40, List.of(2, 0), "p", "7"));
+	}
+
+	@Test
+	void malformedValuesCountAsNotStated() {
+		CallerRequest request = PlatformHeaders
+			.callerRequest(headers("Deadline-Ms", "soon", "Token-Count", "x", "Prompt-Prefix", ":::", "Pieces", "-1"));
+		assertThat(request.budgetMillis()).isEqualTo(-1);
+		assertThat(request.promptTokens()).isZero();
+		assertThat(request.pieces()).containsExactly(0);
+	}
+
+	@Test
+	void callerCannotSetWhatTheSystemSets() {
+		HttpHeaders sent = PlatformHeaders.endpointHeaders(
+				headers("Request-Id", "r", "X-Other", "1", "Tenant", "forged", "Authorization", "Bearer k", "Hold", "h",
+						"Pin-Ms", "9", "Kv-Backup", "x", "Kv-From", "y", "Inputs", "z", "Target-Instance", "i-2",
+						"Connection", "close, X-Hop", "X-Hop", "1", "Transfer-Encoding", "chunked"),
+				"i-1", 500, "workspace", List.of("a", "b"), null);
+		assertThat(sent.get("Request-Id")).isEqualTo("r");
+		assertThat(sent.get("X-Other")).isEqualTo("1");
+		assertThat(sent.get("Tenant")).isEqualTo("workspace");
+		assertThat(sent.get("Inputs")).isEqualTo("a,b");
+		assertThat(sent.get("Target-Instance")).isEqualTo("i-1");
+		assertThat(sent.get("Deadline-Ms")).isEqualTo("500");
+		assertThat(sent.names()).doesNotContain("Authorization", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Connection",
+				"X-Hop", "Transfer-Encoding");
+	}
+
+	@Test
+	void anonymousRequestHasNoWorkspace() {
+		HttpHeaders sent = PlatformHeaders.endpointHeaders(headers("Tenant", "forged"), "i-1", 500, null, List.of(),
+				"12");
+		assertThat(sent.contains("Tenant")).isFalse();
+		assertThat(sent.get("Last-Event-Id")).isEqualTo("12");
+	}
+
+	@Test
+	void readsTheHeadOfAnAnswer() {
+		DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+		response.headers()
+			.add(headers("Request-Id", "r", "Response-Signature", "s", "Server-Load", "3,1,8", "Keep-Alive",
+					"timeout=2, max=5"));
+		AnswerHead head = PlatformHeaders.answerHead(response);
+		assertThat(head)
+			.isEqualTo(new AnswerHead(200, "r", true, false, false, false, 2_000, new EndpointLoad(3, 1, 8)));
+	}
+
+	@Test
+	void misdirectedAnswerProvesThatNothingRan() {
+		assertThat(PlatformHeaders
+			.answerHead(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.MISDIRECTED_REQUEST))
+			.notExecuted()).isTrue();
+		assertThat(PlatformHeaders
+			.answerHead(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE))
+			.notExecuted()).isFalse();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/platform/StoreFormatTests.java
@@ -0,0 +1,54 @@
+package org.magnoliahub.platform;
+
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Guards the calls of the store and what is read from its answers.
+ */
+class StoreFormatTests {
+
+	private final StoreFormat format = new StoreFormat();
+
+	private StoredRows read(String body) throws PlatformFormatException {
+		return this.format.rows(body.getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Test
+	void readsRowsAndRemovals() throws PlatformFormatException {
+		StoredRows rows = read("{\"rows\":[{\"table\":\"t\",\"key\":\"a\",\"value\":\"aGk=\",\"ver\":4},"
+				+ "{\"key\":\"b\",\"tombstone\":true,\"ver\":5}],\"ver\":9,\"has_more\":true}");
+		assertThat(rows.revision()).isEqualTo(9);
+		assertThat(rows.incomplete()).isTrue();
+		assertThat(new String(rows.rows().get(0).value(), StandardCharsets.UTF_8)).isEqualTo("hi");
+		assertThat(rows.rows().get(1).removed()).isTrue();
+	}
+
+	@ParameterizedTest
+	@ValueSource(
+			strings = { "", "{", "{}", "{\"rows\":[]}", "{\"rows\":[{\"key\":\"a\",\"value\":\"%%\"}],\"ver\":1}" })
+	void otherBodiesAreRejected(String body) {
+		assertThatExceptionOfType(PlatformFormatException.class).isThrownBy(() -> read(body));
+	}
+
+	@Test
+	void removalIsConditional() {
+		String body = new String(this.format.remove("t", "k", 12), StandardCharsets.UTF_8);
+		assertThat(body).contains("\"expected\":[{\"table\":\"t\",\"part\":\"\",\"key\":\"k\",\"ver\":12}]")
+			.contains("\"remove\":[{\"table\":\"t\",\"part\":\"\",\"key\":\"k\"}]");
+	}
+
+	@Test
+	void memberSurvivesTheStore() {
+		MemberRecord member = new MemberRecord("gateway-1", "10.1.0.1:7740", 3);
+		assertThat(MemberRecord.decode(new StoredRow("gateway-1", member.encode(), 1, false))).contains(member);
+		assertThat(MemberRecord.decode(new StoredRow("x", new byte[] { 1 }, 1, false))).isEmpty();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/serving/EndpointDirectoryTests.java
@@ -0,0 +1,74 @@
+package org.magnoliahub.serving;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against work for endpoints that leave, and against losing all endpoints when the
+ * store returns from an outage with an empty list.
+ */
+class EndpointDirectoryTests {
+
+	private final EndpointDirectory directory = Records.directory(Records.endpoint("a", "plain", "z1"));
+
+	private List<String> usable(long now) {
+		return this.directory.usable("plain", now).stream().map((endpoint) -> endpoint.record().id()).toList();
+	}
+
+	@Test
+	void removedEndpointGetsNothing() {
+		this.directory.contact(100);
+		this.directory.removed("a", 100);
+		assertThat(usable(100)).isEmpty();
+	}
+
+	@Test
+	void drainingEndpointGetsNothing() {
+		EndpointRecord draining = new EndpointRecord("a", "plain", "10.0.0.1:80", "z1", 4, true, 1);
+		this.directory.update(draining);
+		assertThat(usable(100)).isEmpty();
+	}
+
+	@Test
+	void endpointThatLapsedInAnOutageIsKeptUntilItShouldBeBack() {
+		this.directory.contact(5_000);
+		this.directory.replaceAll(List.of(), 5_000);
+		assertThat(usable(5_000)).containsExactly("a");
+		assertThat(usable(5_000 + EndpointDirectory.RETURN_MILLIS)).isEmpty();
+	}
+
+	@Test
+	void endpointThatIsBackStays() {
+		this.directory.contact(5_000);
+		this.directory.replaceAll(List.of(), 5_000);
+		this.directory.update(Records.endpoint("a", "plain", "z1"));
+		assertThat(usable(9_000)).containsExactly("a");
+	}
+
+	@Test
+	void listedEndpointsGoBeforeLapsedOnes() {
+		this.directory.contact(5_000);
+		this.directory.replaceAll(List.of(Records.endpoint("b", "plain", "z1")), 5_000);
+		assertThat(usable(5_000)).containsExactly("b");
+	}
+
+	@Test
+	void drainingEndpointIsNotKeptAfterAnOutage() {
+		this.directory.update(new EndpointRecord("a", "plain", "10.0.0.1:80", "z1", 4, true, 1));
+		this.directory.contact(5_000);
+		this.directory.replaceAll(List.of(), 5_000);
+		assertThat(this.directory.size()).isZero();
+	}
+
+	@Test
+	void restartUnderOneIdForgetsWhatWasCached() {
+		EndpointState state = this.directory.usable("plain", 0).get(0);
+		state.promptCache().add(List.of(new PromptPart("p", 100)));
+		this.directory.update(new EndpointRecord("a", "plain", "10.0.0.1:80", "z1", 4, false, 2));
+		assertThat(state.promptCache().cachedTokens(List.of(new PromptPart("p", 100)))).isZero();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/serving/EndpointSelectorTests.java
@@ -0,0 +1,94 @@
+package org.magnoliahub.serving;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against requests for endpoints that are unreachable, silent, slow or full.
+ */
+class EndpointSelectorTests {
+
+	private static final int ROUNDS = 20;
+
+	private final EndpointDirectory directory = Records.directory(Records.endpoint("a", "s", "z1"),
+			Records.endpoint("b", "s", "z1"));
+
+	private final EndpointSelector selector = new EndpointSelector(this.directory, "z1", new SplittableRandom(1));
+
+	private EndpointState state(String id) {
+		return this.directory.usable("s", 0)
+			.stream()
+			.filter((endpoint) -> endpoint.record().id().equals(id))
+			.findFirst()
+			.orElseThrow();
+	}
+
+	private String plain(long now) {
+		return this.selector.plain("s", Set.of(), now).orElseThrow().endpoint().record().id();
+	}
+
+	@Test
+	void unreachableEndpointIsLeftAtOnceAndTriedLater() {
+		state("a").failed(0, true);
+		for (int round = 0; round < ROUNDS; round++) {
+			assertThat(plain(10)).isEqualTo("b");
+		}
+		assertThat(state("a").isPaused(300)).isFalse();
+	}
+
+	@Test
+	void silentEndpointIsLeft() {
+		state("a").begin(0, 10, 0);
+		assertThat(plain(400)).isEqualTo("b");
+		assertThat(this.selector.plain("s", Set.of("b"), 400).orElseThrow().isDoubtful()).isTrue();
+	}
+
+	@Test
+	void endpointThatFailsOftenIsLeft() {
+		for (int round = 0; round < 5; round++) {
+			state("a").failed(round, false);
+			state("b").succeeded(round);
+		}
+		assertThat(plain(10)).isEqualTo("b");
+	}
+
+	@Test
+	void busyEndpointIsLeft() {
+		for (int round = 0; round < 8; round++) {
+			state("a").begin(0, 100, 0);
+		}
+		assertThat(plain(1)).isEqualTo("b");
+	}
+
+	@Test
+	void triedEndpointsAreNotChosen() {
+		assertThat(this.selector.plain("s", Set.of("a", "b"), 0)).isEmpty();
+	}
+
+	@Test
+	void gatewaysAgreeOnTheEngineOfASession() {
+		CallerRequest request = Records.request(List.of(new PromptPart("session", 4_000), new PromptPart("own", 100)),
+				4_100);
+		EndpointSelector other = new EndpointSelector(this.directory, "z1", new SplittableRandom(7));
+		String first = this.selector.engine("s", request, Map.of(), Set.of(), 0).orElseThrow().endpoint().record().id();
+		String second = other.engine("s", request, Map.of(), Set.of(), 0).orElseThrow().endpoint().record().id();
+		assertThat(second).isEqualTo(first);
+	}
+
+	@Test
+	void crowdedEngineLosesItsSessions() {
+		CallerRequest request = Records.request(List.of(new PromptPart("session", 400), new PromptPart("own", 100)),
+				500);
+		EndpointChoice choice = this.selector.engine("s", request, Map.of(), Set.of(), 0).orElseThrow();
+		choice.endpoint().begin(0, 1_000, 90_000);
+		EndpointChoice next = this.selector.engine("s", request, Map.of(), Set.of(), 1).orElseThrow();
+		assertThat(next.endpoint()).isNotSameAs(choice.endpoint());
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/serving/StageProgressTests.java
@@ -0,0 +1,72 @@
+package org.magnoliahub.serving;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards the inputs of stages: none missing, none twice, none of another stage.
+ */
+class StageProgressTests {
+
+	private static final List<RouteStage> STAGES = List.of(new RouteStage("images", List.of(), 800_000),
+			new RouteStage("images", List.of(), 8_000), new RouteStage("portal", List.of(1), 60_000),
+			new RouteStage("invoices", List.of(2), 6_000));
+
+	private static PieceResult result(String handle, String zone) {
+		return new PieceResult(handle, zone, null);
+	}
+
+	@Test
+	void shortChainStartsWhenTheLongOneIsAsShort() {
+		StageProgress progress = new StageProgress(STAGES, List.of(2, 1, 1, 1));
+		assertThat(progress.startReady()).containsExactly(1);
+		progress.done(1, 0, result("a", "z1"));
+		assertThat(progress.startReady()).containsExactly(2);
+		progress.done(2, 0, result("b", "z1"));
+		assertThat(progress.startReady()).containsExactly(0, 3);
+	}
+
+	@Test
+	void omittedStageHoldsNothingUp() {
+		StageProgress progress = new StageProgress(STAGES, List.of(0, 1, 1, 1));
+		progress.startReady();
+		progress.done(1, 0, result("a", "z1"));
+		progress.startReady();
+		progress.done(2, 0, result("b", "z1"));
+		progress.startReady();
+		progress.done(3, 0, result("c", "z1"));
+		assertThat(progress.isComplete()).isTrue();
+		assertThat(progress.requestInputs()).containsExactly("c");
+	}
+
+	@Test
+	void requestTakesResultsOfAllLastStagesInOrder() {
+		StageProgress progress = new StageProgress(STAGES, List.of(2, 1, 1, 1));
+		progress.done(3, 0, result("d", "z1"));
+		progress.done(0, 1, result("b", "z2"));
+		progress.done(0, 0, result("a", "z2"));
+		assertThat(progress.requestInputs()).containsExactly("a", "b", "d");
+		assertThat(progress.requestInputZones()).containsEntry("z2", 1_600_000L).containsEntry("z1", 6_000L);
+	}
+
+	@Test
+	void secondResultOfAPieceIsNotUsed() {
+		StageProgress progress = new StageProgress(STAGES, List.of(0, 1, 0, 0));
+		assertThat(progress.done(1, 0, result("a", "z1"))).isTrue();
+		assertThat(progress.done(1, 0, result("b", "z1"))).isFalse();
+		assertThat(progress.handles(1)).containsExactly("a");
+	}
+
+	@Test
+	void inputZoneIsWhereMostBytesLie() {
+		StageProgress progress = new StageProgress(STAGES, List.of(0, 3, 1, 1));
+		progress.done(1, 0, result("a", "z1"));
+		progress.done(1, 1, result("b", "z2"));
+		progress.done(1, 2, result("c", "z2"));
+		assertThat(progress.inputZone(2)).isEqualTo("z2");
+	}
+
+}
