--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -223,6 +223,13 @@
 		this.group.next().execute(() -> this.log.event(EntryEvent.SETTINGS_RELOADED).field("outcome", logged).write());
 	}
 
+	/**
+	 * Ends the gateway at once, as a crash would.
+	 */
+	void halt() {
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
 	private void drain(CountDownLatch done) {
 		this.stopPlan.begin(this.timers.milliTime());
 		this.log.event(EntryEvent.STOPPING)
--- /dev/null
+++ b/src/test/java/org/magnoliahub/entry/StageEmulator.java
@@ -0,0 +1,96 @@
+package org.magnoliahub.entry;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Stage endpoints that check the inputs of each piece and count the results they hold.
+ */
+final class StageEmulator {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private final long callMillis;
+
+	private final Set<String> held = ConcurrentHashMap.newKeySet();
+
+	private final List<String> faults = new CopyOnWriteArrayList<>();
+
+	private final AtomicInteger largest = new AtomicInteger();
+
+	private final AtomicInteger next = new AtomicInteger();
+
+	StageEmulator(long callMillis) {
+		this.callMillis = callMillis;
+	}
+
+	RawServer.Handler handler() {
+		return (request, socket) -> handle(request, socket, "127.0.0.1:" + socket.getLocalPort());
+	}
+
+	List<String> faults() {
+		return this.faults;
+	}
+
+	int largestCall() {
+		return this.largest.get();
+	}
+
+	int held() {
+		return this.held.size();
+	}
+
+	private void handle(RawServer.Request request, Socket socket, String address) throws IOException {
+		JsonNode call = MAPPER.readTree(request.body());
+		String body = "{}";
+		if (request.target().equals("/api/stage-free")) {
+			call.path("handles").forEach((handle) -> this.held.remove(handle.asText()));
+		}
+		else {
+			body = run(call.path("items"), address).toString();
+		}
+		RawServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+	}
+
+	private ObjectNode run(JsonNode items, String address) throws IOException {
+		this.largest.accumulateAndGet(items.size(), Math::max);
+		try {
+			Thread.sleep(this.callMillis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		ObjectNode answer = MAPPER.createObjectNode();
+		for (JsonNode item : items) {
+			check(item);
+			String handle = address + "/" + item.path("id").asText() + "-" + item.path("piece").asInt() + "-"
+					+ this.next.incrementAndGet();
+			this.held.add(handle);
+			answer.withArray("items").addObject().put("handle", handle);
+		}
+		return answer;
+	}
+
+	private void check(JsonNode item) {
+		String id = item.path("id").asText();
+		if (item.path("stage").asInt() == 0) {
+			if (!item.path("key").asText().equals("k" + id.substring(1))) {
+				this.faults.add("wrong key of " + id);
+			}
+			return;
+		}
+		if (item.path("inputs").size() != 1 || !item.path("inputs").get(0).asText().contains("/" + id + "-")) {
+			this.faults.add("wrong inputs of " + id + ": " + item.path("inputs"));
+		}
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/entry/StoreEmulator.java
@@ -0,0 +1,188 @@
+package org.magnoliahub.entry;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * The platform's store in memory: rows, their feed, and outages on demand.
+ */
+final class StoreEmulator implements AutoCloseable {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final long FEED_STEP_MILLIS = 10;
+
+	private final RawServer server;
+
+	private final Map<String, Map<String, Row>> tables = new HashMap<>();
+
+	private long revision;
+
+	private volatile Mode mode = Mode.SOUND;
+
+	private long oldestRevision;
+
+	StoreEmulator() throws IOException {
+		this.server = RawServer.start(this::handle);
+	}
+
+	String address() {
+		return this.server.address();
+	}
+
+	void setMode(Mode newMode) {
+		this.mode = newMode;
+	}
+
+	synchronized void put(String table, String key, String value) {
+		this.tables.computeIfAbsent(table, (name) -> new HashMap<>())
+			.put(key, new Row(value.getBytes(StandardCharsets.UTF_8), ++this.revision, false));
+	}
+
+	synchronized void remove(String table, String key) {
+		this.tables.computeIfAbsent(table, (name) -> new HashMap<>())
+			.put(key, new Row(new byte[0], ++this.revision, true));
+	}
+
+	/**
+	 * Loses the history and the removals in it.
+	 */
+	synchronized void forgetHistory() {
+		this.oldestRevision = this.revision;
+		this.tables.values().forEach((rows) -> rows.values().removeIf(Row::removed));
+	}
+
+	synchronized int count(String table) {
+		return (int) this.tables.getOrDefault(table, Map.of())
+			.values()
+			.stream()
+			.filter((row) -> !row.removed())
+			.count();
+	}
+
+	private void handle(RawServer.Request request, Socket socket) throws IOException {
+		switch (this.mode) {
+			case SILENT -> {
+				return;
+			}
+			case BUSY -> {
+				answer(socket, 503, "");
+				return;
+			}
+			case RESET -> {
+				RawServer.reset(socket);
+				return;
+			}
+			default -> {
+			}
+		}
+		String target = request.target();
+		if (target.startsWith("/api/rows-get")) {
+			answer(socket, 200, list(parameter(target, "table")));
+		}
+		else if (target.startsWith("/api/rows-feed")) {
+			feed(socket, parameter(target, "table"), Long.parseLong(parameter(target, "after")),
+					Long.parseLong(parameter(target, "wait_ms")));
+		}
+		else {
+			change(MAPPER.readTree(request.body()));
+			answer(socket, 200, "{\"ver\":" + this.revision + ",\"now_ms\":1}");
+		}
+	}
+
+	private synchronized void change(JsonNode call) {
+		for (JsonNode row : call.path("writes")) {
+			put(row.path("table").asText(), row.path("key").asText(),
+					new String(Base64.getDecoder().decode(row.path("value").asText()), StandardCharsets.UTF_8));
+		}
+		for (JsonNode row : call.path("remove")) {
+			remove(row.path("table").asText(), row.path("key").asText());
+		}
+	}
+
+	private synchronized String list(String table) {
+		return rows(table, 0, false);
+	}
+
+	private synchronized String changes(String table, long after) {
+		return (after < this.oldestRevision) ? "" : rows(table, after, true);
+	}
+
+	private void feed(Socket socket, String table, long after, long waitMillis) throws IOException {
+		long end = System.nanoTime() + waitMillis * 1_000_000;
+		while (!hasChanges(table, after) && System.nanoTime() < end && this.mode == Mode.SOUND) {
+			pause();
+		}
+		String body = changes(table, after);
+		answer(socket, body.isEmpty() ? 410 : 200, body);
+	}
+
+	private synchronized boolean hasChanges(String table, long after) {
+		return after < this.oldestRevision
+				|| this.tables.getOrDefault(table, Map.of()).values().stream().anyMatch((row) -> row.revision > after);
+	}
+
+	private static void pause() {
+		try {
+			Thread.sleep(FEED_STEP_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private String rows(String table, long after, boolean withRemovals) {
+		ObjectNode root = MAPPER.createObjectNode();
+		List<Map.Entry<String, Row>> rows = new ArrayList<>(this.tables.getOrDefault(table, Map.of()).entrySet());
+		rows.sort((a, b) -> Long.compare(a.getValue().revision, b.getValue().revision));
+		for (Map.Entry<String, Row> entry : rows) {
+			Row row = entry.getValue();
+			if (row.revision <= after || (row.removed && !withRemovals)) {
+				continue;
+			}
+			ObjectNode node = root.withArray("rows").addObject();
+			node.put("table", table).put("part", "").put("key", entry.getKey()).put("ver", row.revision);
+			node.put("value", Base64.getEncoder().encodeToString(row.value));
+			if (row.removed) {
+				node.put("tombstone", true);
+			}
+		}
+		root.put("has_more", false).put("ver", this.revision).put("now_ms", 1);
+		return root.toString();
+	}
+
+	private static String parameter(String target, String name) {
+		int at = target.indexOf(name + "=") + name.length() + 1;
+		int end = target.indexOf('&', at);
+		return target.substring(at, (end < 0) ? target.length() : end);
+	}
+
+	private static void answer(Socket socket, int status, String body) throws IOException {
+		RawServer.write(socket, "HTTP/1.1 " + status + " X\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.server.close();
+	}
+
+	enum Mode {
+
+		SOUND, SILENT, BUSY, RESET
+
+	}
+
+	private record Row(byte[] value, long revision, boolean removed) {
+	}
+
+}
