Refuse what callers would not wait for, make pieces near their inputs, add metrics

Cause: callers leave at four times the objective without an event, but the gate kept requests until their deadline. Now the gate refuses at arrival what would get its turn too late, and takes out what can no longer be done. Results between zones were the largest price (1.96 GB): endpoints in the zone of the inputs go first, and a piece with time left waits for one. Ruled out for the 300 results without room: late frees; the stated sizes are approximate, so a tenth of the room stays unplanned.

--- a/src/main/java/org/magnoliahub/entry/EntryContext.java
+++ b/src/main/java/org/magnoliahub/entry/EntryContext.java
@@ -15,6 +15,7 @@
  *
  * @param timers the timer service
  * @param log the event log
+ * @param metrics the metrics
  * @param http sends requests
  * @param directory the endpoints
  * @param selector chooses endpoints
@@ -22,9 +23,9 @@
  * @param currentConfiguration the configuration in force
  * @param stopPlan what is still taken during a planned stop
  */
-record EntryContext(TimerService timers, EntryLog log, HttpClient http, EndpointDirectory directory,
-		EndpointSelector selector, RepeatBudget budget, Supplier<Optional<ServingConfiguration>> currentConfiguration,
-		StopPlan stopPlan) {
+record EntryContext(TimerService timers, EntryLog log, EntryMetrics metrics, HttpClient http,
+		EndpointDirectory directory, EndpointSelector selector, RepeatBudget budget,
+		Supplier<Optional<ServingConfiguration>> currentConfiguration, StopPlan stopPlan) {
 
 	long now() {
 		return this.timers.milliTime();
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -23,6 +23,7 @@
 import org.magnoliahub.platform.NodeSettings;
 import org.magnoliahub.platform.NodeSettingsReader;
 import org.magnoliahub.platform.PlatformFormatException;
+import org.magnoliahub.platform.PlatformHeaders;
 import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.StoredRow;
 import org.magnoliahub.serving.CallerLimits;
@@ -53,6 +54,13 @@
 
 	private static final int OK = 200;
 
+	/** Port and path that the deploy file names. */
+	private static final int METRICS_PORT = 9464;
+
+	private static final String METRICS_PATH = "/metrics";
+
+	private static final long LOOP_MILLIS = 1_000;
+
 	private static final long STOP_CHECK_MILLIS = 50;
 
 	private final NodeSettings settings;
@@ -63,6 +71,8 @@
 
 	private final EntryLog log;
 
+	private final EntryMetrics metrics = new EntryMetrics();
+
 	private final EntryContext context;
 
 	private final EndpointDirectory directory = new EndpointDirectory();
@@ -73,7 +83,9 @@
 
 	private final CallerServer callers;
 
-	private final ReadinessServer readiness;
+	private final StatusServer readiness = new StatusServer(this::readinessPage);
+
+	private final StatusServer metricsServer = new StatusServer(this::metricsPage);
 
 	private final ConfigurationReader configurationReader = new ConfigurationReader();
 
@@ -91,6 +103,8 @@
 
 	private int openRequests;
 
+	private long loopDue;
+
 	private final StopPlan stopPlan;
 
 	private EntryGateway(NodeSettings settings, Consumer<String> output) {
@@ -104,12 +118,11 @@
 		RepeatBudget budget = new RepeatBudget(bounds.repeatRatio(), bounds.repeatConstant(),
 				bounds.repeatWindowMillis());
 		EndpointSelector selector = new EndpointSelector(this.directory, settings.availabilityZone(), this.random);
-		this.context = new EntryContext(this.timers, this.log, http, this.directory, selector, budget,
+		this.context = new EntryContext(this.timers, this.log, this.metrics, http, this.directory, selector, budget,
 				() -> Optional.ofNullable(this.configuration), this.stopPlan);
-		this.store = new StoreClient(http, this.timers, text(settings.storeAddress()));
+		this.store = new StoreClient(http, this.timers, this.metrics, text(settings.storeAddress()));
 		this.stages = new StageCoordinator(this.context, this.group, settings.nodeName());
 		this.callers = new CallerServer(this.timers, this::limits, this::accept, this.log);
-		this.readiness = new ReadinessServer(this::isReady);
 	}
 
 	/**
@@ -141,6 +154,9 @@
 		this.timers.every(REGISTER_INTERVAL).subscribe((tick) -> register());
 		this.timers.every(Duration.ofSeconds(1)).subscribe((tick) -> this.context.http().closeIdle());
 		this.stages.start();
+		addGauges();
+		this.loopDue = this.timers.milliTime();
+		measureLoop();
 	}
 
 	private void logStart(long startedNanos) {
@@ -160,6 +176,35 @@
 		if (this.settings.readinessAddress() != null) {
 			this.readiness.listen(this.group, this.settings.readinessAddress());
 		}
+		this.metricsServer.listen(this.group, new InetSocketAddress(this.settings.ip(), METRICS_PORT));
+	}
+
+	private Optional<StatusServer.Answer> readinessPage(String path) {
+		return path.equals(PlatformHeaders.READINESS_PATH) ? Optional.of(new StatusServer.Answer(isReady(), ""))
+				: Optional.empty();
+	}
+
+	private Optional<StatusServer.Answer> metricsPage(String path) {
+		return path.equals(METRICS_PATH) ? Optional.of(new StatusServer.Answer(true, this.metrics.text()))
+				: Optional.empty();
+	}
+
+	private void addGauges() {
+		this.metrics.gauge("entry.requests.open", () -> this.openRequests);
+		this.metrics.gauge("entry.connections", this.callers::connectionCount);
+		this.metrics.gauge("entry.endpoints", this.directory::size);
+		this.metrics.gauge("entry.endpoints.age.ms", () -> this.directory.age(this.timers.milliTime()));
+		this.metrics.gauge("entry.members", this.members::size);
+		this.metrics.gauge("entry.start.queue", () -> this.stages.gate().size());
+		this.metrics.gauge("entry.configuration.version",
+				() -> Optional.ofNullable(this.configuration).map(ServingConfiguration::version).orElse(0L));
+	}
+
+	private void measureLoop() {
+		long now = this.timers.milliTime();
+		this.metrics.loopDelay(now - this.loopDue);
+		this.loopDue = now + LOOP_MILLIS;
+		this.timers.after(Duration.ofMillis(LOOP_MILLIS)).subscribe(this::measureLoop);
 	}
 
 	private void watch(String table, TableWatcher.Pace pace, TableWatcher.Listener listener) {
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -47,6 +48,14 @@
 	/** Sends of one request, refused ones included. */
 	private static final int MAXIMUM_SENDS = 4;
 
+	private static final String NO_CAPACITY = "no_capacity";
+
+	/** When a caller may come back after a fault that another endpoint may not have. */
+	private static final long RETRY_MILLIS = 300;
+
+	/** When a caller may come back after a burst, in the order of its length. */
+	private static final long CAPACITY_RETRY_MILLIS = 2_500;
+
 	/** Least time that is worth another attempt. */
 	private static final long LEAST_MILLIS = 30;
 
@@ -166,15 +175,22 @@
 		}
 		String zone = this.engine ? this.context.selector().expectedZone(this.service, this.request, this.context.now())
 				: "";
+		long patienceEnds = this.exchange.arrivedMillis() + matched.firstEventPatienceMillis();
+		long expiresAt = Math.min(this.deadlineMillis, patienceEnds);
 		StageRun run = new StageRun(this.context, this.stages, matched, this.request, this.exchange.arrivedMillis(),
-				this.deadlineMillis, zone, new StageOutcome());
+				expiresAt, zone, new StageOutcome());
 		this.stageRun = run;
 		StartGate.Entry entry = new StartGate.Entry(run::expectedWaitMillis, run.chainMillis(),
-				this.exchange.arrivedMillis() + matched.latencyObjectiveMillis(), matched.priority(), run::start);
-		if (this.stages.gate().offer(entry, this.context.now())) {
-			run.start();
-			return;
+				this.exchange.arrivedMillis() + matched.latencyObjectiveMillis(), expiresAt, matched.priority(),
+				run::start, () -> giveUp(NO_CAPACITY));
+		switch (this.stages.gate().offer(entry, this.context.now())) {
+			case START -> run.start();
+			case REFUSE -> giveUp(NO_CAPACITY);
+			case WAIT -> queued(run, entry);
 		}
+	}
+
+	private void queued(StageRun run, StartGate.Entry entry) {
 		this.gateEntry = entry;
 		this.context.log()
 			.event(EntryEvent.REQUEST_QUEUED)
@@ -326,6 +342,7 @@
 			.field("may_have_run", mayHaveRun)
 			.field("next", next)
 			.write();
+		this.context.metrics().attemptFailed(mayHaveRun, next);
 	}
 
 	private boolean timeLeft() {
@@ -348,7 +365,7 @@
 			fail(BAD_GATEWAY, reason);
 			return;
 		}
-		refuse(UNAVAILABLE, reason, 300);
+		refuse(UNAVAILABLE, reason, reason.equals(NO_CAPACITY) ? CAPACITY_RETRY_MILLIS : RETRY_MILLIS);
 	}
 
 	private void onDeadline() {
@@ -363,7 +380,7 @@
 			fail(GATEWAY_TIMEOUT, "deadline");
 			return;
 		}
-		refuse(UNAVAILABLE, "deadline", 300);
+		refuse(UNAVAILABLE, "deadline", RETRY_MILLIS);
 	}
 
 	private void refuse(int status, String reason, long retryAfterMillis) {
@@ -380,6 +397,7 @@
 			.field("age_ms", age())
 			.field("retry_after_ms", retryAfterMillis)
 			.write();
+		count("refused", reason);
 		end();
 		this.exchange.answer(status, headers, EMPTY);
 	}
@@ -398,6 +416,7 @@
 			.field("reason", reason)
 			.field("age_ms", age())
 			.write();
+		count("failed", reason);
 		end();
 		if (status == 0) {
 			this.exchange.abort();
@@ -431,6 +450,7 @@
 			stream = new StreamRelay();
 			this.relay = stream;
 			this.firstAnswerMillis = age();
+			this.context.metrics().firstEvent(this.firstAnswerMillis);
 			this.exchange.startStream(status, PlatformHeaders.callerHeaders(headers));
 			if (this.stageRun != null) {
 				this.stageRun.release();
@@ -476,6 +496,12 @@
 			.field("first_ms", this.firstAnswerMillis)
 			.field("endpoint", (this.attempt != null) ? this.attempt.endpointId() : "")
 			.write();
+		count("answered", "");
+	}
+
+	private void count(String outcome, String reason) {
+		String kind = (this.route != null) ? this.route.kind().name().toLowerCase(Locale.ROOT) : "none";
+		this.context.metrics().requestEnded(kind, outcome, reason, age());
 	}
 
 	private void end() {
@@ -506,6 +532,7 @@
 			.field("age_ms", age())
 			.field("state", (this.attempt != null) ? "sent" : "waiting")
 			.write();
+		count("cancelled", "");
 		end();
 	}
 
--- a/src/main/java/org/magnoliahub/entry/StageCalls.java
+++ b/src/main/java/org/magnoliahub/entry/StageCalls.java
@@ -200,6 +200,7 @@
 						this.call.tasks().size(), this.call.endpoint().record().availabilityZone());
 				finish();
 				long now = StageCalls.this.context.now();
+				StageCalls.this.context.metrics().stageCall(this.call.tasks().size(), "done", now - this.sentMillis);
 				deliver(this.queue.completed(this.call, results, now));
 				this.done.run();
 			}
@@ -231,6 +232,7 @@
 				.field("reason", reason)
 				.field("age_ms", now - this.sentMillis)
 				.write();
+			StageCalls.this.context.metrics().stageCall(this.call.tasks().size(), "failed", now - this.sentMillis);
 			deliver(this.queue.failed(this.call, refused, now));
 			this.done.run();
 		}
--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -310,7 +310,8 @@
 			pump(queue);
 		}
 		this.links.values().forEach(PeerLink::check);
-		StartGate.Entry next = this.gate.next();
+		this.gate.removeExpired(now).forEach((expired) -> expired.refuse().run());
+		StartGate.Entry next = this.gate.next(now);
 		if (next != null) {
 			next.start().run();
 		}
--- a/src/main/java/org/magnoliahub/entry/ReadinessServer.java
+++ b/src/main/java/org/magnoliahub/entry/StatusServer.java
@@ -1,7 +1,9 @@
 package org.magnoliahub.entry;
 
 import java.net.InetSocketAddress;
-import java.util.function.BooleanSupplier;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.function.Function;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -21,21 +23,30 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import org.magnoliahub.platform.PlatformHeaders;
 
 /**
- * Tells the platform's balancer whether this gateway takes new connections.
+ * Answers short questions about the gateway, such as its readiness and its metrics.
  */
-final class ReadinessServer {
+final class StatusServer {
 
-	private final BooleanSupplier ready;
+	private final Function<String, Optional<Answer>> pages;
 
-	ReadinessServer(BooleanSupplier ready) {
-		this.ready = ready;
+	/**
+	 * Creates a server.
+	 * @param pages gives the answer for a path, or empty if there is no such page
+	 */
+	StatusServer(Function<String, Optional<Answer>> pages) {
+		this.pages = pages;
 	}
 
-	void listen(EventLoopGroup group, InetSocketAddress address) {
-		new ServerBootstrap().group(group)
+	/**
+	 * Starts to listen.
+	 * @param group the event loop
+	 * @param address local address
+	 * @return whether the address could be bound
+	 */
+	boolean listen(EventLoopGroup group, InetSocketAddress address) {
+		return new ServerBootstrap().group(group)
 			.channel(NioServerSocketChannel.class)
 			.childHandler(new ChannelInitializer<SocketChannel>() {
 				@Override
@@ -44,7 +55,17 @@
 				}
 			})
 			.bind(address)
-			.syncUninterruptibly();
+			.awaitUninterruptibly()
+			.isSuccess();
+	}
+
+	/**
+	 * A page.
+	 *
+	 * @param ok whether the status is 200 rather than 503
+	 * @param body the body
+	 */
+	record Answer(boolean ok, String body) {
 	}
 
 	private final class Handler extends SimpleChannelInboundHandler<HttpObject> {
@@ -54,14 +75,15 @@
 			if (!(message instanceof HttpRequest request)) {
 				return;
 			}
-			HttpResponseStatus status = HttpResponseStatus.NOT_FOUND;
-			if (request.uri().equals(PlatformHeaders.READINESS_PATH)) {
-				status = ReadinessServer.this.ready.getAsBoolean() ? HttpResponseStatus.OK
-						: HttpResponseStatus.SERVICE_UNAVAILABLE;
-			}
+			Optional<Answer> page = StatusServer.this.pages.apply(request.uri());
+			HttpResponseStatus status = page
+				.map((answer) -> answer.ok() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE)
+				.orElse(HttpResponseStatus.NOT_FOUND);
+			byte[] body = page.map(Answer::body).orElse("").getBytes(StandardCharsets.UTF_8);
 			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-					Unpooled.EMPTY_BUFFER);
-			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+					Unpooled.wrappedBuffer(body));
+			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+			response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
 			ChannelFuture written = context.writeAndFlush(response);
 			if (!HttpUtil.isKeepAlive(request)) {
 				written.addListener(ChannelFutureListener.CLOSE);
--- a/src/main/java/org/magnoliahub/entry/StoreClient.java
+++ b/src/main/java/org/magnoliahub/entry/StoreClient.java
@@ -26,11 +26,14 @@
 
 	private final TimerService timers;
 
+	private final EntryMetrics metrics;
+
 	private final String address;
 
-	StoreClient(HttpClient http, TimerService timers, String address) {
+	StoreClient(HttpClient http, TimerService timers, EntryMetrics metrics, String address) {
 		this.http = http;
 		this.timers = timers;
+		this.metrics = metrics;
 		this.address = address;
 	}
 
@@ -45,7 +48,7 @@
 	private void call(HttpMethod method, String target, byte[] body, long timeoutMillis, Handler handler) {
 		HttpCall call = new HttpCall(this.address, method, target, PlatformHeaders.ownCallHeaders("", 0), body,
 				IDLE_MILLIS, CONNECT_MILLIS, (response) -> true);
-		BodyCollector collector = new BodyCollector(handler);
+		BodyCollector collector = new BodyCollector(new Counted(handler, method.name()));
 		HttpExchange exchange = this.http.send(call, collector);
 		collector.timeout = this.timers.after(Duration.ofMillis(timeoutMillis)).subscribe(() -> {
 			exchange.cancel();
@@ -73,6 +76,31 @@
 
 	}
 
+	private final class Counted implements Handler {
+
+		private final Handler handler;
+
+		private final String call;
+
+		private Counted(Handler handler, String call) {
+			this.handler = handler;
+			this.call = call;
+		}
+
+		@Override
+		public void onAnswer(int status, byte[] body) {
+			StoreClient.this.metrics.storeCall(this.call, Integer.toString(status));
+			this.handler.onAnswer(status, body);
+		}
+
+		@Override
+		public void onFailure(String reason) {
+			StoreClient.this.metrics.storeCall(this.call, "none");
+			this.handler.onFailure(reason);
+		}
+
+	}
+
 	private static final class BodyCollector implements AnswerListener {
 
 		private final Handler handler;
--- a/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
+++ b/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
@@ -74,7 +74,7 @@
 		return new Route(name, node.path("host").asText(), node.path("prefix").asText(), kind(name, node.path("kind")),
 				timeout, node.path("target_latency_ms").asLong(timeout), node.path("priority").asInt(0), shares,
 				Math.max(1, node.path("max_attempts").asInt(1)), stages, node.path("allow_anonymous").asBoolean(false),
-				node.path("resume_streams").asBoolean(false));
+				node.path("resume_streams").asBoolean(false), node.path("gap_target_ms").asLong(0));
 	}
 
 	private static CallKind kind(String route, JsonNode kind) throws PlatformFormatException {
--- a/src/main/java/org/magnoliahub/serving/Route.java
+++ b/src/main/java/org/magnoliahub/serving/Route.java
@@ -18,10 +18,22 @@
  * @param stages stages that come before a request runs
  * @param anonymous whether requests need no key
  * @param resumable whether a stream may go on at another endpoint
+ * @param maximumPauseMillis longest pause within a stream that is in time, in
+ * milliseconds
  */
 public record Route(String name, String host, String pathPrefix, CallKind kind, long timeoutMillis,
 		long latencyObjectiveMillis, int priority, List<ServiceShare> services, int maximumEndpoints,
-		List<RouteStage> stages, boolean anonymous, boolean resumable) {
+		List<RouteStage> stages, boolean anonymous, boolean resumable, long maximumPauseMillis) {
+
+	/** Callers wait at least this long for the first event of a stream. */
+	private static final long LEAST_PATIENCE_MILLIS = 2_000;
+
+	private static final int PATIENCE_OBJECTIVES = 4;
+
+	private static final int PATIENCE_PAUSES = 8;
+
+	/** Time that the way of the first event takes at the most. */
+	private static final long PATIENCE_MARGIN_MILLIS = 150;
 
 	/**
 	 * Copies the lists.
@@ -39,6 +51,19 @@
 		return this.kind == CallKind.IDEMPOTENT || (this.kind == CallKind.STREAMING && this.resumable);
 	}
 
+	/**
+	 * Returns how long callers wait for the first event of a stream.
+	 * @return milliseconds from the arrival of the request, or the timeout for other
+	 * kinds
+	 */
+	public long firstEventPatienceMillis() {
+		if (this.kind != CallKind.STREAMING) {
+			return this.timeoutMillis;
+		}
+		long patience = Math.max(LEAST_PATIENCE_MILLIS, PATIENCE_OBJECTIVES * this.latencyObjectiveMillis);
+		return Math.max(patience, PATIENCE_PAUSES * this.maximumPauseMillis) - PATIENCE_MARGIN_MILLIS;
+	}
+
 	/**
 	 * Picks the service for a request in proportion to the weights.
 	 * @param hash hash of the request's id
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -31,6 +31,15 @@
 	/** Puts pieces that cannot be in time behind all others. */
 	private static final long LATE_MILLIS = 1_000_000;
 
+	/** A piece with this much time left may wait for an endpoint in its zone. */
+	private static final long ZONE_SLACK_MILLIS = 500;
+
+	/** What another zone counts when several endpoints are free, as a factor of speed. */
+	private static final double OTHER_ZONE_FACTOR = 0.35;
+
+	/** Part of the room of an endpoint that is planned with; sizes are approximate. */
+	private static final double ROOM_SHARE = 0.9;
+
 	private static final int MAXIMUM_TRIES = 3;
 
 	/** Pause of an endpoint that has no room for results or is full with other calls. */
@@ -152,15 +161,18 @@
 		if (this.waiting.isEmpty()) {
 			return Optional.empty();
 		}
-		EndpointState endpoint = freeEndpoint(now);
+		EndpointState endpoint = freeEndpoint(mostUrgentZone(now), now);
 		if (endpoint == null) {
 			return Optional.empty();
 		}
 		String zone = endpoint.record().availabilityZone();
 		this.waiting.sort(Comparator.comparingLong((task) -> urgency(task.work(), zone, now)));
-		List<StageTask> tasks = take(freeBytes(endpoint, now));
+		long freeBytes = freeBytes(endpoint, now);
+		List<StageTask> tasks = take(freeBytes, zone, now);
 		if (tasks.isEmpty()) {
-			endpoint.pause(now, FULL_PAUSE_MILLIS);
+			if (!fits(freeBytes)) {
+				endpoint.pause(now, FULL_PAUSE_MILLIS);
+			}
 			return Optional.empty();
 		}
 		double expected = this.pool.expectedMillis(tasks.size());
@@ -169,13 +181,25 @@
 		return Optional.of(call);
 	}
 
-	private List<StageTask> take(long freeBytes) {
+	private String mostUrgentZone(long now) {
+		return this.waiting.stream()
+			.min(Comparator.comparingLong((task) -> urgency(task.work(), task.work().preferredZone(), now)))
+			.map((task) -> task.work().preferredZone())
+			.orElse("");
+	}
+
+	private boolean fits(long freeBytes) {
+		return this.waiting.stream().anyMatch((task) -> task.work().resultBytes() <= freeBytes);
+	}
+
+	private List<StageTask> take(long freeBytes, String zone, long now) {
+		Set<String> busyZones = (this.waiting.size() <= this.pool.batchSize()) ? busyZones(now) : Set.of();
 		List<StageTask> tasks = new ArrayList<>();
 		long bytes = freeBytes;
 		Iterator<StageTask> candidates = this.waiting.iterator();
 		while (candidates.hasNext() && tasks.size() < this.pool.batchSize()) {
 			StageTask task = candidates.next();
-			if (task.work().resultBytes() > bytes) {
+			if (task.work().resultBytes() > bytes || waitsForZone(task.work(), zone, busyZones, now)) {
 				continue;
 			}
 			bytes -= task.work().resultBytes();
@@ -185,6 +209,23 @@
 		return tasks;
 	}
 
+	private static boolean waitsForZone(StageWork work, String zone, Set<String> busyZones, long now) {
+		return !work.preferredZone().equals(zone) && busyZones.contains(work.preferredZone())
+				&& work.startBy() - now > ZONE_SLACK_MILLIS;
+	}
+
+	// Zones whose endpoints work and will be free again soon.
+	private Set<String> busyZones(long now) {
+		Set<String> zones = new HashSet<>();
+		for (StageCall call : this.running.values()) {
+			EndpointState endpoint = call.endpoint();
+			if (!endpoint.isSilent(now, SILENCE_MILLIS) && endpoint.speedFactor(now) < SLOW_FACTOR) {
+				zones.add(endpoint.record().availabilityZone());
+			}
+		}
+		return zones;
+	}
+
 	private static long urgency(StageWork work, String zone, long now) {
 		long key = work.startBy() + PRIORITY_MILLIS * work.priority();
 		if (!work.preferredZone().isEmpty() && !work.preferredZone().equals(zone)) {
@@ -199,7 +240,7 @@
 		return key;
 	}
 
-	private @Nullable EndpointState freeEndpoint(long now) {
+	private @Nullable EndpointState freeEndpoint(String zone, long now) {
 		EndpointState best = null;
 		int usual = 0;
 		for (EndpointState endpoint : this.directory.usable(this.service, now)) {
@@ -210,7 +251,7 @@
 			if (!sound || this.running.containsKey(endpoint.record().id())) {
 				continue;
 			}
-			if (best == null || cost(endpoint, now) < cost(best, now)) {
+			if (best == null || cost(endpoint, zone, now) < cost(best, zone, now)) {
 				best = endpoint;
 			}
 		}
@@ -221,8 +262,10 @@
 		return best;
 	}
 
-	private static double cost(EndpointState endpoint, long now) {
-		return endpoint.speedFactor(now) / Math.max(0.05, 1 - endpoint.failureShare(now));
+	private static double cost(EndpointState endpoint, String zone, long now) {
+		boolean other = !zone.isEmpty() && !zone.equals(endpoint.record().availabilityZone());
+		return endpoint.speedFactor(now) / Math.max(0.05, 1 - endpoint.failureShare(now))
+				+ (other ? OTHER_ZONE_FACTOR : 0);
 	}
 
 	private long freeBytes(EndpointState endpoint, long now) {
@@ -238,7 +281,7 @@
 				used += result.bytes();
 			}
 		}
-		return this.pool.resultBytes() - used;
+		return (long) (ROOM_SHARE * this.pool.resultBytes()) - used;
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/serving/StartGate.java
+++ b/src/main/java/org/magnoliahub/serving/StartGate.java
@@ -1,7 +1,9 @@
 package org.magnoliahub.serving;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.List;
 import java.util.function.LongSupplier;
 
@@ -20,21 +22,58 @@
 	/** Queues with less wait than this take any request. */
 	private static final long SHORT_WAIT_MILLIS = 250;
 
+	/** Span over which starts are counted. */
+	private static final long RATE_MILLIS = 2_000;
+
+	/** Starts in the span that are expected when none was counted. */
+	private static final int LEAST_STARTS = 4;
+
 	private final List<Entry> waiting = new ArrayList<>();
 
+	private final Deque<Long> starts = new ArrayDeque<>();
+
 	/**
 	 * Offers a request.
 	 * @param request the request
 	 * @param now monotonic time, in milliseconds
-	 * @return whether it starts now; otherwise it waits
+	 * @return whether it starts now, waits, or is refused because its turn would come
+	 * after its caller has left
 	 */
-	public boolean offer(Entry request, long now) {
+	public Decision offer(Entry request, long now) {
 		long wait = request.waitMillis().getAsLong();
 		if (wait <= SHORT_WAIT_MILLIS || now + wait + request.chainMillis() <= request.objectiveAt()) {
-			return true;
+			return Decision.START;
+		}
+		if (now + turnMillis(request, now) + request.chainMillis() > request.expiresAt()) {
+			return Decision.REFUSE;
 		}
 		this.waiting.add(request);
-		return false;
+		return Decision.WAIT;
+	}
+
+	private long turnMillis(Entry request, long now) {
+		forgetStarts(now);
+		long before = this.waiting.stream().filter((other) -> other.priority() <= request.priority()).count();
+		return before * RATE_MILLIS / Math.max(LEAST_STARTS, this.starts.size());
+	}
+
+	private void forgetStarts(long now) {
+		while (!this.starts.isEmpty() && this.starts.peekFirst() < now - RATE_MILLIS) {
+			this.starts.pollFirst();
+		}
+	}
+
+	/**
+	 * Takes out the requests that could not be done any more before their callers leave.
+	 * @param now monotonic time, in milliseconds
+	 * @return the requests
+	 */
+	public List<Entry> removeExpired(long now) {
+		List<Entry> expired = this.waiting.stream()
+			.filter((request) -> now + request.chainMillis() > request.expiresAt())
+			.toList();
+		this.waiting.removeAll(expired);
+		return expired;
 	}
 
 	/**
@@ -48,15 +87,17 @@
 	/**
 	 * Takes the next request that starts now: the most urgent rank first, then the one
 	 * that has waited longest.
+	 * @param now monotonic time, in milliseconds
 	 * @return the request, or {@code null} if none starts
 	 */
-	public @Nullable Entry next() {
+	public @Nullable Entry next(long now) {
 		Entry best = this.waiting.stream()
 			.filter((request) -> request.waitMillis().getAsLong() <= SHORT_WAIT_MILLIS)
 			.min(Comparator.comparingInt(Entry::priority).thenComparingLong(Entry::objectiveAt))
 			.orElse(null);
 		if (best != null) {
 			this.waiting.remove(best);
+			this.starts.add(now);
 		}
 		return best;
 	}
@@ -69,16 +110,35 @@
 		return this.waiting.size();
 	}
 
+	/**
+	 * What becomes of a request.
+	 */
+	public enum Decision {
+
+		/** Its stages start now. */
+		START,
+
+		/** It waits until queues are short. */
+		WAIT,
+
+		/** It is refused. */
+		REFUSE
+
+	}
+
 	/**
 	 * A request whose stages have not started.
 	 *
 	 * @param waitMillis gives the wait in the queues of its stages at present
 	 * @param chainMillis time of its stages without waits, in milliseconds
 	 * @param objectiveAt monotonic time of its latency objective, in milliseconds
+	 * @param expiresAt monotonic time at which its caller leaves, in milliseconds
 	 * @param priority rank of its route, zero is the most urgent
 	 * @param start starts its stages
+	 * @param refuse refuses it
 	 */
-	public record Entry(LongSupplier waitMillis, long chainMillis, long objectiveAt, int priority, Runnable start) {
+	public record Entry(LongSupplier waitMillis, long chainMillis, long objectiveAt, long expiresAt, int priority,
+			Runnable start, Runnable refuse) {
 	}
 
 }
--- a/src/test/java/org/magnoliahub/serving/StageQueueTests.java
+++ b/src/test/java/org/magnoliahub/serving/StageQueueTests.java
@@ -138,4 +138,23 @@
 		assertThat(this.queue.expectedWaitMillis(0)).isGreaterThan(900);
 	}
 
+	@Test
+	void pieceWithTimeLeftWaitsForTheZoneOfItsInputs() {
+		EndpointDirectory two = Records.directory(Records.endpoint("a", "ocr", "z1"),
+				Records.endpoint("b", "ocr", "z2"));
+		StageQueue other = new StageQueue("ocr", Records.POOL, two, Records.budget());
+		other.add(zoned(1, "z2", 5_000), 0);
+		assertThat(other.next(0).orElseThrow().endpoint().record().id()).isEqualTo("b");
+		other.add(zoned(2, "z2", 5_000), 0);
+		assertThat(other.next(0)).isEmpty();
+		other.add(zoned(3, "z2", 300), 0);
+		assertThat(other.next(0).orElseThrow().tasks()).singleElement()
+			.satisfies((task) -> assertThat(task.work().group()).isEqualTo(3));
+	}
+
+	private static StageWork zoned(long group, String zone, long startBy) {
+		return new StageWork("gateway", group, "request-" + group, 1, List.of(0), null, List.of("10.0.0.1:80/x"), 10,
+				startBy, 100_000, 0, zone);
+	}
+
 }
--- a/src/test/java/org/magnoliahub/serving/StartGateTests.java
+++ b/src/test/java/org/magnoliahub/serving/StartGateTests.java
@@ -15,31 +15,34 @@
 
 	private final AtomicLong wait = new AtomicLong();
 
+	private static void nothing() {
+	}
+
 	private StartGate.Entry entry(long objectiveAt, int priority) {
-		return new StartGate.Entry(this.wait::get, 1_000, objectiveAt, priority, () -> {
-		});
+		return new StartGate.Entry(this.wait::get, 1_000, objectiveAt, 4 * objectiveAt, priority,
+				StartGateTests::nothing, StartGateTests::nothing);
 	}
 
 	@Test
 	void requestStartsWhileQueuesAreShort() {
 		this.wait.set(200);
-		assertThat(this.gate.offer(entry(100, 0), 0)).isTrue();
+		assertThat(this.gate.offer(entry(100, 0), 0)).isEqualTo(StartGate.Decision.START);
 	}
 
 	@Test
 	void requestThatCanBeInTimeStartsDespiteQueues() {
 		this.wait.set(900);
-		assertThat(this.gate.offer(entry(2_000, 0), 0)).isTrue();
+		assertThat(this.gate.offer(entry(2_000, 0), 0)).isEqualTo(StartGate.Decision.START);
 	}
 
 	@Test
 	void requestThatWouldBeLateWaitsUntilQueuesAreShort() {
 		this.wait.set(1_100);
 		StartGate.Entry late = entry(2_000, 0);
-		assertThat(this.gate.offer(late, 0)).isFalse();
-		assertThat(this.gate.next()).isNull();
+		assertThat(this.gate.offer(late, 0)).isEqualTo(StartGate.Decision.WAIT);
+		assertThat(this.gate.next(0)).isNull();
 		this.wait.set(100);
-		assertThat(this.gate.next()).isSameAs(late);
+		assertThat(this.gate.next(0)).isSameAs(late);
 		assertThat(this.gate.size()).isZero();
 	}
 
@@ -51,8 +54,8 @@
 		this.gate.offer(low, 0);
 		this.gate.offer(high, 0);
 		this.wait.set(0);
-		assertThat(this.gate.next()).isSameAs(high);
-		assertThat(this.gate.next()).isSameAs(low);
+		assertThat(this.gate.next(0)).isSameAs(high);
+		assertThat(this.gate.next(0)).isSameAs(low);
 	}
 
 	@Test
@@ -62,7 +65,27 @@
 		this.gate.offer(ended, 0);
 		this.gate.remove(ended);
 		this.wait.set(0);
-		assertThat(this.gate.next()).isNull();
+		assertThat(this.gate.next(0)).isNull();
+	}
+
+	@Test
+	void requestWhoseTurnComesAfterItsCallerLeavesIsRefusedAtOnce() {
+		this.wait.set(5_000);
+		int waiting = 0;
+		while (this.gate.offer(entry(1_500, 1), 0) == StartGate.Decision.WAIT && waiting < 1_000) {
+			waiting++;
+		}
+		assertThat(waiting).isBetween(5, 20);
+		assertThat(this.gate.offer(entry(1_500, 0), 0)).isEqualTo(StartGate.Decision.WAIT);
+	}
+
+	@Test
+	void requestThatCannotBeDoneAnyMoreLeavesTheQueue() {
+		this.wait.set(5_000);
+		StartGate.Entry late = entry(2_000, 0);
+		this.gate.offer(late, 0);
+		assertThat(this.gate.removeExpired(6_900)).isEmpty();
+		assertThat(this.gate.removeExpired(7_100)).containsExactly(late);
 	}
 
 }
