Take back refusals at arrival and zone holds in the stage queues

Cause: refusing by the gate's drain rate turned late answers into none, and a piece that waited for its zone left an endpoint idle. Kept: requests whose callers have left are taken out, and of several free endpoints the one in the zone of the inputs goes first.

--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -311,7 +311,7 @@
 		}
 		this.links.values().forEach(PeerLink::check);
 		this.gate.removeExpired(now).forEach((expired) -> expired.refuse().run());
-		StartGate.Entry next = this.gate.next(now);
+		StartGate.Entry next = this.gate.next();
 		if (next != null) {
 			next.start().run();
 		}
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -31,15 +31,9 @@
 	/** Puts pieces that cannot be in time behind all others. */
 	private static final long LATE_MILLIS = 1_000_000;
 
-	/** A piece with this much time left may wait for an endpoint in its zone. */
-	private static final long ZONE_SLACK_MILLIS = 500;
-
 	/** What another zone counts when several endpoints are free, as a factor of speed. */
 	private static final double OTHER_ZONE_FACTOR = 0.35;
 
-	/** Part of the room of an endpoint that is planned with; sizes are approximate. */
-	private static final double ROOM_SHARE = 0.9;
-
 	private static final int MAXIMUM_TRIES = 3;
 
 	/** Pause of an endpoint that has no room for results or is full with other calls. */
@@ -168,11 +162,9 @@
 		String zone = endpoint.record().availabilityZone();
 		this.waiting.sort(Comparator.comparingLong((task) -> urgency(task.work(), zone, now)));
 		long freeBytes = freeBytes(endpoint, now);
-		List<StageTask> tasks = take(freeBytes, zone, now);
+		List<StageTask> tasks = take(freeBytes);
 		if (tasks.isEmpty()) {
-			if (!fits(freeBytes)) {
-				endpoint.pause(now, FULL_PAUSE_MILLIS);
-			}
+			endpoint.pause(now, FULL_PAUSE_MILLIS);
 			return Optional.empty();
 		}
 		double expected = this.pool.expectedMillis(tasks.size());
@@ -188,18 +180,13 @@
 			.orElse("");
 	}
 
-	private boolean fits(long freeBytes) {
-		return this.waiting.stream().anyMatch((task) -> task.work().resultBytes() <= freeBytes);
-	}
-
-	private List<StageTask> take(long freeBytes, String zone, long now) {
-		Set<String> busyZones = (this.waiting.size() <= this.pool.batchSize()) ? busyZones(now) : Set.of();
+	private List<StageTask> take(long freeBytes) {
 		List<StageTask> tasks = new ArrayList<>();
 		long bytes = freeBytes;
 		Iterator<StageTask> candidates = this.waiting.iterator();
 		while (candidates.hasNext() && tasks.size() < this.pool.batchSize()) {
 			StageTask task = candidates.next();
-			if (task.work().resultBytes() > bytes || waitsForZone(task.work(), zone, busyZones, now)) {
+			if (task.work().resultBytes() > bytes) {
 				continue;
 			}
 			bytes -= task.work().resultBytes();
@@ -209,23 +196,6 @@
 		return tasks;
 	}
 
-	private static boolean waitsForZone(StageWork work, String zone, Set<String> busyZones, long now) {
-		return !work.preferredZone().equals(zone) && busyZones.contains(work.preferredZone())
-				&& work.startBy() - now > ZONE_SLACK_MILLIS;
-	}
-
-	// Zones whose endpoints work and will be free again soon.
-	private Set<String> busyZones(long now) {
-		Set<String> zones = new HashSet<>();
-		for (StageCall call : this.running.values()) {
-			EndpointState endpoint = call.endpoint();
-			if (!endpoint.isSilent(now, SILENCE_MILLIS) && endpoint.speedFactor(now) < SLOW_FACTOR) {
-				zones.add(endpoint.record().availabilityZone());
-			}
-		}
-		return zones;
-	}
-
 	private static long urgency(StageWork work, String zone, long now) {
 		long key = work.startBy() + PRIORITY_MILLIS * work.priority();
 		if (!work.preferredZone().isEmpty() && !work.preferredZone().equals(zone)) {
@@ -281,7 +251,7 @@
 				used += result.bytes();
 			}
 		}
-		return (long) (ROOM_SHARE * this.pool.resultBytes()) - used;
+		return this.pool.resultBytes() - used;
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/serving/StartGate.java
+++ b/src/main/java/org/magnoliahub/serving/StartGate.java
@@ -1,9 +1,7 @@
 package org.magnoliahub.serving;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.List;
 import java.util.function.LongSupplier;
 
@@ -22,16 +20,8 @@
 	/** Queues with less wait than this take any request. */
 	private static final long SHORT_WAIT_MILLIS = 250;
 
-	/** Span over which starts are counted. */
-	private static final long RATE_MILLIS = 2_000;
-
-	/** Starts in the span that are expected when none was counted. */
-	private static final int LEAST_STARTS = 4;
-
 	private final List<Entry> waiting = new ArrayList<>();
 
-	private final Deque<Long> starts = new ArrayDeque<>();
-
 	/**
 	 * Offers a request.
 	 * @param request the request
@@ -44,25 +34,13 @@
 		if (wait <= SHORT_WAIT_MILLIS || now + wait + request.chainMillis() <= request.objectiveAt()) {
 			return Decision.START;
 		}
-		if (now + turnMillis(request, now) + request.chainMillis() > request.expiresAt()) {
+		if (now + request.chainMillis() > request.expiresAt()) {
 			return Decision.REFUSE;
 		}
 		this.waiting.add(request);
 		return Decision.WAIT;
 	}
 
-	private long turnMillis(Entry request, long now) {
-		forgetStarts(now);
-		long before = this.waiting.stream().filter((other) -> other.priority() <= request.priority()).count();
-		return before * RATE_MILLIS / Math.max(LEAST_STARTS, this.starts.size());
-	}
-
-	private void forgetStarts(long now) {
-		while (!this.starts.isEmpty() && this.starts.peekFirst() < now - RATE_MILLIS) {
-			this.starts.pollFirst();
-		}
-	}
-
 	/**
 	 * Takes out the requests that could not be done any more before their callers leave.
 	 * @param now monotonic time, in milliseconds
@@ -87,17 +65,15 @@
 	/**
 	 * Takes the next request that starts now: the most urgent rank first, then the one
 	 * that has waited longest.
-	 * @param now monotonic time, in milliseconds
 	 * @return the request, or {@code null} if none starts
 	 */
-	public @Nullable Entry next(long now) {
+	public @Nullable Entry next() {
 		Entry best = this.waiting.stream()
 			.filter((request) -> request.waitMillis().getAsLong() <= SHORT_WAIT_MILLIS)
 			.min(Comparator.comparingInt(Entry::priority).thenComparingLong(Entry::objectiveAt))
 			.orElse(null);
 		if (best != null) {
 			this.waiting.remove(best);
-			this.starts.add(now);
 		}
 		return best;
 	}
--- a/src/test/java/org/magnoliahub/serving/StageQueueTests.java
+++ b/src/test/java/org/magnoliahub/serving/StageQueueTests.java
@@ -139,17 +139,14 @@
 	}
 
 	@Test
-	void pieceWithTimeLeftWaitsForTheZoneOfItsInputs() {
+	void freeEndpointInTheZoneOfTheInputsGoesFirst() {
 		EndpointDirectory two = Records.directory(Records.endpoint("a", "ocr", "z1"),
 				Records.endpoint("b", "ocr", "z2"));
 		StageQueue other = new StageQueue("ocr", Records.POOL, two, Records.budget());
 		other.add(zoned(1, "z2", 5_000), 0);
 		assertThat(other.next(0).orElseThrow().endpoint().record().id()).isEqualTo("b");
 		other.add(zoned(2, "z2", 5_000), 0);
-		assertThat(other.next(0)).isEmpty();
-		other.add(zoned(3, "z2", 300), 0);
-		assertThat(other.next(0).orElseThrow().tasks()).singleElement()
-			.satisfies((task) -> assertThat(task.work().group()).isEqualTo(3));
+		assertThat(other.next(0).orElseThrow().endpoint().record().id()).isEqualTo("a");
 	}
 
 	private static StageWork zoned(long group, String zone, long startBy) {
--- a/src/test/java/org/magnoliahub/serving/StartGateTests.java
+++ b/src/test/java/org/magnoliahub/serving/StartGateTests.java
@@ -40,9 +40,9 @@
 		this.wait.set(1_100);
 		StartGate.Entry late = entry(2_000, 0);
 		assertThat(this.gate.offer(late, 0)).isEqualTo(StartGate.Decision.WAIT);
-		assertThat(this.gate.next(0)).isNull();
+		assertThat(this.gate.next()).isNull();
 		this.wait.set(100);
-		assertThat(this.gate.next(0)).isSameAs(late);
+		assertThat(this.gate.next()).isSameAs(late);
 		assertThat(this.gate.size()).isZero();
 	}
 
@@ -54,8 +54,8 @@
 		this.gate.offer(low, 0);
 		this.gate.offer(high, 0);
 		this.wait.set(0);
-		assertThat(this.gate.next(0)).isSameAs(high);
-		assertThat(this.gate.next(0)).isSameAs(low);
+		assertThat(this.gate.next()).isSameAs(high);
+		assertThat(this.gate.next()).isSameAs(low);
 	}
 
 	@Test
@@ -65,18 +65,13 @@
 		this.gate.offer(ended, 0);
 		this.gate.remove(ended);
 		this.wait.set(0);
-		assertThat(this.gate.next(0)).isNull();
+		assertThat(this.gate.next()).isNull();
 	}
 
 	@Test
-	void requestWhoseTurnComesAfterItsCallerLeavesIsRefusedAtOnce() {
+	void requestWhoseCallerWouldLeaveBeforeItsStagesEndIsRefusedAtOnce() {
 		this.wait.set(5_000);
-		int waiting = 0;
-		while (this.gate.offer(entry(1_500, 1), 0) == StartGate.Decision.WAIT && waiting < 1_000) {
-			waiting++;
-		}
-		assertThat(waiting).isBetween(5, 20);
-		assertThat(this.gate.offer(entry(1_500, 0), 0)).isEqualTo(StartGate.Decision.WAIT);
+		assertThat(this.gate.offer(entry(2_000, 0), 7_500)).isEqualTo(StartGate.Decision.REFUSE);
 	}
 
 	@Test
