Announce the pieces of later stages, measure the rate of a stage

Cause: the wait was computed from the configured rate, but results hold room and the endpoints did 23 of 40 pieces a call; and pieces on their way from earlier stages were not counted. Also the speed factor of an endpoint was multiplied by itself at each answer (found by a test of the rate), so slow endpoints seemed ever slower. Change: gateways announce pieces, StageRate counts what was done while pieces waited, the factor is the plain ratio.

--- a/src/main/java/org/magnoliahub/entry/PeerCodec.java
+++ b/src/main/java/org/magnoliahub/entry/PeerCodec.java
@@ -32,6 +32,8 @@
 
 	private static final int FREE = 6;
 
+	private static final int EXPECT = 7;
+
 	private static final int MAXIMUM_ITEMS = 10_000;
 
 	private PeerCodec() {
@@ -77,6 +79,10 @@
 		else if (message instanceof PeerMessage.Cancel cancel) {
 			packer.packInt(CANCEL).packString(cancel.service()).packLong(cancel.group());
 		}
+		else if (message instanceof PeerMessage.Expect expect) {
+			packer.packInt(EXPECT).packString(expect.service()).packString(expect.requestId());
+			packer.packInt(expect.stage()).packInt(expect.pieces()).packLong(expect.budgetMillis());
+		}
 		else if (message instanceof PeerMessage.Free free) {
 			packer.packInt(FREE).packString(free.service());
 			packTexts(packer, free.handles());
@@ -123,6 +129,8 @@
 			case RESULT -> result(unpacker);
 			case CANCEL -> new PeerMessage.Cancel(unpacker.unpackString(), unpacker.unpackLong());
 			case FREE -> new PeerMessage.Free(unpacker.unpackString(), texts(unpacker));
+			case EXPECT -> new PeerMessage.Expect(unpacker.unpackString(), unpacker.unpackString(),
+					unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackLong());
 			default -> null;
 		};
 	}
--- a/src/main/java/org/magnoliahub/entry/PeerMessage.java
+++ b/src/main/java/org/magnoliahub/entry/PeerMessage.java
@@ -48,6 +48,18 @@
 			String preferredZone) implements PeerMessage {
 	}
 
+	/**
+	 * Pieces that will be submitted when earlier stages are done.
+	 *
+	 * @param service the stage's service
+	 * @param requestId the caller's id of the request
+	 * @param stage index of the stage
+	 * @param pieces number of pieces
+	 * @param budgetMillis time within which they come
+	 */
+	record Expect(String service, String requestId, int stage, int pieces, long budgetMillis) implements PeerMessage {
+	}
+
 	/**
 	 * Result of a piece.
 	 *
--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -201,6 +201,26 @@
 		return number;
 	}
 
+	/**
+	 * Announces pieces that will be submitted when earlier stages are done.
+	 * @param service the stage's service
+	 * @param requestId the caller's id of the request
+	 * @param stage index of the stage
+	 * @param pieces number of pieces
+	 * @param budgetMillis time within which they come
+	 */
+	void expect(String service, String requestId, int stage, int pieces, long budgetMillis) {
+		PeerLink link = this.links.get(owner(service));
+		if (link != null) {
+			link.send(new PeerMessage.Expect(service, requestId, stage, pieces, budgetMillis));
+			return;
+		}
+		StageQueue queue = queue(service);
+		if (queue != null) {
+			queue.expect(requestId, stage, pieces, this.context.now() + budgetMillis);
+		}
+	}
+
 	private void dispatch(Submission submission) {
 		long now = this.context.now();
 		StageWork work = submission.work;
@@ -345,6 +365,12 @@
 			queue.add(work, now);
 			pump(queue);
 		}
+		else if (message instanceof PeerMessage.Expect expect) {
+			StageQueue queue = queue(expect.service());
+			if (queue != null) {
+				queue.expect(expect.requestId(), expect.stage(), expect.pieces(), now + expect.budgetMillis());
+			}
+		}
 		else if (message instanceof PeerMessage.Cancel cancel) {
 			StageQueue queue = this.queues.get(cancel.service());
 			if (queue != null) {
--- a/src/main/java/org/magnoliahub/entry/StageRun.java
+++ b/src/main/java/org/magnoliahub/entry/StageRun.java
@@ -24,6 +24,9 @@
 	/** Time that the request itself takes to its first event, for the start of stages. */
 	private static final long FIRST_EVENT_MILLIS = 250;
 
+	/** Time within which the pieces of later stages usually come. */
+	private static final long EXPECTED_WITHIN_MILLIS = 2_500;
+
 	/** Results from this size on are made near the engine that needs them. */
 	private static final long LARGE_RESULT_BYTES = 100_000;
 
@@ -66,6 +69,12 @@
 
 	void start() {
 		submitReady();
+		for (int stage = 0; stage < this.route.stages().size(); stage++) {
+			if (this.progress.pieces(stage) > 0 && !this.submissions.containsKey(stage)) {
+				this.coordinator.expect(this.route.stages().get(stage).service(), this.request.requestId(), stage,
+						this.progress.pieces(stage), EXPECTED_WITHIN_MILLIS);
+			}
+		}
 	}
 
 	/**
@@ -74,11 +83,15 @@
 	 * @return milliseconds
 	 */
 	long expectedWaitMillis() {
-		long wait = 0;
+		double wait = 0;
+		double begun = 0;
 		for (int stage = firstOfChain(); stage >= 0; stage = follower(stage)) {
-			wait += this.coordinator.expectedWaitMillis(this.route.stages().get(stage).service());
+			String service = this.route.stages().get(stage).service();
+			double queued = Math.max(0, this.coordinator.expectedWaitMillis(service) - begun);
+			wait += queued;
+			begun += queued + callMillis(stage);
 		}
-		return wait;
+		return (long) wait;
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/serving/EndpointCall.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointCall.java
@@ -11,8 +11,6 @@
 
 	private final double expectedMillis;
 
-	private final double factorAtSend;
-
 	private final int tokens;
 
 	private boolean ended;
@@ -21,7 +19,6 @@
 		this.endpoint = endpoint;
 		this.sentMillis = sentMillis;
 		this.expectedMillis = expectedMillis;
-		this.factorAtSend = endpoint.speedFactor(sentMillis);
 		this.tokens = tokens;
 	}
 
@@ -33,10 +30,6 @@
 		return this.expectedMillis;
 	}
 
-	double factorAtSend() {
-		return this.factorAtSend;
-	}
-
 	int tokens() {
 		return this.tokens;
 	}
--- a/src/main/java/org/magnoliahub/serving/EndpointState.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointState.java
@@ -23,6 +23,8 @@
 	/** Time in which what was learned of the speed loses half of its weight. */
 	private static final double SPEED_HALF_LIFE_MILLIS = 8_000;
 
+	private static final double LARGEST_FACTOR = 10;
+
 	private EndpointRecord record;
 
 	private long lapsesAt = Long.MAX_VALUE;
@@ -118,7 +120,7 @@
 		this.lastAnswerMillis = now;
 		double ratio = Math.max(0.05, now - call.sentMillis()) / Math.max(1, call.expectedMillis());
 		double factor = speedFactor(now);
-		this.speedFactor = factor + SMOOTHING * (Math.min(10, ratio * call.factorAtSend()) - factor);
+		this.speedFactor = factor + SMOOTHING * (Math.min(LARGEST_FACTOR, ratio) - factor);
 		this.speedUpdated = now;
 	}
 
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -34,6 +34,9 @@
 	/** What another zone counts when several endpoints are free, as a factor of speed. */
 	private static final double OTHER_ZONE_FACTOR = 0.35;
 
+	/** Wait that stands for a service without a usable endpoint. */
+	private static final long NO_ENDPOINT_MILLIS = 60_000;
+
 	private static final int MAXIMUM_TRIES = 3;
 
 	/** Pause of an endpoint that has no room for results or is full with other calls. */
@@ -58,6 +61,10 @@
 
 	private final Set<GroupKey> cancelled = new HashSet<>();
 
+	private final Map<StageKey, ExpectedPieces> expected = new HashMap<>();
+
+	private final StageRate rate = new StageRate();
+
 	private StagePool pool;
 
 	/**
@@ -96,6 +103,10 @@
 	 * @param now monotonic time, in milliseconds
 	 */
 	public void add(StageWork work, long now) {
+		if (this.waiting.isEmpty()) {
+			this.rate.idle(now);
+		}
+		this.expected.remove(new StageKey(work.requestId(), work.stage()));
 		for (int piece : work.pieces()) {
 			this.waiting.add(new StageTask(work, piece, 0, now));
 			this.budget.first(this.service, now);
@@ -170,6 +181,9 @@
 		double expected = this.pool.expectedMillis(tasks.size());
 		StageCall call = new StageCall(endpoint, tasks, expected, endpoint.begin(now, expected, 0));
 		this.running.put(endpoint.record().id(), call);
+		if (this.waiting.isEmpty()) {
+			this.rate.idle(now);
+		}
 		return Optional.of(call);
 	}
 
@@ -266,6 +280,7 @@
 		call.call().answered(now);
 		call.call().end();
 		call.endpoint().succeeded(now);
+		this.rate.done(call.tasks().size(), now);
 		List<CompletedPiece> done = new ArrayList<>();
 		boolean room = true;
 		for (int index = 0; index < call.tasks().size(); index++) {
@@ -351,7 +366,18 @@
 	}
 
 	/**
-	 * Returns how long a new piece of usual urgency waits for its call.
+	 * Notes pieces that will come when earlier stages of their request are done.
+	 * @param requestId the caller's id of the request
+	 * @param stage index of the stage
+	 * @param pieces number of pieces
+	 * @param until monotonic time until which they are expected, in milliseconds
+	 */
+	public void expect(String requestId, int stage, int pieces, long until) {
+		this.expected.put(new StageKey(requestId, stage), new ExpectedPieces(pieces, until));
+	}
+
+	/**
+	 * Returns how long the pieces that wait or are expected keep the endpoints busy.
 	 * @param now monotonic time, in milliseconds
 	 * @return milliseconds, very large if no endpoint is usable
 	 */
@@ -363,15 +389,16 @@
 			}
 		}
 		if (capacity == 0) {
-			return Long.MAX_VALUE;
+			return this.waiting.isEmpty() ? 0 : NO_ENDPOINT_MILLIS;
 		}
-		double fullCall = this.pool.expectedMillis(this.pool.batchSize());
-		double calls = Math.floor((double) this.waiting.size() / this.pool.batchSize());
-		double oldest = 0;
-		for (StageTask task : this.waiting) {
-			oldest = Math.max(oldest, now - task.waitingSince());
+		this.expected.values().removeIf((pieces) -> pieces.until() <= now);
+		int pieces = this.waiting.size();
+		for (ExpectedPieces coming : this.expected.values()) {
+			pieces += coming.pieces();
 		}
-		return Math.max(oldest, calls * fullCall / capacity);
+		double fullCall = this.pool.expectedMillis(this.pool.batchSize());
+		double configured = 1_000 * capacity * this.pool.batchSize() / fullCall;
+		return 1_000 * pieces / this.rate.perSecond(configured);
 	}
 
 	/**
@@ -391,6 +418,12 @@
 	public record CompletedPiece(StageTask task, PieceResult result) {
 	}
 
+	private record StageKey(String requestId, int stage) {
+	}
+
+	private record ExpectedPieces(int pieces, long until) {
+	}
+
 	private record StoredResult(long bytes, long expiresAt) {
 	}
 
--- a/src/test/java/org/magnoliahub/serving/EndpointSelectorTests.java
+++ b/src/test/java/org/magnoliahub/serving/EndpointSelectorTests.java
@@ -91,4 +91,14 @@
 		assertThat(next.endpoint()).isNotSameAs(choice.endpoint());
 	}
 
+	@Test
+	void speedOfAnEndpointIsWhatItsAnswersShow() {
+		for (int round = 0; round < 40; round++) {
+			EndpointCall call = state("a").begin(round * 200, 100, 0);
+			call.answered(round * 200 + 130);
+			call.end();
+		}
+		assertThat(state("a").speedFactor(7_930)).isBetween(1.25, 1.35);
+	}
+
 }
--- a/src/test/java/org/magnoliahub/serving/StageQueueTests.java
+++ b/src/test/java/org/magnoliahub/serving/StageQueueTests.java
@@ -149,6 +149,30 @@
 		assertThat(other.next(0).orElseThrow().endpoint().record().id()).isEqualTo("a");
 	}
 
+	@Test
+	void announcedPiecesCountAsWaitUntilTheyCome() {
+		this.queue.expect("request-1", 0, 30, 5_000);
+		double announced = this.queue.expectedWaitMillis(0);
+		assertThat(announced).isGreaterThan(900);
+		this.queue.add(Records.work(1, 30, 500, 10), 0);
+		assertThat(this.queue.expectedWaitMillis(0)).isEqualTo(announced);
+		this.queue.expect("request-2", 0, 30, 5_000);
+		assertThat(this.queue.expectedWaitMillis(5_001)).isEqualTo(announced);
+	}
+
+	@Test
+	void waitFollowsFromTheRateThatWasSeen() {
+		long now = 0;
+		this.queue.add(Records.work(1, 400, 500, 10), now);
+		for (int round = 0; round < 10; round++) {
+			StageCall call = this.queue.next(now).orElseThrow();
+			now += 1_000;
+			this.queue.completed(call, results(call), now);
+			this.queue.freed(results(call).stream().map((result) -> String.valueOf(result.handle())).toList());
+		}
+		assertThat(this.queue.expectedWaitMillis(now)).isBetween(15_000.0, 45_000.0);
+	}
+
 	private static StageWork zoned(long group, String zone, long startBy) {
 		return new StageWork("gateway", group, "request-" + group, 1, List.of(0), null, List.of("10.0.0.1:80/x"), 10,
 				startBy, 100_000, 0, zone);
