--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -61,6 +61,8 @@
 
 	private static final long LOOP_MILLIS = 1_000;
 
+	private static final Duration METRICS_DELAY = Duration.ofSeconds(3);
+
 	private static final long STOP_CHECK_MILLIS = 50;
 
 	private final NodeSettings settings;
@@ -154,9 +156,12 @@
 		this.timers.every(REGISTER_INTERVAL).subscribe((tick) -> register());
 		this.timers.every(Duration.ofSeconds(1)).subscribe((tick) -> this.context.http().closeIdle());
 		this.stages.start();
-		addGauges();
-		this.loopDue = this.timers.milliTime();
-		measureLoop();
+		// Metrics are set up when the gateway already serves; a start is on the clock.
+		this.timers.after(METRICS_DELAY).subscribe(() -> {
+			addGauges();
+			this.loopDue = this.timers.milliTime();
+			measureLoop();
+		});
 	}
 
 	private void logStart(long startedNanos) {
