--- a/src/main/java/org/magnoliahub/entry/PeerCodec.java
+++ b/src/main/java/org/magnoliahub/entry/PeerCodec.java
@@ -34,8 +34,6 @@
 
 	private static final int EXPECT = 7;
 
-	private static final int BEGUN = 8;
-
 	private static final int MAXIMUM_ITEMS = 10_000;
 
 	private PeerCodec() {
@@ -85,9 +83,6 @@
 			packer.packInt(EXPECT).packString(expect.service()).packString(expect.requestId());
 			packer.packInt(expect.stage()).packInt(expect.pieces()).packLong(expect.budgetMillis());
 		}
-		else if (message instanceof PeerMessage.Begun begun) {
-			packer.packInt(BEGUN).packLong(begun.group());
-		}
 		else if (message instanceof PeerMessage.Free free) {
 			packer.packInt(FREE).packString(free.service());
 			packTexts(packer, free.handles());
@@ -136,7 +131,6 @@
 			case FREE -> new PeerMessage.Free(unpacker.unpackString(), texts(unpacker));
 			case EXPECT -> new PeerMessage.Expect(unpacker.unpackString(), unpacker.unpackString(),
 					unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackLong());
-			case BEGUN -> new PeerMessage.Begun(unpacker.unpackLong());
 			default -> null;
 		};
 	}
--- a/src/main/java/org/magnoliahub/entry/PeerLink.java
+++ b/src/main/java/org/magnoliahub/entry/PeerLink.java
@@ -167,9 +167,6 @@
 		if (message instanceof PeerMessage.Result result) {
 			this.handler.onResult(result);
 		}
-		else if (message instanceof PeerMessage.Begun begun) {
-			this.handler.onBegun(begun.group());
-		}
 	}
 
 	@Override
@@ -211,12 +208,6 @@
 		 */
 		void onResult(PeerMessage.Result result);
 
-		/**
-		 * Called when all pieces of a submission work and have their inputs.
-		 * @param group number of the submission
-		 */
-		void onBegun(long group);
-
 		/**
 		 * Called when the link was lost.
 		 * @param member name of the other gateway
--- a/src/main/java/org/magnoliahub/entry/PeerMessage.java
+++ b/src/main/java/org/magnoliahub/entry/PeerMessage.java
@@ -74,14 +74,6 @@
 			@Nullable PieceFailure failure) implements PeerMessage {
 	}
 
-	/**
-	 * All pieces of a submission work, and their inputs have been fetched.
-	 *
-	 * @param group number of the submission
-	 */
-	record Begun(long group) implements PeerMessage {
-	}
-
 	/**
 	 * Pieces of a submission are no longer wanted.
 	 *
--- a/src/main/java/org/magnoliahub/entry/StageCalls.java
+++ b/src/main/java/org/magnoliahub/entry/StageCalls.java
@@ -22,7 +22,6 @@
 import org.magnoliahub.serving.StageCall;
 import org.magnoliahub.serving.StageQueue;
 import org.magnoliahub.serving.StageTask;
-import org.magnoliahub.serving.StageWork;
 
 /**
  * Sends calls to stage endpoints and gives their results up.
@@ -39,26 +38,17 @@
 
 	private static final long LONGEST_SLACK_MILLIS = 600;
 
-	/**
-	 * Time after which an endpoint has fetched the inputs of a call. It does so when the
-	 * call's turn comes, which is at once, because an endpoint has one call at a time.
-	 */
-	private static final long FETCH_MILLIS = 80;
-
 	private static final int OK = 200;
 
 	private final EntryContext context;
 
 	private final PieceDelivery delivery;
 
-	private final Consumer<StageWork> begun;
-
 	private final StageCallFormat format = new StageCallFormat();
 
-	StageCalls(EntryContext context, PieceDelivery delivery, Consumer<StageWork> begun) {
+	StageCalls(EntryContext context, PieceDelivery delivery) {
 		this.context = context;
 		this.delivery = delivery;
-		this.begun = begun;
 	}
 
 	/**
@@ -89,11 +79,6 @@
 				this.format.run(call.tasks(), now), 0, CONNECT_MILLIS, (response) -> true);
 		Answer answer = new Answer(queue, call, done, now);
 		HttpExchange exchange = this.context.http().send(http, answer);
-		this.context.timers().after(Duration.ofMillis(FETCH_MILLIS)).subscribe(() -> {
-			if (!answer.over) {
-				call.begun().stream().filter((work) -> !work.inputs().isEmpty()).forEach(this.begun);
-			}
-		});
 		long limit = (long) (LONGEST_FACTOR * call.expectedMillis()) + LONGEST_SLACK_MILLIS;
 		answer.timeout = this.context.timers().after(Duration.ofMillis(limit)).subscribe(() -> {
 			exchange.cancel();
--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -66,7 +66,7 @@
 		this.context = context;
 		this.group = group;
 		this.ownName = ownName;
-		this.calls = new StageCalls(context, this::deliver, this::begun);
+		this.calls = new StageCalls(context, this::deliver);
 	}
 
 	StartGate gate() {
@@ -401,22 +401,6 @@
 				new PieceResult(result.handle(), result.availabilityZone(), result.failure()));
 	}
 
-	private void begun(StageWork work) {
-		if (work.origin().equals(this.ownName)) {
-			onBegun(work.group());
-			return;
-		}
-		this.server.send(work.origin(), new PeerMessage.Begun(work.group()));
-	}
-
-	@Override
-	public void onBegun(long group) {
-		Submission submission = this.submissions.get(group);
-		if (submission != null) {
-			submission.listener.onBegun(submission.work.stage());
-		}
-	}
-
 	@Override
 	public void onLost(String member) {
 		for (Submission submission : List.copyOf(this.submissions.values())) {
@@ -447,12 +431,6 @@
 		 */
 		void onPiece(int stage, int piece, PieceResult result);
 
-		/**
-		 * Called when all pieces of a stage work and have their inputs.
-		 * @param stage index of the stage
-		 */
-		void onBegun(int stage);
-
 	}
 
 	private static final class Submission {
--- a/src/main/java/org/magnoliahub/entry/StageRun.java
+++ b/src/main/java/org/magnoliahub/entry/StageRun.java
@@ -1,11 +1,9 @@
 package org.magnoliahub.entry;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 
 import org.magnoliahub.serving.CallerRequest;
 import org.magnoliahub.serving.PieceFailure;
@@ -52,10 +50,6 @@
 
 	private final Map<Integer, Long> submissions = new HashMap<>();
 
-	private final Set<Integer> begun = new HashSet<>();
-
-	private final Set<Integer> freed = new HashSet<>();
-
 	private boolean over;
 
 	private boolean released;
@@ -210,14 +204,6 @@
 		}
 	}
 
-	@Override
-	public void onBegun(int stage) {
-		if (!this.over) {
-			this.begun.add(stage);
-			releaseInputs(stage);
-		}
-	}
-
 	private void failed(int stage, PieceFailure failure) {
 		this.context.log()
 			.event(EntryEvent.STAGE_FAILED)
@@ -235,16 +221,15 @@
 
 	private void releaseInputs(int stage) {
 		for (int source : this.route.stages().get(stage).inputStages()) {
-			if (areFollowersFed(source)) {
+			if (areFollowersDone(source)) {
 				free(source);
 			}
 		}
 	}
 
-	private boolean areFollowersFed(int source) {
+	private boolean areFollowersDone(int source) {
 		for (int next = 0; next < this.route.stages().size(); next++) {
-			if (this.route.stages().get(next).inputStages().contains(source) && !this.progress.isDone(next)
-					&& !this.begun.contains(next)) {
+			if (this.route.stages().get(next).inputStages().contains(source) && !this.progress.isDone(next)) {
 				return false;
 			}
 		}
@@ -252,9 +237,6 @@
 	}
 
 	private void free(int stage) {
-		if (!this.freed.add(stage)) {
-			return;
-		}
 		this.coordinator.free(this.route.stages().get(stage).service(), this.progress.handles(stage));
 	}
 
@@ -288,7 +270,10 @@
 		this.submissions.values().forEach(this.coordinator::cancel);
 		this.submissions.clear();
 		for (int stage = 0; stage < this.route.stages().size(); stage++) {
-			free(stage);
+			boolean freedBefore = isLast(stage) ? this.released : areFollowersDone(stage);
+			if (!freedBefore) {
+				free(stage);
+			}
 		}
 	}
 
--- a/src/main/java/org/magnoliahub/serving/StageCall.java
+++ b/src/main/java/org/magnoliahub/serving/StageCall.java
@@ -9,17 +9,14 @@
  * @param tasks pieces in the order of the call
  * @param expectedMillis expected time, in milliseconds
  * @param call the endpoint's record of the call
- * @param begun submissions of which no piece waits any more
  */
-public record StageCall(EndpointState endpoint, List<StageTask> tasks, double expectedMillis, EndpointCall call,
-		List<StageWork> begun) {
+public record StageCall(EndpointState endpoint, List<StageTask> tasks, double expectedMillis, EndpointCall call) {
 
 	/**
-	 * Copies the lists.
+	 * Copies the list.
 	 */
 	public StageCall {
 		tasks = List.copyOf(tasks);
-		begun = List.copyOf(begun);
 	}
 
 	long resultBytes() {
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -179,7 +179,7 @@
 			return Optional.empty();
 		}
 		double expected = this.pool.expectedMillis(tasks.size());
-		StageCall call = new StageCall(endpoint, tasks, expected, endpoint.begin(now, expected, 0), begun(tasks));
+		StageCall call = new StageCall(endpoint, tasks, expected, endpoint.begin(now, expected, 0));
 		this.running.put(endpoint.record().id(), call);
 		if (this.waiting.isEmpty()) {
 			this.rate.idle(now);
@@ -210,18 +210,6 @@
 		return tasks;
 	}
 
-	private List<StageWork> begun(List<StageTask> tasks) {
-		Set<GroupKey> stillWaiting = new HashSet<>();
-		this.waiting.forEach((task) -> stillWaiting.add(GroupKey.of(task)));
-		Map<GroupKey, StageWork> begun = new HashMap<>();
-		for (StageTask task : tasks) {
-			if (!stillWaiting.contains(GroupKey.of(task))) {
-				begun.put(GroupKey.of(task), task.work());
-			}
-		}
-		return List.copyOf(begun.values());
-	}
-
 	private static long urgency(StageWork work, String zone, long now) {
 		long key = work.startBy() + PRIORITY_MILLIS * work.priority();
 		if (!work.preferredZone().isEmpty() && !work.preferredZone().equals(zone)) {
--- a/src/test/java/org/magnoliahub/entry/PeerCodecTests.java
+++ b/src/test/java/org/magnoliahub/entry/PeerCodecTests.java
@@ -24,8 +24,7 @@
 				new PeerMessage.Submit("s", 1, "r", 2, List.of(0), null, List.of("a/b", "c/d"), 800, 5, 900, 1, "z"),
 				new PeerMessage.Result("s", 4, 5, "a/b", "z", null),
 				new PeerMessage.Result("s", 4, 5, null, "", PieceFailure.LATE), new PeerMessage.Cancel("s", 9),
-				new PeerMessage.Begun(3), new PeerMessage.Expect("s", "r", 2, 8, 900),
-				new PeerMessage.Free("s", List.of("a/b")));
+				new PeerMessage.Expect("s", "r", 2, 8, 900), new PeerMessage.Free("s", List.of("a/b")));
 	}
 
 	@ParameterizedTest
--- a/src/test/java/org/magnoliahub/serving/StageQueueTests.java
+++ b/src/test/java/org/magnoliahub/serving/StageQueueTests.java
@@ -149,16 +149,6 @@
 		assertThat(other.next(0).orElseThrow().endpoint().record().id()).isEqualTo("a");
 	}
 
-	@Test
-	void submissionHasBegunWhenItsLastPieceIsInACall() {
-		this.queue.add(Records.work(1, 12, 500, 10), 0);
-		StageCall first = this.queue.next(0).orElseThrow();
-		assertThat(first.begun()).isEmpty();
-		this.queue.completed(first, results(first), 300);
-		assertThat(this.queue.next(300).orElseThrow().begun()).singleElement()
-			.satisfies((work) -> assertThat(work.group()).isEqualTo(1));
-	}
-
 	@Test
 	void announcedPiecesCountAsWaitUntilTheyCome() {
 		this.queue.expect("request-1", 0, 30, 5_000);
