--- a/src/main/java/org/magnoliahub/command/AgentCommand.java
+++ b/src/main/java/org/magnoliahub/command/AgentCommand.java
@@ -26,6 +26,7 @@
 
 	@Override
 	public void configure(Subparser parser) {
+		parser.help("run the agent beside an endpoint");
 		parser.description("Runs the agent beside one endpoint until it receives SIGTERM.");
 		Settings.declare(parser, "--endpoint", "name of the endpoint, as declared; required");
 		Settings.declare(parser, "--availability-zone", "availability zone it runs in; required");
--- a/src/main/java/org/magnoliahub/command/DemoCommand.java
+++ b/src/main/java/org/magnoliahub/command/DemoCommand.java
@@ -61,6 +61,7 @@
 
 	@Override
 	public void configure(Subparser parser) {
+		parser.help("run everything in one process and send requests");
 		parser.description("Runs a gateway, agents, engines and the platform in one process, sends requests "
 				+ "and prints their outcomes.");
 		Settings.declare(parser, "--listen-port", "port for callers, 0 for any free one; default: 0");
--- a/src/main/java/org/magnoliahub/command/ExitCode.java
+++ b/src/main/java/org/magnoliahub/command/ExitCode.java
@@ -18,7 +18,10 @@
 	CONFLICT(3),
 
 	/** A service that the command needs does not answer. */
-	UNAVAILABLE(4);
+	UNAVAILABLE(4),
+
+	/** What was asked for is not known. */
+	UNKNOWN(5);
 
 	private final int value;
 
--- a/src/main/java/org/magnoliahub/command/GatewayCommand.java
+++ b/src/main/java/org/magnoliahub/command/GatewayCommand.java
@@ -32,6 +32,7 @@
 
 	@Override
 	public void configure(Subparser parser) {
+		parser.help("run a gateway");
 		parser.description("Runs a gateway until it receives SIGTERM.");
 		Settings.declare(parser, "--name", "name of the gateway, unique among gateways; required");
 		Settings.declare(parser, "--availability-zone", "availability zone it runs in; required");
--- a/src/main/java/org/magnoliahub/command/QueryCommand.java
+++ b/src/main/java/org/magnoliahub/command/QueryCommand.java
@@ -33,6 +33,7 @@
 
 	@Override
 	public void configure(Subparser parser) {
+		parser.help("ask a gateway, or change something");
 		parser.description("Sends a query or command to the admin port of a gateway. Quote the statement for the shell,"
 				+ " for example: magnoliahub query 'requests where outcome = not_run since 1h group by reason'");
 		parser.addArgument(STATEMENT).metavar("STATEMENT").nargs("+").help("the statement");
--- a/src/main/java/org/magnoliahub/command/ReportCommand.java
+++ b/src/main/java/org/magnoliahub/command/ReportCommand.java
@@ -36,6 +36,7 @@
 
 	@Override
 	public void configure(Subparser parser) {
+		parser.help("print the report of yesterday and today");
 		parser.description("Prints the report of yesterday and today (UTC). It states how complete its data is.");
 		Settings.declare(parser, "--format", "text or html; default: text");
 		Settings.declare(parser, "--output", "file to write; default: standard output");
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -82,7 +82,7 @@
 	STAGE_FAILED(Importance.HIGH, "id", "stage", "reason", "age_ms"),
 
 	/** Lines of a kind were left out. */
-	LOG_LIMITED(Importance.HIGH, "event", "omitted");
+	LOG_LIMITED(Importance.HIGH, "kind", "omitted");
 
 	private final Importance importance;
 
--- a/src/main/java/org/magnoliahub/entry/EntryLog.java
+++ b/src/main/java/org/magnoliahub/entry/EntryLog.java
@@ -81,7 +81,7 @@
 			Map<EntryEvent, Integer> left = new EnumMap<>(this.omitted);
 			this.omitted.clear();
 			left.forEach((event, count) -> append(
-					new Line(EntryEvent.LOG_LIMITED).field("event", event.label()).field("omitted", count)));
+					new Line(EntryEvent.LOG_LIMITED).field("kind", event.label()).field("omitted", count)));
 		}
 		int count = this.written.merge(kind, 1, Integer::sum);
 		if (count <= kind.linesPerSecond() && this.buffer.length() < BUFFER_CHARACTERS) {
--- a/src/main/java/org/magnoliahub/experiment/LoadCommand.java
+++ b/src/main/java/org/magnoliahub/experiment/LoadCommand.java
@@ -37,6 +37,7 @@
 
 	@Override
 	public void configure(Subparser parser) {
+		parser.help("send a declared load to a gateway");
 		parser.description("Sends a declared mix of requests to a gateway at fixed times (open loop) and reports "
 				+ "rates, outcomes and latencies. Exit code 1 if an answer is incomplete or foreign.");
 		Settings.declare(parser, GATEWAY, "base URL of the gateway; required");
--- a/src/main/java/org/magnoliahub/server/CallerRoutes.java
+++ b/src/main/java/org/magnoliahub/server/CallerRoutes.java
@@ -9,9 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.javalin.Javalin;
 import io.javalin.http.Context;
 import io.javalin.http.HttpResponseException;
@@ -33,8 +31,6 @@
 
 	private static final String EVENT_STREAM = "text/event-stream";
 
-	private static final ObjectMapper MAPPER = new ObjectMapper();
-
 	private final RequestCoordinator coordinator;
 
 	private final Scheduler eventLoop;
@@ -78,21 +74,7 @@
 	}
 
 	private static Submission read(Context context) throws InvalidRequestException {
-		JsonNode body;
-		try {
-			body = MAPPER.readTree(context.bodyAsBytes());
-		}
-		catch (JsonProcessingException ex) {
-			throw new InvalidRequestException("the body must be a JSON object, but is malformed at line "
-					+ ex.getLocation().getLineNr() + ", column " + ex.getLocation().getColumnNr());
-		}
-		catch (IOException ex) {
-			throw new InvalidRequestException("the body could not be read: " + ex.getMessage());
-		}
-		if (body == null || !body.isObject() || !body.path("class").isTextual() || !body.has("input")) {
-			throw new InvalidRequestException(
-					"the body must be a JSON object with the text field 'class' " + "and the field 'input'");
-		}
+		JsonNode body = SubmissionBody.parse(context.bodyAsBytes());
 		String workspace = context.header("Workspace");
 		if (workspace == null) {
 			throw new InvalidRequestException("the header Workspace is required");
--- a/src/main/java/org/magnoliahub/standin/EngineStandInCommand.java
+++ b/src/main/java/org/magnoliahub/standin/EngineStandInCommand.java
@@ -26,6 +26,7 @@
 
 	@Override
 	public void configure(Subparser parser) {
+		parser.help("run a stand-in for an engine");
 		parser.description("Runs a stand-in for an engine, for demonstrations and tests.");
 		StandInSettings.declare(parser);
 		Settings.declare(parser, FIRST_TOKEN, "time to the first token in milliseconds, default 50");
--- a/src/main/java/org/magnoliahub/standin/PlatformStandInCommand.java
+++ b/src/main/java/org/magnoliahub/standin/PlatformStandInCommand.java
@@ -29,6 +29,7 @@
 
 	@Override
 	public void configure(Subparser parser) {
+		parser.help("run a stand-in for the platform services");
 		parser.description("Runs a stand-in for the table service, the object store and the VM inventory.");
 		Settings.declare(parser, "--listen-address", "loopback address to listen on (default 127.0.0.1)");
 		Settings.declare(parser, "--listen-port", "port to listen on, 0 for any (default 2379)");
--- a/src/main/java/org/magnoliahub/standin/ServiceStandInCommand.java
+++ b/src/main/java/org/magnoliahub/standin/ServiceStandInCommand.java
@@ -24,6 +24,7 @@
 
 	@Override
 	public void configure(Subparser parser) {
+		parser.help("run a stand-in for a plain service");
 		parser.description("Runs a stand-in for a plain service, for demonstrations and tests.");
 		StandInSettings.declare(parser);
 		Settings.declare(parser, CALL, "time of one call in milliseconds, default 10");
