Close idle connections to endpoints when they are no longer used

Cause: 24 gateways kept connections for 10 s that they would not use after 0.9 s. Ruled out: too many requests at a time, 41 a second at 0.1 s each. Change: a connection is closed once its kind of request would not use it. idleConnectionToAnEndpointIsNotKeptForLong failed before.

--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -50,6 +50,8 @@
 
 	private static final Duration REGISTER_INTERVAL = Duration.ofSeconds(10);
 
+	private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(250);
+
 	private static final long WRITE_MILLIS = 1_500;
 
 	private static final int OK = 200;
@@ -154,7 +156,7 @@
 		register();
 		watch(StoreFormat.MEMBER_TABLE, MEMBER_PACE, new MemberRows());
 		this.timers.every(REGISTER_INTERVAL).subscribe((tick) -> register());
-		this.timers.every(Duration.ofSeconds(1)).subscribe((tick) -> this.context.http().closeIdle());
+		this.timers.every(IDLE_CHECK_INTERVAL).subscribe((tick) -> this.context.http().closeIdle());
 		this.stages.start();
 		// Metrics are set up when the gateway already serves; a start is on the clock.
 		this.timers.after(METRICS_DELAY).subscribe(() -> {
--- a/src/main/java/org/magnoliahub/entry/HttpClient.java
+++ b/src/main/java/org/magnoliahub/entry/HttpClient.java
@@ -26,8 +26,6 @@
 
 	private static final int MAXIMUM_IDLE_PER_PEER = 24;
 
-	private static final long LONGEST_IDLE_MILLIS = 10_000;
-
 	private final EventLoopGroup group;
 
 	private final TimerService timers;
@@ -67,8 +65,8 @@
 			if (connection.isUsable(now, call.maximumIdleMillis())) {
 				return connection;
 			}
-			if (connection.isUsable(now, LONGEST_IDLE_MILLIS)) {
-				connections.addFirst(connection);
+			if (connection.isKept(now)) {
+				connections.addLast(connection);
 				return null;
 			}
 			connection.close();
@@ -126,14 +124,15 @@
 	}
 
 	/**
-	 * Closes connections that have been idle for long.
+	 * Closes connections that have been idle for longer than they may be used. Endpoints
+	 * bound the connections of all gateways together, so none is kept in vain.
 	 */
 	void closeIdle() {
 		long now = this.timers.milliTime();
 		Iterator<Deque<HttpConnection>> pools = this.idle.values().iterator();
 		while (pools.hasNext()) {
 			Deque<HttpConnection> connections = pools.next();
-			while (!connections.isEmpty() && !connections.peekFirst().isUsable(now, LONGEST_IDLE_MILLIS)) {
+			while (!connections.isEmpty() && !connections.peekFirst().isKept(now)) {
 				connections.pollFirst().close();
 			}
 			if (connections.isEmpty()) {
--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -56,6 +56,8 @@
 
 	private long idleSince;
 
+	private long keptMillis;
+
 	private long keepAliveMillis = Long.MAX_VALUE;
 
 	HttpConnection(HttpClient client, String address, TimerService timers) {
@@ -76,6 +78,16 @@
 				&& idle <= this.keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS;
 	}
 
+	/**
+	 * Returns whether the connection can still be used by the kind of request that it
+	 * served last.
+	 * @param now monotonic time, in milliseconds
+	 * @return whether to keep it open
+	 */
+	boolean isKept(long now) {
+		return isUsable(now, this.keptMillis);
+	}
+
 	void close() {
 		if (this.channel != null) {
 			this.channel.close();
@@ -182,6 +194,7 @@
 		if (this.reusable && written && this.channel != null && this.channel.isActive()
 				&& current.call().maximumIdleMillis() > 0 && !current.isOver()) {
 			this.idleSince = this.timers.milliTime();
+			this.keptMillis = current.call().maximumIdleMillis();
 			this.channel.config().setAutoRead(true);
 			this.client.release(this.address, this);
 		}
--- a/src/test/java/org/magnoliahub/entry/EntryGatewayTests.java
+++ b/src/test/java/org/magnoliahub/entry/EntryGatewayTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -460,6 +461,19 @@
 		Awaitility.await().untilAsserted(() -> assertThat(stages.held()).isZero());
 	}
 
+	@Test
+	void idleConnectionToAnEndpointIsNotKeptForLong() throws Exception {
+		List<Socket> sockets = new CopyOnWriteArrayList<>();
+		this.fixture.addEndpoint("i-1", "plain", (request, socket) -> {
+			sockets.add(socket);
+			RawServer.write(socket, EntryFixture.signed(request, "answer"));
+		});
+		this.fixture.awaitEndpoints();
+		this.fixture.send("GET", "/look/1", "r1");
+		// The server's thread reads the end of the connection and closes its socket.
+		Awaitility.await().atMost(Duration.ofMillis(2_000)).until(() -> sockets.get(0).isClosed());
+	}
+
 	@Test
 	void logTellsTheStoryOfARefusedRequest() throws IOException {
 		this.fixture.send("POST", "/order/1", "story-1");
