--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/EndpointTable.java
@@ -0,0 +1,77 @@
+package org.magnoliahub.entry;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.magnoliahub.platform.EndpointRecordReader;
+import org.magnoliahub.platform.StoredRow;
+import org.magnoliahub.serving.EndpointDirectory;
+import org.magnoliahub.serving.EndpointRecord;
+import org.magnoliahub.time.TimerService;
+
+/**
+ * Brings the entries that endpoints write into the directory.
+ */
+final class EndpointTable implements TableWatcher.Listener {
+
+	private final EndpointDirectory directory;
+
+	private final TimerService timers;
+
+	private final EntryLog log;
+
+	private final EndpointRecordReader reader = new EndpointRecordReader();
+
+	private final Set<String> draining = new HashSet<>();
+
+	EndpointTable(EndpointDirectory directory, TimerService timers, EntryLog log) {
+		this.directory = directory;
+		this.timers = timers;
+		this.log = log;
+	}
+
+	@Override
+	public void onList(List<StoredRow> rows) {
+		long now = this.timers.milliTime();
+		this.directory.contact(now);
+		Map<String, EndpointRecord> records = new HashMap<>();
+		for (StoredRow row : rows) {
+			this.reader.read(row.key(), row.value()).ifPresent((record) -> records.put(record.id(), record));
+		}
+		this.directory.replaceAll(records.values(), now);
+	}
+
+	@Override
+	public void onChanges(List<StoredRow> rows) {
+		long now = this.timers.milliTime();
+		this.directory.contact(now);
+		for (StoredRow row : rows) {
+			Optional<EndpointRecord> record = row.removed() ? Optional.empty()
+					: this.reader.read(row.key(), row.value());
+			if (record.isEmpty()) {
+				this.draining.remove(row.key());
+				logChange(row, "", "gone");
+				this.directory.removed(row.key(), now);
+				continue;
+			}
+			if (record.get().draining() && this.draining.add(row.key())) {
+				logChange(row, record.get().service(), "draining");
+			}
+			this.directory.update(record.get());
+		}
+	}
+
+	private void logChange(StoredRow row, String service, String state) {
+		this.log.event(EntryEvent.ENDPOINT_CHANGED)
+			.field("endpoint", row.key())
+			.field("service", service)
+			.field("state", state)
+			.field("revision", row.revision())
+			.write();
+	}
+
+}
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -58,7 +58,7 @@
 	ATTEMPT_FAILED(Importance.HIGH, "id", "endpoint", "attempt", "age_ms", "reason", "may_have_run", "next"),
 
 	/** A stream goes on at another endpoint. */
-	STREAM_RESUMED(Importance.HIGH, "id", "endpoint", "last_event"),
+	STREAM_RESUMED(Importance.HIGH, "id", "last_event"),
 
 	/** A request got its answer. */
 	REQUEST_ANSWERED(Importance.LOW, "id", "status", "age_ms", "first_ms", "endpoint"),
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -3,11 +3,9 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -18,7 +16,6 @@
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.platform.ConfigurationReader;
-import org.magnoliahub.platform.EndpointRecordReader;
 import org.magnoliahub.platform.MemberRecord;
 import org.magnoliahub.platform.NodeSettings;
 import org.magnoliahub.platform.NodeSettingsReader;
@@ -28,7 +25,6 @@
 import org.magnoliahub.platform.StoredRow;
 import org.magnoliahub.serving.CallerLimits;
 import org.magnoliahub.serving.EndpointDirectory;
-import org.magnoliahub.serving.EndpointRecord;
 import org.magnoliahub.serving.EndpointSelector;
 import org.magnoliahub.serving.RepeatBudget;
 import org.magnoliahub.serving.ServingConfiguration;
@@ -93,16 +89,12 @@
 
 	private final ConfigurationReader configurationReader = new ConfigurationReader();
 
-	private final EndpointRecordReader endpointReader = new EndpointRecordReader();
-
 	private final StoreFormat storeFormat = new StoreFormat();
 
 	private final RandomGenerator random = new SplittableRandom();
 
 	private final Map<String, MemberRecord> members = new HashMap<>();
 
-	private final Set<String> drainingEndpoints = new HashSet<>();
-
 	private @Nullable ServingConfiguration configuration;
 
 	private int openRequests;
@@ -152,7 +144,7 @@
 	private void open() {
 		this.log.start();
 		watch(StoreFormat.CONFIGURATION_TABLE, CONFIGURATION_PACE, new ConfigurationRows());
-		watch(StoreFormat.ENDPOINT_TABLE, ENDPOINT_PACE, new EndpointRows());
+		watch(StoreFormat.ENDPOINT_TABLE, ENDPOINT_PACE, new EndpointTable(this.directory, this.timers, this.log));
 		register();
 		watch(StoreFormat.MEMBER_TABLE, MEMBER_PACE, new MemberRows());
 		this.timers.every(REGISTER_INTERVAL).subscribe((tick) -> register());
@@ -341,55 +333,6 @@
 
 	}
 
-	private final class EndpointRows implements TableWatcher.Listener {
-
-		@Override
-		public void onList(List<StoredRow> rows) {
-			long now = EntryGateway.this.timers.milliTime();
-			EntryGateway.this.directory.contact(now);
-			Map<String, EndpointRecord> records = new HashMap<>();
-			for (StoredRow row : rows) {
-				EntryGateway.this.endpointReader.read(row.key(), row.value())
-					.ifPresent((record) -> records.put(record.id(), record));
-			}
-			EntryGateway.this.directory.replaceAll(records.values(), now);
-		}
-
-		@Override
-		public void onChanges(List<StoredRow> rows) {
-			long now = EntryGateway.this.timers.milliTime();
-			EntryGateway.this.directory.contact(now);
-			for (StoredRow row : rows) {
-				Optional<EndpointRecord> record = row.removed() ? Optional.empty()
-						: EntryGateway.this.endpointReader.read(row.key(), row.value());
-				if (record.isEmpty()) {
-					changed(row, "", "gone");
-					EntryGateway.this.directory.removed(row.key(), now);
-					continue;
-				}
-				if (record.get().draining()) {
-					changed(row, record.get().service(), "draining");
-				}
-				EntryGateway.this.directory.update(record.get());
-			}
-		}
-
-		private void changed(StoredRow row, String service, String state) {
-			if (!state.equals("draining") || EntryGateway.this.drainingEndpoints.add(row.key())) {
-				EntryGateway.this.log.event(EntryEvent.ENDPOINT_CHANGED)
-					.field("endpoint", row.key())
-					.field("service", service)
-					.field("state", state)
-					.field("revision", row.revision())
-					.write();
-			}
-			if (state.equals("gone")) {
-				EntryGateway.this.drainingEndpoints.remove(row.key());
-			}
-		}
-
-	}
-
 	private final class MemberRows implements TableWatcher.Listener {
 
 		@Override
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -69,6 +68,8 @@
 
 	private final Runnable ended;
 
+	private final RequestJournal journal;
+
 	private @Nullable Route route;
 
 	private @Nullable String workspace;
@@ -107,6 +108,7 @@
 		this.exchange = exchange;
 		this.request = PlatformHeaders.callerRequest(exchange.headers());
 		this.ended = ended;
+		this.journal = new RequestJournal(context, this.request, exchange.arrivedMillis());
 	}
 
 	void start() {
@@ -123,6 +125,7 @@
 		}
 		Route matched = found.get();
 		this.route = matched;
+		this.journal.setRoute(matched);
 		if (!authorize(configuration.get(), matched)) {
 			refuse(UNAUTHORIZED, "unknown_key", -1);
 			return;
@@ -152,15 +155,7 @@
 		this.deadlineMillis = this.exchange.arrivedMillis() + budget;
 		this.service = matched.service(Rendezvous.hash(this.request.requestId()));
 		this.engine = configuration.service(this.service).map(ServiceDefinition::engine).orElse(false);
-		this.context.log()
-			.event(EntryEvent.REQUEST_ADMITTED)
-			.field("id", this.request.requestId())
-			.field("route", matched.name())
-			.field("workspace", (this.workspace != null) ? this.workspace : "")
-			.field("budget_ms", budget)
-			.field("pieces", this.request.pieces().toString())
-			.field("configuration", configuration.version())
-			.write();
+		this.journal.admitted(this.workspace, budget, configuration.version());
 		this.exchange.observe(this);
 		this.deadline = this.context.timers()
 			.after(Duration.ofMillis(this.deadlineMillis - this.context.now()))
@@ -192,13 +187,7 @@
 
 	private void queued(StageRun run, StartGate.Entry entry) {
 		this.gateEntry = entry;
-		this.context.log()
-			.event(EntryEvent.REQUEST_QUEUED)
-			.field("id", this.request.requestId())
-			.field("wait_ms", run.expectedWaitMillis())
-			.field("chain_ms", entry.chainMillis())
-			.field("queued", this.stages.gate().size())
-			.write();
+		this.journal.queued(run.expectedWaitMillis(), entry.chainMillis(), this.stages.gate().size());
 	}
 
 	private void dispatch() {
@@ -228,16 +217,7 @@
 		if (this.sends == 1) {
 			this.context.budget().first(this.service, now);
 		}
-		this.context.log()
-			.event(EntryEvent.REQUEST_SENT)
-			.field("id", this.request.requestId())
-			.field("endpoint", id)
-			.field("attempt", this.sends)
-			.field("age_ms", now - this.exchange.arrivedMillis())
-			.field("expected_ms", choice.expectedMillis())
-			.field("doubtful", choice.isDoubtful())
-			.field("list_age_ms", this.context.directory().age(now))
-			.write();
+		this.journal.sent(choice, this.sends);
 		StreamRelay stream = this.relay;
 		String lastEventId = (stream != null && stream.lastEventId() != null) ? stream.lastEventId()
 				: this.request.lastEventId();
@@ -317,12 +297,7 @@
 		}
 		StreamRelay stream = this.relay;
 		if (stream != null) {
-			this.context.log()
-				.event(EntryEvent.STREAM_RESUMED)
-				.field("id", this.request.requestId())
-				.field("endpoint", "")
-				.field("last_event", (stream.lastEventId() != null) ? stream.lastEventId() : "")
-				.write();
+			this.journal.resumed(stream.lastEventId());
 		}
 		if (this.stageRun != null && this.stageRun.isReleased() && this.route != null) {
 			startStages(this.route);
@@ -332,27 +307,13 @@
 	}
 
 	private void logFailedAttempt(String reason, boolean mayHaveRun, String next) {
-		this.context.log()
-			.event(EntryEvent.ATTEMPT_FAILED)
-			.field("id", this.request.requestId())
-			.field("endpoint", (this.attempt != null) ? this.attempt.endpointId() : "")
-			.field("attempt", this.sends)
-			.field("age_ms", age())
-			.field("reason", reason)
-			.field("may_have_run", mayHaveRun)
-			.field("next", next)
-			.write();
-		this.context.metrics().attemptFailed(mayHaveRun, next);
+		this.journal.attemptFailed(endpointId(), this.sends, reason, mayHaveRun, next);
 	}
 
 	private boolean timeLeft() {
 		return this.deadlineMillis - this.context.now() > LEAST_MILLIS;
 	}
 
-	private long age() {
-		return this.context.now() - this.exchange.arrivedMillis();
-	}
-
 	private void giveUp(String reason) {
 		if (this.over) {
 			return;
@@ -388,16 +349,7 @@
 		if (retryAfterMillis >= 0) {
 			headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(retryAfterMillis / 1000.0));
 		}
-		this.context.log()
-			.event(EntryEvent.REQUEST_REFUSED)
-			.field("id", this.request.requestId())
-			.field("route", (this.route != null) ? this.route.name() : "")
-			.field("status", status)
-			.field("reason", reason)
-			.field("age_ms", age())
-			.field("retry_after_ms", retryAfterMillis)
-			.write();
-		count("refused", reason);
+		this.journal.refused(status, reason, retryAfterMillis);
 		end();
 		this.exchange.answer(status, headers, EMPTY);
 	}
@@ -408,15 +360,7 @@
 	 * @param reason what happened
 	 */
 	private void fail(int status, String reason) {
-		this.context.log()
-			.event(EntryEvent.REQUEST_FAILED)
-			.field("id", this.request.requestId())
-			.field("route", (this.route != null) ? this.route.name() : "")
-			.field("status", status)
-			.field("reason", reason)
-			.field("age_ms", age())
-			.write();
-		count("failed", reason);
+		this.journal.failed(status, reason);
 		end();
 		if (status == 0) {
 			this.exchange.abort();
@@ -449,7 +393,7 @@
 		if (stream == null) {
 			stream = new StreamRelay();
 			this.relay = stream;
-			this.firstAnswerMillis = age();
+			this.firstAnswerMillis = this.journal.age();
 			this.context.metrics().firstEvent(this.firstAnswerMillis);
 			this.exchange.startStream(status, PlatformHeaders.callerHeaders(headers));
 			if (this.stageRun != null) {
@@ -488,20 +432,11 @@
 	}
 
 	private void logAnswered(int status) {
-		this.context.log()
-			.event(EntryEvent.REQUEST_ANSWERED)
-			.field("id", this.request.requestId())
-			.field("status", status)
-			.field("age_ms", age())
-			.field("first_ms", this.firstAnswerMillis)
-			.field("endpoint", (this.attempt != null) ? this.attempt.endpointId() : "")
-			.write();
-		count("answered", "");
+		this.journal.answered(status, this.firstAnswerMillis, endpointId());
 	}
 
-	private void count(String outcome, String reason) {
-		String kind = (this.route != null) ? this.route.kind().name().toLowerCase(Locale.ROOT) : "none";
-		this.context.metrics().requestEnded(kind, outcome, reason, age());
+	private String endpointId() {
+		return (this.attempt != null) ? this.attempt.endpointId() : "";
 	}
 
 	private void end() {
@@ -526,13 +461,7 @@
 		if (this.over) {
 			return;
 		}
-		this.context.log()
-			.event(EntryEvent.REQUEST_CANCELLED)
-			.field("id", this.request.requestId())
-			.field("age_ms", age())
-			.field("state", (this.attempt != null) ? "sent" : "waiting")
-			.write();
-		count("cancelled", "");
+		this.journal.cancelled((this.attempt != null) ? "sent" : "waiting");
 		end();
 	}
 
