Count a refused operator call before its answer is given

Cause: the call was answered on the server's thread and counted later, on the event loop; a reader of the metrics could come between. Ruled out: lost calls; all three were answered 401. Change: the counter is raised before the answer, the audit trail as before. The test is unchanged.

--- a/src/main/java/org/magnoliahub/server/OperatorRoutes.java
+++ b/src/main/java/org/magnoliahub/server/OperatorRoutes.java
@@ -103,7 +103,10 @@
 		if (operator.isEmpty()) {
 			String path = context.path();
 			String address = context.ip();
-			this.eventLoop.scheduleDirect(() -> this.refusals.refused(path, address));
+			// Counted before the answer is given, so that whoever got it finds it in the
+			// metrics.
+			this.refusals.count();
+			this.eventLoop.scheduleDirect(() -> this.refusals.record(path, address));
 			context.header("WWW-Authenticate", "Bearer");
 			fail(context, 401, "expected the header Authorization: Bearer TOKEN with an operator token");
 		}
--- a/src/main/java/org/magnoliahub/server/RefusalAudit.java
+++ b/src/main/java/org/magnoliahub/server/RefusalAudit.java
@@ -52,8 +52,19 @@
 		this.failures = meters.counter("magnoliahub.operator.audit.failures");
 	}
 
-	void refused(String path, String address) {
+	/**
+	 * Counts a refused call; safe on any thread.
+	 */
+	void count() {
 		this.refused.increment();
+	}
+
+	/**
+	 * Records a refused call in the audit trail; called on the event loop.
+	 * @param path path of the call
+	 * @param address address of the caller
+	 */
+	void record(String path, String address) {
 		this.unrecorded++;
 		this.latest = path + " from " + address;
 		if (!this.waiting) {
