--- a/src/main/java/org/magnoliahub/entry/TableWatcher.java
+++ b/src/main/java/org/magnoliahub/entry/TableWatcher.java
@@ -47,8 +47,6 @@
 
 	private boolean available = true;
 
-	private boolean stopped;
-
 	TableWatcher(StoreClient store, TimerService timers, RandomGenerator random, EntryLog log, String table, Pace pace,
 			Listener listener) {
 		this.store = store;
@@ -66,10 +64,6 @@
 		list("");
 	}
 
-	void stop() {
-		this.stopped = true;
-	}
-
 	private void list(String from) {
 		this.store.get(this.format.readTarget(this.table, from), ANSWER_MILLIS, new Reply(this::onPage, () -> start()));
 	}
@@ -102,9 +96,6 @@
 	}
 
 	private void later(long millis, Runnable task) {
-		if (this.stopped) {
-			return;
-		}
 		if (millis == 0) {
 			task.run();
 			return;
@@ -171,9 +162,6 @@
 
 		@Override
 		public void onAnswer(int status, byte[] body) {
-			if (TableWatcher.this.stopped) {
-				return;
-			}
 			if (status == StoreFormat.HISTORY_GONE) {
 				start();
 				return;
--- a/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
@@ -118,17 +118,6 @@
 		return listed.isEmpty() ? lapsed : listed;
 	}
 
-	/**
-	 * Returns whether an endpoint may still get new work.
-	 * @param endpoint the endpoint
-	 * @param now monotonic time, in milliseconds
-	 * @return whether it is listed and takes work
-	 */
-	public boolean isUsable(EndpointState endpoint, long now) {
-		return this.endpoints.get(endpoint.record().id()) == endpoint && !endpoint.record().draining()
-				&& !endpoint.isGone(now);
-	}
-
 	/**
 	 * Returns the number of endpoints.
 	 * @return endpoints listed, draining ones included
