Look routes up by prefix and index endpoints one by one

Change: a map by prefix, tried from the longest prefix of the path on, and an index that is changed by the entry that changed. The look-up now grows with the slashes of a path up to the longest prefix.

Ruled out: a tree of path segments, which is more code for the same work.

--- a/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
@@ -78,7 +78,6 @@
 				remove(id, now);
 			}
 		}
-		index();
 	}
 
 	/**
@@ -87,7 +86,6 @@
 	 */
 	public void update(EndpointRecord record) {
 		put(record);
-		index();
 	}
 
 	/**
@@ -97,7 +95,6 @@
 	 */
 	public void removed(String id, long now) {
 		remove(id, now);
-		index();
 	}
 
 	/**
@@ -129,10 +126,19 @@
 	private void put(EndpointRecord record) {
 		EndpointState known = this.endpoints.get(record.id());
 		if (known == null) {
-			this.endpoints.put(record.id(), new EndpointState(record));
+			EndpointState added = new EndpointState(record);
+			this.endpoints.put(record.id(), added);
+			index(added);
 			return;
 		}
+		boolean moved = !known.record().service().equals(record.service());
+		if (moved) {
+			unindex(known);
+		}
 		known.update(record);
+		if (moved) {
+			index(known);
+		}
 	}
 
 	private void remove(String id, long now) {
@@ -145,12 +151,19 @@
 			return;
 		}
 		this.endpoints.remove(id);
+		unindex(endpoint);
+	}
+
+	private void index(EndpointState endpoint) {
+		this.byService.computeIfAbsent(endpoint.record().service(), (service) -> new ArrayList<>()).add(endpoint);
 	}
 
-	private void index() {
-		this.byService.clear();
-		for (EndpointState endpoint : this.endpoints.values()) {
-			this.byService.computeIfAbsent(endpoint.record().service(), (service) -> new ArrayList<>()).add(endpoint);
+	private void unindex(EndpointState endpoint) {
+		String service = endpoint.record().service();
+		List<EndpointState> others = this.byService.getOrDefault(service, List.of());
+		others.remove(endpoint);
+		if (others.isEmpty()) {
+			this.byService.remove(service);
 		}
 	}
 
--- a/src/main/java/org/magnoliahub/serving/ServingConfiguration.java
+++ b/src/main/java/org/magnoliahub/serving/ServingConfiguration.java
@@ -1,6 +1,5 @@
 package org.magnoliahub.serving;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -14,7 +13,7 @@
 
 	private final long version;
 
-	private final Map<String, List<Route>> routesByHost;
+	private final Map<String, HostRoutes> routesByHost;
 
 	private final Map<String, ServiceDefinition> services;
 
@@ -24,7 +23,7 @@
 
 	private final Map<String, WorkspaceKey> keys;
 
-	private ServingConfiguration(long version, Map<String, List<Route>> routesByHost,
+	private ServingConfiguration(long version, Map<String, HostRoutes> routesByHost,
 			Map<String, ServiceDefinition> services, CallerLimits limits, boolean keysRequired,
 			Map<String, WorkspaceKey> keys) {
 		this.version = version;
@@ -47,12 +46,9 @@
 	 */
 	public static ServingConfiguration of(long version, List<Route> routes, List<ServiceDefinition> services,
 			CallerLimits limits, boolean keysRequired, Map<String, WorkspaceKey> keys) {
-		Map<String, List<Route>> byHost = new HashMap<>();
+		Map<String, HostRoutes> byHost = new HashMap<>();
 		for (Route route : routes) {
-			byHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), (host) -> new ArrayList<>()).add(route);
-		}
-		for (List<Route> list : byHost.values()) {
-			list.sort((a, b) -> Integer.compare(b.pathPrefix().length(), a.pathPrefix().length()));
+			byHost.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), (host) -> new HostRoutes()).add(route);
 		}
 		Map<String, ServiceDefinition> byName = new HashMap<>();
 		for (ServiceDefinition service : services) {
@@ -88,12 +84,8 @@
 		String name = ((colon >= 0) ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
 		int query = target.indexOf('?');
 		String path = (query >= 0) ? target.substring(0, query) : target;
-		for (Route route : this.routesByHost.getOrDefault(name, List.of())) {
-			if (path.startsWith(route.pathPrefix())) {
-				return Optional.of(route);
-			}
-		}
-		return Optional.empty();
+		HostRoutes routes = this.routesByHost.get(name);
+		return (routes != null) ? Optional.ofNullable(routes.longestMatch(path)) : Optional.empty();
 	}
 
 	/**
