--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -30,6 +30,9 @@
 
 	private static final int MAXIMUM_BODY_BYTES = 4_194_304;
 
+	/** An event that is longer does not end. */
+	private static final int MAXIMUM_EVENT_BYTES = 262_144;
+
 	/** A silent endpoint is left after this many times the expected time. */
 	private static final double SILENCE_FACTOR = 4;
 
@@ -109,6 +112,7 @@
 		this.call = this.choice.begin(request.promptParts(), now);
 		HttpCall http = new HttpCall(this.choice.endpoint().record().address(), caller.method(), caller.target(),
 				requestHeaders, caller.body(), this.repeatable ? IDLE_MILLIS : IDLE_ONCE_MILLIS, CONNECT_MILLIS,
+				this.streaming ? Long.MAX_VALUE : MAXIMUM_BODY_BYTES,
 				(response) -> request.requestId().equals(PlatformHeaders.answerHead(response).requestId()));
 		this.exchange = this.context.http().send(http, this);
 		if (this.repeatable && !this.over) {
@@ -119,7 +123,7 @@
 	private void scheduleSilenceCheck() {
 		long limit = silenceLimit();
 		long wait = Math.max(20, this.lastHeardMillis + limit - this.context.now());
-		this.silence = this.context.timers().after(Duration.ofMillis(wait)).subscribe(this::checkSilence);
+		this.silence = this.context.timers().schedule(Duration.ofMillis(wait), this::checkSilence);
 	}
 
 	private long silenceLimit() {
@@ -186,6 +190,10 @@
 			return;
 		}
 		byte[] events = this.splitter.add(data);
+		if (this.splitter.partialBytes() > MAXIMUM_EVENT_BYTES) {
+			spoiled("event too large");
+			return;
+		}
 		if (events.length > 0) {
 			passOn(events, this.head, this.headers);
 		}
--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -64,9 +64,7 @@
 		this.server = server;
 		this.channel = channel;
 		this.lastActiveMillis = server.timers().milliTime();
-		this.check = server.timers()
-			.every(Duration.ofMillis(CallerServer.CHECK_INTERVAL_MILLIS))
-			.subscribe((tick) -> checkTimes());
+		this.check = server.timers().repeat(Duration.ofMillis(CallerServer.CHECK_INTERVAL_MILLIS), () -> checkTimes());
 	}
 
 	private void checkTimes() {
--- a/src/main/java/org/magnoliahub/entry/CallerServer.java
+++ b/src/main/java/org/magnoliahub/entry/CallerServer.java
@@ -14,7 +14,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.magnoliahub.serving.CallerLimits;
-import org.magnoliahub.time.TimerService;
+import org.magnoliahub.time.Timers;
 
 /**
  * Accepts connections of callers.
@@ -29,7 +29,7 @@
 	/** Bytes that may wait for a caller that reads slowly. */
 	private static final WriteBufferWaterMark WRITE_BUFFER = new WriteBufferWaterMark(32_768, 131_072);
 
-	private final TimerService timers;
+	private final Timers timers;
 
 	private final Supplier<CallerLimits> limits;
 
@@ -43,7 +43,7 @@
 
 	private boolean closingIdle;
 
-	CallerServer(TimerService timers, Supplier<CallerLimits> limits, Consumer<CallerExchange> handler, EntryLog log) {
+	CallerServer(Timers timers, Supplier<CallerLimits> limits, Consumer<CallerExchange> handler, EntryLog log) {
 		this.timers = timers;
 		this.limits = limits;
 		this.handler = handler;
@@ -71,7 +71,7 @@
 					new HttpResponseEncoder(), connection);
 	}
 
-	TimerService timers() {
+	Timers timers() {
 		return this.timers;
 	}
 
--- a/src/main/java/org/magnoliahub/entry/Channels.java
+++ b/src/main/java/org/magnoliahub/entry/Channels.java
@@ -33,7 +33,7 @@
 	static void listen(ServerBootstrap options, EventLoopGroup group, InetSocketAddress address,
 			Consumer<SocketChannel> install) throws IOException {
 		ChannelFuture bound = options.group(group)
-			.channel(NioServerSocketChannel.class)
+			.channelFactory(NioServerSocketChannel::new)
 			.childHandler(initializer(install))
 			.bind(address)
 			.awaitUninterruptibly();
@@ -53,7 +53,7 @@
 	static ChannelFuture connect(EventLoopGroup group, InetSocketAddress address, int timeoutMillis,
 			Consumer<SocketChannel> install) {
 		return new Bootstrap().group(group)
-			.channel(NioSocketChannel.class)
+			.channelFactory(NioSocketChannel::new)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
 			.handler(initializer(install))
--- a/src/main/java/org/magnoliahub/entry/EndpointTable.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointTable.java
@@ -11,7 +11,7 @@
 import org.magnoliahub.platform.StoredRow;
 import org.magnoliahub.serving.EndpointDirectory;
 import org.magnoliahub.serving.EndpointRecord;
-import org.magnoliahub.time.TimerService;
+import org.magnoliahub.time.Timers;
 
 /**
  * Brings the entries that endpoints write into the directory.
@@ -20,7 +20,7 @@
 
 	private final EndpointDirectory directory;
 
-	private final TimerService timers;
+	private final Timers timers;
 
 	private final EntryLog log;
 
@@ -28,7 +28,7 @@
 
 	private final Set<String> draining = new HashSet<>();
 
-	EndpointTable(EndpointDirectory directory, TimerService timers, EntryLog log) {
+	EndpointTable(EndpointDirectory directory, Timers timers, EntryLog log) {
 		this.directory = directory;
 		this.timers = timers;
 		this.log = log;
--- a/src/main/java/org/magnoliahub/entry/EntryContext.java
+++ b/src/main/java/org/magnoliahub/entry/EntryContext.java
@@ -8,7 +8,7 @@
 import org.magnoliahub.serving.RepeatBudget;
 import org.magnoliahub.serving.ServingConfiguration;
 import org.magnoliahub.serving.StopPlan;
-import org.magnoliahub.time.TimerService;
+import org.magnoliahub.time.Timers;
 
 /**
  * What the requests of a gateway share.
@@ -23,9 +23,9 @@
  * @param currentConfiguration the configuration in force
  * @param stopPlan what is still taken during a planned stop
  */
-record EntryContext(TimerService timers, EntryLog log, EntryMetrics metrics, HttpClient http,
-		EndpointDirectory directory, EndpointSelector selector, RepeatBudget budget,
-		Supplier<Optional<ServingConfiguration>> currentConfiguration, StopPlan stopPlan) {
+record EntryContext(Timers timers, EntryLog log, EntryMetrics metrics, HttpClient http, EndpointDirectory directory,
+		EndpointSelector selector, RepeatBudget budget, Supplier<Optional<ServingConfiguration>> currentConfiguration,
+		StopPlan stopPlan) {
 
 	long now() {
 		return this.timers.milliTime();
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -4,19 +4,18 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.nio.NioEventLoopGroup;
-import io.reactivex.rxjava3.schedulers.Schedulers;
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.platform.ConfigurationReader;
 import org.magnoliahub.platform.MemberRecord;
@@ -32,8 +31,7 @@
 import org.magnoliahub.serving.RepeatBudget;
 import org.magnoliahub.serving.ServingConfiguration;
 import org.magnoliahub.serving.StopPlan;
-import org.magnoliahub.time.SchedulerTimerService;
-import org.magnoliahub.time.TimerService;
+import org.magnoliahub.time.Timers;
 
 /**
  * The gateway process on the users' platform: one event loop that serves callers, follows
@@ -41,23 +39,25 @@
  */
 public final class EntryGateway {
 
-	private static final TableWatcher.Pace CONFIGURATION_PACE = new TableWatcher.Pace(0, 2_000);
+	/** Share of the time to adopt a configuration that a call may wait for one. */
+	private static final double CONFIGURATION_SHARE = 0.75;
+
+	private static final long SHORTEST_CONFIGURATION_WAIT_MILLIS = 2_000;
 
 	/** Share of the time to leave a draining endpoint that may pass until it is seen. */
 	private static final int DRAIN_SHARE = 3;
 
-	private static final long LONGEST_ENDPOINT_INTERVAL_MILLIS = 1_000;
+	private static final long LONGEST_ENDPOINT_INTERVAL_MILLIS = 1_300;
 
 	private static final TableWatcher.Pace MEMBER_PACE = new TableWatcher.Pace(3_000, 0);
 
-	/** The store keeps rows; this only restores one that something else removed. */
-	private static final Duration REGISTER_INTERVAL = Duration.ofSeconds(30);
-
-	private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(250);
+	/** Members are seldom new later; links tell which of them live. */
+	private static final TableWatcher.Pace SETTLED_MEMBER_PACE = new TableWatcher.Pace(10_000, 0);
 
-	private static final long WRITE_MILLIS = 1_500;
+	/** Time after a start in which other gateways may start, too. */
+	private static final long SETTLING_MILLIS = 12_000;
 
-	private static final int OK = 200;
+	private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(250);
 
 	/** Port and path that the deploy file names. */
 	private static final int METRICS_PORT = 9464;
@@ -66,7 +66,7 @@
 
 	private static final long LOOP_MILLIS = 1_000;
 
-	private static final Duration METRICS_DELAY = Duration.ofSeconds(3);
+	private static final Duration METRICS_DELAY = Duration.ofSeconds(8);
 
 	private static final long STOP_CHECK_MILLIS = 50;
 
@@ -74,7 +74,7 @@
 
 	private final NioEventLoopGroup group;
 
-	private final TimerService timers;
+	private final Timers timers;
 
 	private final EntryLog log;
 
@@ -96,11 +96,9 @@
 
 	private final ConfigurationReader configurationReader = new ConfigurationReader();
 
-	private final StoreFormat storeFormat = new StoreFormat();
-
 	private final RandomGenerator random = new SplittableRandom();
 
-	private final Map<String, MemberRecord> members = new HashMap<>();
+	private final MemberTable members;
 
 	private @Nullable ServingConfiguration configuration;
 
@@ -113,7 +111,7 @@
 	private EntryGateway(NodeSettings settings, Consumer<String> output) {
 		this.settings = settings;
 		this.group = new NioEventLoopGroup(1);
-		this.timers = SchedulerTimerService.of(Schedulers.from(this.group.next()), System::nanoTime);
+		this.timers = new LoopTimers(this.group.next());
 		this.log = new EntryLog(this.timers, output);
 		this.stopPlan = new StopPlan(settings.bounds().graceMillis());
 		HttpClient http = new HttpClient(this.group, this.timers);
@@ -125,6 +123,9 @@
 				() -> Optional.ofNullable(this.configuration), this.stopPlan);
 		this.store = new StoreClient(http, this.timers, this.metrics, text(settings.storeAddress()));
 		this.stages = new StageCoordinator(this.context, this.group, settings.nodeName());
+		MemberRecord own = new MemberRecord(settings.nodeName(), settings.ip() + ":" + settings.internalPort(),
+				this.random.nextLong(Long.MAX_VALUE));
+		this.members = new MemberTable(this.store, this.timers, this.log, own, this.stages::setMembers);
 		this.callers = new CallerServer(this.timers, this::limits, this::accept, this.log);
 	}
 
@@ -155,19 +156,37 @@
 
 	private void open() {
 		this.log.start();
-		watch(StoreFormat.CONFIGURATION_TABLE, CONFIGURATION_PACE, new ConfigurationRows());
-		watch(StoreFormat.ENDPOINT_TABLE, endpointPace(), new EndpointTable(this.directory, this.timers, this.log));
-		register();
-		watch(StoreFormat.MEMBER_TABLE, MEMBER_PACE, new MemberRows());
-		this.timers.every(REGISTER_INTERVAL).subscribe((tick) -> register());
-		this.timers.every(IDLE_CHECK_INTERVAL).subscribe((tick) -> this.context.http().closeIdle());
+		TableWatcher.Pace configurationPace = configurationPace();
+		TableWatcher.Pace endpointPace = endpointPace();
+		long settledAt = this.timers.milliTime() + SETTLING_MILLIS;
+		watch(StoreFormat.CONFIGURATION_TABLE, () -> configurationPace, new ConfigurationRows());
+		watch(StoreFormat.ENDPOINT_TABLE, () -> endpointPace, new EndpointTable(this.directory, this.timers, this.log));
+		this.members.start();
+		watch(StoreFormat.MEMBER_TABLE, () -> (this.timers.milliTime() < settledAt) ? MEMBER_PACE : SETTLED_MEMBER_PACE,
+				this.members);
+		this.timers.repeat(IDLE_CHECK_INTERVAL, () -> this.context.http().closeIdle());
 		this.stages.start();
-		// Metrics are set up when the gateway already serves; a start is on the clock.
-		this.timers.after(METRICS_DELAY).subscribe(() -> {
-			addGauges();
-			this.loopDue = this.timers.milliTime();
-			measureLoop();
-		});
+		this.timers.schedule(METRICS_DELAY, this::startMetrics);
+	}
+
+	// The loop goes on serving while a thread of its own loads the metrics library.
+	private void startMetrics() {
+		Thread loader = new Thread(() -> {
+			PrometheusMeterRegistry registry = EntryMetrics.createRegistry();
+			this.group.next().execute(() -> {
+				this.metrics.begin(registry);
+				addGauges();
+				this.loopDue = this.timers.milliTime();
+				measureLoop();
+			});
+		}, "metrics");
+		loader.setDaemon(true);
+		loader.start();
+	}
+
+	private TableWatcher.Pace configurationPace() {
+		long wait = (long) (CONFIGURATION_SHARE * this.settings.bounds().configurationMillis());
+		return new TableWatcher.Pace(0, Math.max(SHORTEST_CONFIGURATION_WAIT_MILLIS, wait));
 	}
 
 	// Endpoints write all the time, so a call that waits for a change would not wait.
@@ -227,10 +246,10 @@
 		long now = this.timers.milliTime();
 		this.metrics.loopDelay(now - this.loopDue);
 		this.loopDue = now + LOOP_MILLIS;
-		this.timers.after(Duration.ofMillis(LOOP_MILLIS)).subscribe(this::measureLoop);
+		this.timers.schedule(Duration.ofMillis(LOOP_MILLIS), this::measureLoop);
 	}
 
-	private void watch(String table, TableWatcher.Pace pace, TableWatcher.Listener listener) {
+	private void watch(String table, Supplier<TableWatcher.Pace> pace, TableWatcher.Listener listener) {
 		new TableWatcher(this.store, this.timers, this.random, this.log, table, pace, listener).start();
 	}
 
@@ -247,16 +266,6 @@
 		new RequestFlow(this.context, this.stages, exchange, () -> this.openRequests--).start();
 	}
 
-	private void register() {
-		if (this.stopPlan.isStopping()) {
-			return;
-		}
-		MemberRecord own = new MemberRecord(this.settings.nodeName(),
-				this.settings.ip() + ":" + this.settings.internalPort(), ProcessHandle.current().pid());
-		byte[] body = this.storeFormat.put(StoreFormat.MEMBER_TABLE, own.name(), own.encode());
-		this.store.post(StoreFormat.WRITE_PATH, body, WRITE_MILLIS, new WriteOutcome());
-	}
-
 	/**
 	 * Stops the gateway: it takes no new connections after a while, finishes what it has,
 	 * and ends before it would be killed.
@@ -300,13 +309,14 @@
 
 	private void drain(CountDownLatch done) {
 		this.stopPlan.begin(this.timers.milliTime());
+		this.members.stop();
 		this.log.event(EntryEvent.STOPPING)
 			.field("open_requests", this.openRequests)
 			.field("connections", this.callers.connectionCount())
 			.write();
 		this.callers.drain();
-		this.timers.after(Duration.ofMillis(StopPlan.ROTATION_MILLIS)).subscribe(this.callers::closeIdle);
-		this.timers.every(Duration.ofMillis(STOP_CHECK_MILLIS)).subscribe((tick) -> {
+		this.timers.schedule(Duration.ofMillis(StopPlan.ROTATION_MILLIS), this.callers::closeIdle);
+		this.timers.repeat(Duration.ofMillis(STOP_CHECK_MILLIS), () -> {
 			long now = this.timers.milliTime();
 			boolean idle = this.openRequests == 0 && this.callers.connectionCount() == 0
 					&& this.stopPlan.isOutOfRotation(now);
@@ -357,50 +367,4 @@
 
 	}
 
-	private final class MemberRows implements TableWatcher.Listener {
-
-		@Override
-		public void onList(List<StoredRow> rows) {
-			EntryGateway.this.members.clear();
-			onChanges(rows);
-		}
-
-		@Override
-		public void onChanges(List<StoredRow> rows) {
-			for (StoredRow row : rows) {
-				Optional<MemberRecord> member = row.removed() ? Optional.empty() : MemberRecord.decode(row);
-				MemberRecord known = member.isPresent() ? EntryGateway.this.members.put(row.key(), member.get())
-						: EntryGateway.this.members.remove(row.key());
-				if (!Objects.equals(known, member.orElse(null))) {
-					logChange(row.key(), member.isPresent());
-				}
-			}
-			EntryGateway.this.stages.setMembers(EntryGateway.this.members);
-		}
-
-		private void logChange(String member, boolean listed) {
-			EntryGateway.this.log.event(EntryEvent.MEMBER_CHANGED)
-				.field("member", member)
-				.field("state", listed ? "listed" : "gone")
-				.write();
-		}
-
-	}
-
-	private final class WriteOutcome implements StoreClient.Handler {
-
-		@Override
-		public void onAnswer(int status, byte[] body) {
-			if (status != OK) {
-				onFailure("status " + status);
-			}
-		}
-
-		@Override
-		public void onFailure(String reason) {
-			EntryGateway.this.timers.after(Duration.ofSeconds(1)).subscribe(EntryGateway.this::register);
-		}
-
-	}
-
 }
--- a/src/main/java/org/magnoliahub/entry/EntryLog.java
+++ b/src/main/java/org/magnoliahub/entry/EntryLog.java
@@ -10,7 +10,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import org.magnoliahub.time.TimerService;
+import org.magnoliahub.time.Timers;
 
 /**
  * Writes events as one JSON object a line. Lines are gathered and handed on a few times a
@@ -25,7 +25,7 @@
 
 	private final JsonFactory json = new JsonFactory();
 
-	private final TimerService timers;
+	private final Timers timers;
 
 	private final Consumer<String> output;
 
@@ -42,7 +42,7 @@
 	 * @param timers the timer service
 	 * @param output takes whole lines, must not block
 	 */
-	EntryLog(TimerService timers, Consumer<String> output) {
+	EntryLog(Timers timers, Consumer<String> output) {
 		this.timers = timers;
 		this.output = output;
 	}
@@ -51,7 +51,7 @@
 	 * Starts to hand lines on.
 	 */
 	void start() {
-		this.timers.every(FLUSH_INTERVAL).subscribe((tick) -> flush());
+		this.timers.repeat(FLUSH_INTERVAL, () -> flush());
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/EntryMain.java
+++ b/src/main/java/org/magnoliahub/entry/EntryMain.java
@@ -8,7 +8,6 @@
 import org.magnoliahub.platform.NodeSettings;
 import org.magnoliahub.platform.NodeSettingsReader;
 import org.magnoliahub.platform.PlatformFormatException;
-import org.slf4j.helpers.NOP_FallbackServiceProvider;
 import sun.misc.Signal;
 
 /**
@@ -54,12 +53,10 @@
 	// After a kill, callers of a small VM wait for the processor time of this start.
 	private static void leaveOutOfStart() {
 		// Only the metrics library logs through SLF4J, and only its own misuse; finding a
-		// provider and its configuration takes a fifth of the start.
-		System.setProperty("slf4j.provider", NOP_FallbackServiceProvider.class.getName());
+		// provider and its configuration takes a fifth of the start. The class is named
+		// by a text, so that it is not loaded either.
+		System.setProperty("slf4j.provider", "org.slf4j.helpers.NOP_FallbackServiceProvider");
 		System.setProperty("slf4j.internal.verbosity", "WARN");
-		// Jackson creates a date format, and no other one is used; the larger locale data
-		// takes a tenth of the start.
-		System.setProperty("java.locale.providers", "COMPAT");
 	}
 
 	private static void run(Map<String, String> environment, ReloadRequests reloads) throws InterruptedException {
--- a/src/main/java/org/magnoliahub/entry/EntryMetrics.java
+++ b/src/main/java/org/magnoliahub/entry/EntryMetrics.java
@@ -1,6 +1,9 @@
 package org.magnoliahub.entry;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.micrometer.core.instrument.DistributionSummary;
@@ -8,6 +11,7 @@
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Counters, gauges and latency histograms of a gateway. No label takes values that grow
@@ -19,7 +23,44 @@
 			Duration.ofMillis(250), Duration.ofMillis(500), Duration.ofSeconds(1), Duration.ofMillis(2_500),
 			Duration.ofSeconds(5), Duration.ofSeconds(15) };
 
-	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+	private static final int MAXIMUM_EARLY = 50_000;
+
+	private final List<Consumer<PrometheusMeterRegistry>> early = new ArrayList<>();
+
+	private @Nullable PrometheusMeterRegistry registry;
+
+	/**
+	 * Creates a registry. It loads many classes, so it is called on a thread of its own
+	 * when a starting gateway already serves.
+	 * @return the registry, to be passed to {@link #begin}
+	 */
+	static PrometheusMeterRegistry createRegistry() {
+		PrometheusMeterRegistry created = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+		timer(created, "entry.loop.delay", "loop", "main");
+		stagePieces(created);
+		created.scrape();
+		return created;
+	}
+
+	/**
+	 * Takes the registry, and records in it what was recorded before.
+	 * @param created the registry
+	 */
+	void begin(PrometheusMeterRegistry created) {
+		this.registry = created;
+		this.early.forEach((update) -> update.accept(created));
+		this.early.clear();
+	}
+
+	private void record(Consumer<PrometheusMeterRegistry> update) {
+		PrometheusMeterRegistry present = this.registry;
+		if (present != null) {
+			update.accept(present);
+		}
+		else if (this.early.size() < MAXIMUM_EARLY) {
+			this.early.add(update);
+		}
+	}
 
 	/**
 	 * Counts the end of a request.
@@ -30,9 +71,11 @@
 	 * @param ageMillis time since its arrival
 	 */
 	void requestEnded(String kind, String outcome, String reason, long ageMillis) {
-		this.registry.counter("entry.requests", "kind", kind, "outcome", outcome, "reason", shortened(reason))
-			.increment();
-		timer("entry.request.duration", "kind", kind).record(Duration.ofMillis(Math.max(0, ageMillis)));
+		Duration age = Duration.ofMillis(Math.max(0, ageMillis));
+		record((meters) -> {
+			meters.counter("entry.requests", "kind", kind, "outcome", outcome, "reason", shortened(reason)).increment();
+			timer(meters, "entry.request.duration", "kind", kind).record(age);
+		});
 	}
 
 	/**
@@ -40,7 +83,8 @@
 	 * @param millis time since the arrival of the request
 	 */
 	void firstEvent(long millis) {
-		timer("entry.first.event", "kind", "streaming").record(Duration.ofMillis(Math.max(0, millis)));
+		Duration time = Duration.ofMillis(Math.max(0, millis));
+		record((meters) -> timer(meters, "entry.first.event", "kind", "streaming").record(time));
 	}
 
 	/**
@@ -49,8 +93,8 @@
 	 * @param next what follows
 	 */
 	void attemptFailed(boolean mayHaveRun, String next) {
-		this.registry.counter("entry.attempts.failed", "may_have_run", Boolean.toString(mayHaveRun), "next", next)
-			.increment();
+		String run = Boolean.toString(mayHaveRun);
+		record((meters) -> meters.counter("entry.attempts.failed", "may_have_run", run, "next", next).increment());
 	}
 
 	/**
@@ -60,11 +104,11 @@
 	 * @param millis time from sending to the answer
 	 */
 	void stageCall(int pieces, String outcome, long millis) {
-		timer("entry.stage.call", "outcome", outcome).record(Duration.ofMillis(Math.max(0, millis)));
-		DistributionSummary.builder("entry.stage.pieces")
-			.serviceLevelObjectives(1, 2, 5, 10, 20, 50)
-			.register(this.registry)
-			.record(pieces);
+		Duration time = Duration.ofMillis(Math.max(0, millis));
+		record((meters) -> {
+			timer(meters, "entry.stage.call", "outcome", outcome).record(time);
+			stagePieces(meters).record(pieces);
+		});
 	}
 
 	/**
@@ -73,7 +117,7 @@
 	 * @param result {@code ok}, a status, or {@code none}
 	 */
 	void storeCall(String call, String result) {
-		this.registry.counter("entry.store.calls", "call", call, "result", result).increment();
+		record((meters) -> meters.counter("entry.store.calls", "call", call, "result", result).increment());
 	}
 
 	/**
@@ -81,7 +125,8 @@
 	 * @param millis the delay
 	 */
 	void loopDelay(long millis) {
-		timer("entry.loop.delay", "loop", "main").record(Duration.ofMillis(Math.max(0, millis)));
+		Duration delay = Duration.ofMillis(Math.max(0, millis));
+		record((meters) -> timer(meters, "entry.loop.delay", "loop", "main").record(delay));
 	}
 
 	/**
@@ -90,19 +135,25 @@
 	 * @param value gives the present value
 	 */
 	void gauge(String name, Supplier<Number> value) {
-		Gauge.builder(name, value).register(this.registry);
+		record((meters) -> Gauge.builder(name, value).register(meters));
 	}
 
 	/**
 	 * Returns all metrics.
-	 * @return the Prometheus text format
+	 * @return the Prometheus text format, empty as long as there is no registry
 	 */
 	String text() {
-		return this.registry.scrape();
+		return (this.registry != null) ? this.registry.scrape() : "";
+	}
+
+	private static Timer timer(PrometheusMeterRegistry meters, String name, String label, String value) {
+		return Timer.builder(name).tag(label, value).serviceLevelObjectives(LATENCIES).register(meters);
 	}
 
-	private Timer timer(String name, String label, String value) {
-		return Timer.builder(name).tag(label, value).serviceLevelObjectives(LATENCIES).register(this.registry);
+	private static DistributionSummary stagePieces(PrometheusMeterRegistry meters) {
+		return DistributionSummary.builder("entry.stage.pieces")
+			.serviceLevelObjectives(1, 2, 5, 10, 20, 50)
+			.register(meters);
 	}
 
 	private static String shortened(String reason) {
--- a/src/main/java/org/magnoliahub/entry/EventSplitter.java
+++ b/src/main/java/org/magnoliahub/entry/EventSplitter.java
@@ -85,6 +85,14 @@
 		return null;
 	}
 
+	/**
+	 * Returns how much follows the last whole event.
+	 * @return bytes
+	 */
+	int partialBytes() {
+		return this.partial.size();
+	}
+
 	/**
 	 * Returns what follows the last whole event.
 	 * @return bytes of an event that is not whole
--- a/src/main/java/org/magnoliahub/entry/HttpCall.java
+++ b/src/main/java/org/magnoliahub/entry/HttpCall.java
@@ -17,8 +17,9 @@
  * @param maximumIdleMillis longest idle time of a kept connection that may be used, zero
  * for a new connection
  * @param connectMillis longest time for a new connection to open
+ * @param maximumBodyBytes longest body that is taken
  * @param belongs tells answers to this request from late ones to earlier requests
  */
 record HttpCall(String address, HttpMethod method, String target, HttpHeaders headers, byte[] body,
-		long maximumIdleMillis, int connectMillis, Predicate<HttpResponse> belongs) {
+		long maximumIdleMillis, int connectMillis, long maximumBodyBytes, Predicate<HttpResponse> belongs) {
 }
--- a/src/main/java/org/magnoliahub/entry/HttpClient.java
+++ b/src/main/java/org/magnoliahub/entry/HttpClient.java
@@ -12,7 +12,7 @@
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.platform.HostPort;
 import org.magnoliahub.platform.PlatformFormatException;
-import org.magnoliahub.time.TimerService;
+import org.magnoliahub.time.Timers;
 
 /**
  * Sends requests over kept connections, one request at a time on each.
@@ -23,11 +23,11 @@
 
 	private final EventLoopGroup group;
 
-	private final TimerService timers;
+	private final Timers timers;
 
 	private final Map<String, Deque<HttpConnection>> idle = new HashMap<>();
 
-	HttpClient(EventLoopGroup group, TimerService timers) {
+	HttpClient(EventLoopGroup group, Timers timers) {
 		this.group = group;
 		this.timers = timers;
 	}
--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -21,7 +21,7 @@
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.platform.PlatformHeaders;
 import org.magnoliahub.serving.AnswerHead;
-import org.magnoliahub.time.TimerService;
+import org.magnoliahub.time.Timers;
 
 /**
  * A connection to an endpoint or to the store. Answers that belong to an earlier request
@@ -36,7 +36,9 @@
 
 	private final String address;
 
-	private final TimerService timers;
+	private final Timers timers;
+
+	private final AnswerByteLimit limit = new AnswerByteLimit(() -> giveUp("bytes without end that are no answer"));
 
 	private @Nullable Channel channel;
 
@@ -60,7 +62,7 @@
 
 	private long keepAliveMillis = Long.MAX_VALUE;
 
-	HttpConnection(HttpClient client, String address, TimerService timers) {
+	HttpConnection(HttpClient client, String address, Timers timers) {
 		this.client = client;
 		this.address = address;
 		this.timers = timers;
@@ -68,7 +70,7 @@
 
 	void install(Channel opened) {
 		this.channel = opened;
-		opened.pipeline().addLast(new HttpRequestEncoder(), new Decoder(), this);
+		opened.pipeline().addLast(new HttpRequestEncoder(), this.limit, new Decoder(), this);
 	}
 
 	boolean isUsable(long now, long maximumIdleMillis) {
@@ -102,6 +104,7 @@
 		}
 		HttpCall call = next.call();
 		this.exchange = next;
+		this.limit.expect();
 		this.skipping = false;
 		this.answering = false;
 		this.headRequest = call.method().equals(HttpMethod.HEAD);
@@ -175,6 +178,11 @@
 			return;
 		}
 		ByteBuf data = content.content();
+		this.limit.accept(data.readableBytes());
+		if (this.limit.accepted() > current.call().maximumBodyBytes()) {
+			giveUp("answer too large");
+			return;
+		}
 		if (data.isReadable() && !current.isOver()) {
 			current.listener().onBody(data);
 		}
@@ -190,6 +198,7 @@
 		}
 		this.exchange = null;
 		this.answering = false;
+		this.limit.complete();
 		boolean written = this.writing != null && this.writing.isDone();
 		if (this.reusable && written && this.channel != null && this.channel.isActive()
 				&& current.call().maximumIdleMillis() > 0 && !current.isOver()) {
@@ -207,6 +216,7 @@
 	private void giveUp(String reason) {
 		HttpExchange current = this.exchange;
 		this.exchange = null;
+		this.limit.complete();
 		close();
 		if (current != null) {
 			current.fail(true, reason);
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/LoopTimers.java
@@ -0,0 +1,72 @@
+package org.magnoliahub.entry;
+
+import java.time.Duration;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.reactivex.rxjava3.disposables.Disposable;
+import org.magnoliahub.time.Timers;
+
+/**
+ * Timers of a Netty event loop. A gateway uses them instead of a scheduler of RxJava,
+ * whose classes take a tenth of its start.
+ */
+final class LoopTimers implements Timers {
+
+	private final EventLoop loop;
+
+	/**
+	 * Creates timers.
+	 * @param loop runs the tasks
+	 */
+	LoopTimers(EventLoop loop) {
+		this.loop = loop;
+	}
+
+	@Override
+	public long nanoTime() {
+		return System.nanoTime();
+	}
+
+	@Override
+	public Disposable schedule(Duration delay, Runnable task) {
+		return new Scheduled(this.loop.schedule(task, Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS));
+	}
+
+	@Override
+	public Disposable repeat(Duration period, Runnable task) {
+		if (period.isZero() || period.isNegative()) {
+			throw new IllegalArgumentException("period must be positive, but was " + period);
+		}
+		long nanos = period.toNanos();
+		return new Scheduled(
+				this.loop.scheduleWithFixedDelay(() -> runGuarded(task), nanos, nanos, TimeUnit.NANOSECONDS));
+	}
+
+	// The loop would end the repetition without a word.
+	private static void runGuarded(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException ex) {
+			System.err.println("magnoliahub: error: a periodic task failed: " + ex);
+			ex.printStackTrace(System.err);
+		}
+	}
+
+	private record Scheduled(Future<?> future) implements Disposable {
+
+		@Override
+		public void dispose() {
+			this.future.cancel(false);
+		}
+
+		@Override
+		public boolean isDisposed() {
+			return this.future.isDone();
+		}
+
+	}
+
+}
--- a/src/main/java/org/magnoliahub/entry/PeerLink.java
+++ b/src/main/java/org/magnoliahub/entry/PeerLink.java
@@ -8,7 +8,7 @@
 import org.magnoliahub.platform.HostPort;
 import org.magnoliahub.platform.MemberRecord;
 import org.magnoliahub.platform.PlatformFormatException;
-import org.magnoliahub.time.TimerService;
+import org.magnoliahub.time.Timers;
 
 /**
  * The link from this gateway to another one that may form calls for it. It opens again by
@@ -25,7 +25,7 @@
 
 	private final EventLoopGroup group;
 
-	private final TimerService timers;
+	private final Timers timers;
 
 	private final EntryLog log;
 
@@ -49,8 +49,7 @@
 
 	private final Map<String, Long> waitMillis = new HashMap<>();
 
-	PeerLink(EventLoopGroup group, TimerService timers, EntryLog log, String ownName, MemberRecord member,
-			Handler handler) {
+	PeerLink(EventLoopGroup group, Timers timers, EntryLog log, String ownName, MemberRecord member, Handler handler) {
 		this.group = group;
 		this.timers = timers;
 		this.log = log;
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -158,8 +158,7 @@
 		this.journal.admitted(this.workspace, budget, configuration.version());
 		this.exchange.observe(this);
 		this.deadline = this.context.timers()
-			.after(Duration.ofMillis(this.deadlineMillis - this.context.now()))
-			.subscribe(this::onDeadline);
+			.schedule(Duration.ofMillis(this.deadlineMillis - this.context.now()), this::onDeadline);
 		startStages(matched);
 	}
 
--- a/src/main/java/org/magnoliahub/entry/StageCalls.java
+++ b/src/main/java/org/magnoliahub/entry/StageCalls.java
@@ -38,6 +38,11 @@
 
 	private static final long LONGEST_SLACK_MILLIS = 600;
 
+	/** Longest time until an endpoint has confirmed that results were given up. */
+	private static final Duration FREE_LIMIT = Duration.ofMillis(1_500);
+
+	private static final long MAXIMUM_ANSWER_BYTES = 1_048_576;
+
 	private static final int OK = 200;
 
 	private final EntryContext context;
@@ -76,11 +81,11 @@
 		// answer to an earlier call could not be told from the right one.
 		HttpCall http = new HttpCall(call.endpoint().record().address(), HttpMethod.POST, StageCallFormat.RUN_PATH,
 				PlatformHeaders.ownCallHeaders(call.endpoint().record().id(), budget),
-				this.format.run(call.tasks(), now), 0, CONNECT_MILLIS, (response) -> true);
+				this.format.run(call.tasks(), now), 0, CONNECT_MILLIS, MAXIMUM_ANSWER_BYTES, (response) -> true);
 		Answer answer = new Answer(queue, call, done, now);
 		HttpExchange exchange = this.context.http().send(http, answer);
 		long limit = (long) (LONGEST_FACTOR * call.expectedMillis()) + LONGEST_SLACK_MILLIS;
-		answer.timeout = this.context.timers().after(Duration.ofMillis(limit)).subscribe(() -> {
+		answer.timeout = this.context.timers().schedule(Duration.ofMillis(limit), () -> {
 			exchange.cancel();
 			answer.onFailure(true, "no answer within " + limit + " ms");
 		});
@@ -97,15 +102,21 @@
 		for (String handle : handles) {
 			byAddress.computeIfAbsent(StageCallFormat.address(handle), (address) -> new ArrayList<>()).add(handle);
 		}
-		byAddress.forEach((address, list) -> this.context.http()
-			.send(new HttpCall(address, HttpMethod.POST, StageCallFormat.FREE_PATH,
-					PlatformHeaders.ownCallHeaders("", 0), this.format.free(list), IDLE_MILLIS, CONNECT_MILLIS,
-					(response) -> true), new FreeAnswer(() -> {
-						if (queue != null) {
-							queue.freed(list);
-							done.accept(queue);
-						}
-					})));
+		byAddress.forEach((address, list) -> free(address, list, () -> {
+			if (queue != null) {
+				queue.freed(list);
+				done.accept(queue);
+			}
+		}));
+	}
+
+	private void free(String address, List<String> handles, Runnable done) {
+		HttpCall call = new HttpCall(address, HttpMethod.POST, StageCallFormat.FREE_PATH,
+				PlatformHeaders.ownCallHeaders("", 0), this.format.free(handles), IDLE_MILLIS, CONNECT_MILLIS,
+				MAXIMUM_ANSWER_BYTES, (response) -> true);
+		FreeAnswer answer = new FreeAnswer(done);
+		HttpExchange exchange = this.context.http().send(call, answer);
+		answer.timeout = this.context.timers().schedule(FREE_LIMIT, exchange::cancel);
 	}
 
 	/**
@@ -127,6 +138,8 @@
 
 		private final Runnable done;
 
+		private Disposable timeout = Disposable.disposed();
+
 		private FreeAnswer(Runnable done) {
 			this.done = done;
 		}
@@ -141,12 +154,14 @@
 
 		@Override
 		public void onEnd() {
+			this.timeout.dispose();
 			this.done.run();
 		}
 
 		@Override
 		public void onFailure(boolean sent, String reason) {
 			// Results expire by themselves.
+			this.timeout.dispose();
 		}
 
 	}
--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -78,7 +78,7 @@
 	}
 
 	void start() {
-		this.context.timers().every(TICK).subscribe((tick) -> tick());
+		this.context.timers().repeat(TICK, () -> tick());
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/StandardOutput.java
+++ b/src/main/java/org/magnoliahub/entry/StandardOutput.java
@@ -1,24 +1,23 @@
 package org.magnoliahub.entry;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
 import java.util.function.Consumer;
 
-import ch.qos.logback.classic.AsyncAppender;
-import ch.qos.logback.classic.Level;
-import ch.qos.logback.classic.Logger;
-import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
-import ch.qos.logback.classic.spi.ILoggingEvent;
-import ch.qos.logback.classic.util.LogbackMDCAdapter;
-import ch.qos.logback.core.ConsoleAppender;
-
 /**
- * Writes to standard output without ever waiting for its reader. It is set up in code,
- * because reading a configuration file would delay the start of the process.
+ * Writes to standard output without ever waiting for its reader. It uses no logging
+ * library, because setting one up takes a tenth of the start of the process.
  */
-final class StandardOutput {
+final class StandardOutput implements Consumer<String> {
 
 	private static final int QUEUED_WRITES = 256;
 
+	private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUED_WRITES);
+
 	private StandardOutput() {
 	}
 
@@ -27,28 +26,31 @@
 	 * @return takes whole lines with their ends; drops them if too much waits
 	 */
 	static Consumer<String> open() {
-		LoggerContext context = new LoggerContext();
-		context.setMDCAdapter(new LogbackMDCAdapter());
-		PatternLayoutEncoder encoder = new PatternLayoutEncoder();
-		encoder.setContext(context);
-		encoder.setPattern("%msg");
-		encoder.start();
-		ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
-		console.setContext(context);
-		console.setEncoder(encoder);
-		console.start();
-		AsyncAppender appender = new AsyncAppender();
-		appender.setContext(context);
-		appender.setQueueSize(QUEUED_WRITES);
-		appender.setDiscardingThreshold(0);
-		appender.setNeverBlock(true);
-		appender.addAppender(console);
-		appender.start();
-		Logger logger = context.getLogger("entry");
-		logger.setLevel(Level.INFO);
-		logger.setAdditive(false);
-		logger.addAppender(appender);
-		return logger::info;
+		StandardOutput output = new StandardOutput();
+		Thread writer = new Thread(output::write, "log");
+		writer.setDaemon(true);
+		writer.start();
+		return output;
+	}
+
+	@Override
+	public void accept(String lines) {
+		this.queue.offer(lines);
+	}
+
+	private void write() {
+		try (FileOutputStream output = new FileOutputStream(FileDescriptor.out)) {
+			while (true) {
+				output.write(this.queue.take().getBytes(StandardCharsets.UTF_8));
+			}
+		}
+		catch (IOException ex) {
+			// Nobody reads the log any more, and there is no other place to say so.
+			System.err.println("magnoliahub: error: the log cannot be written: " + ex.getMessage());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 }
--- a/src/main/java/org/magnoliahub/entry/StoreClient.java
+++ b/src/main/java/org/magnoliahub/entry/StoreClient.java
@@ -9,7 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.magnoliahub.platform.PlatformHeaders;
-import org.magnoliahub.time.TimerService;
+import org.magnoliahub.time.Timers;
 
 /**
  * Calls of the platform's store, each with a time limit.
@@ -20,17 +20,20 @@
 
 	private static final long IDLE_MILLIS = 10_000;
 
+	/** Rows of a call and their encoding stay below. */
+	private static final long MAXIMUM_ANSWER_BYTES = 4_194_304;
+
 	private static final byte[] EMPTY = new byte[0];
 
 	private final HttpClient http;
 
-	private final TimerService timers;
+	private final Timers timers;
 
 	private final EntryMetrics metrics;
 
 	private final String address;
 
-	StoreClient(HttpClient http, TimerService timers, EntryMetrics metrics, String address) {
+	StoreClient(HttpClient http, Timers timers, EntryMetrics metrics, String address) {
 		this.http = http;
 		this.timers = timers;
 		this.metrics = metrics;
@@ -47,10 +50,10 @@
 
 	private void call(HttpMethod method, String target, byte[] body, long timeoutMillis, Handler handler) {
 		HttpCall call = new HttpCall(this.address, method, target, PlatformHeaders.ownCallHeaders("", 0), body,
-				IDLE_MILLIS, CONNECT_MILLIS, (response) -> true);
+				IDLE_MILLIS, CONNECT_MILLIS, MAXIMUM_ANSWER_BYTES, (response) -> true);
 		BodyCollector collector = new BodyCollector(method, handler);
 		HttpExchange exchange = this.http.send(call, collector);
-		collector.timeout = this.timers.after(Duration.ofMillis(timeoutMillis)).subscribe(() -> {
+		collector.timeout = this.timers.schedule(Duration.ofMillis(timeoutMillis), () -> {
 			exchange.cancel();
 			collector.onFailure(true, "no answer within " + timeoutMillis + " ms");
 		});
--- a/src/main/java/org/magnoliahub/entry/TableWatcher.java
+++ b/src/main/java/org/magnoliahub/entry/TableWatcher.java
@@ -3,13 +3,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.StoredRow;
 import org.magnoliahub.platform.StoredRows;
-import org.magnoliahub.time.TimerService;
+import org.magnoliahub.time.Timers;
 
 /**
  * Follows a table of the store: reads it whole, then its changes, and whole again when
@@ -27,7 +28,7 @@
 
 	private final StoreFormat format = new StoreFormat();
 
-	private final TimerService timers;
+	private final Timers timers;
 
 	private final RandomGenerator random;
 
@@ -35,7 +36,7 @@
 
 	private final String table;
 
-	private final Pace pace;
+	private final Supplier<Pace> pace;
 
 	private final Listener listener;
 
@@ -47,8 +48,8 @@
 
 	private boolean available = true;
 
-	TableWatcher(StoreClient store, TimerService timers, RandomGenerator random, EntryLog log, String table, Pace pace,
-			Listener listener) {
+	TableWatcher(StoreClient store, Timers timers, RandomGenerator random, EntryLog log, String table,
+			Supplier<Pace> pace, Listener listener) {
 		this.store = store;
 		this.timers = timers;
 		this.random = random;
@@ -80,11 +81,11 @@
 		this.revision = this.listRevision;
 		this.listener.onList(this.listed);
 		this.listed = new ArrayList<>();
-		later(this.pace.intervalMillis(), this::feed);
+		later(this.pace.get().intervalMillis(), this::feed);
 	}
 
 	private void feed() {
-		long wait = this.pace.waitMillis();
+		long wait = this.pace.get().waitMillis();
 		this.store.get(this.format.feedTarget(this.table, this.revision, wait), ANSWER_MILLIS + wait,
 				new Reply(this::onChanges, this::feed));
 	}
@@ -92,7 +93,7 @@
 	private void onChanges(StoredRows rows) {
 		this.revision = Math.max(this.revision, rows.revision());
 		this.listener.onChanges(rows.rows());
-		later(this.pace.intervalMillis(), this::feed);
+		later(this.pace.get().intervalMillis(), this::feed);
 	}
 
 	private void later(long millis, Runnable task) {
@@ -101,7 +102,7 @@
 			return;
 		}
 		long jitter = this.random.nextLong(1 + millis / 8);
-		this.timers.after(Duration.ofMillis(millis + jitter)).subscribe(task::run);
+		this.timers.schedule(Duration.ofMillis(millis + jitter), task::run);
 	}
 
 	private void setAvailable(boolean newValue, String reason) {
--- a/src/main/java/org/magnoliahub/entry/WarmUp.java
+++ b/src/main/java/org/magnoliahub/entry/WarmUp.java
@@ -42,7 +42,7 @@
 	}
 
 	private static String settings(int callers, int readiness) throws IOException {
-		try (InputStream template = WarmUp.class.getResourceAsStream("/entry/warm-up.yaml")) {
+		try (InputStream template = WarmUp.class.getResourceAsStream("/entry/warm-up.json")) {
 			if (template == null) {
 				throw new IOException("the settings for the warm-up are missing");
 			}
--- a/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
+++ b/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.serving.CallKind;
 import org.magnoliahub.serving.CallerLimits;
@@ -26,8 +25,6 @@
 
 	private static final double BYTES_PER_MEGABYTE = 1e6;
 
-	private final ObjectMapper mapper = new ObjectMapper();
-
 	/**
 	 * Reads a configuration.
 	 * @param stored the bytes that lie in the store
@@ -37,12 +34,12 @@
 	public ServingConfiguration read(byte[] stored) throws PlatformFormatException {
 		JsonNode root;
 		try {
-			root = this.mapper.readTree(stored);
+			root = JsonTree.read(stored);
 		}
 		catch (IOException ex) {
 			throw new PlatformFormatException("the configuration is not JSON: " + ex.getMessage(), ex);
 		}
-		if (root == null || !root.path("version").isIntegralNumber() || !root.path("routes").isArray()) {
+		if (!root.path("version").isIntegralNumber() || !root.path("routes").isArray()) {
 			throw new PlatformFormatException("the configuration lacks its version or its routes");
 		}
 		List<Route> routes = new ArrayList<>();
--- a/src/main/java/org/magnoliahub/platform/EndpointRecordReader.java
+++ b/src/main/java/org/magnoliahub/platform/EndpointRecordReader.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import org.magnoliahub.serving.EndpointRecord;
 
 /**
@@ -13,8 +12,6 @@
  */
 public final class EndpointRecordReader {
 
-	private final ObjectMapper mapper = new ObjectMapper();
-
 	/**
 	 * Reads an entry.
 	 * @param id key of the entry
@@ -24,13 +21,13 @@
 	public Optional<EndpointRecord> read(String id, byte[] stored) {
 		JsonNode root;
 		try {
-			root = this.mapper.readTree(stored);
+			root = JsonTree.read(stored);
 		}
 		catch (IOException ex) {
 			return Optional.empty();
 		}
-		if (root == null || !isText(root, "service") || !isText(root, "address") || !isText(root, "zone")
-				|| !root.path("slots").isInt() || !root.path("seq").isIntegralNumber()) {
+		if (!isText(root, "service") || !isText(root, "address") || !isText(root, "zone") || !root.path("slots").isInt()
+				|| !root.path("seq").isIntegralNumber()) {
 			return Optional.empty();
 		}
 		String state = root.path("state").asText();
--- a/src/main/java/org/magnoliahub/platform/MemberRecord.java
+++ b/src/main/java/org/magnoliahub/platform/MemberRecord.java
@@ -1,11 +1,9 @@
 package org.magnoliahub.platform;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 
 /**
  * What a gateway writes about itself into the store.
@@ -16,20 +14,17 @@
  */
 public record MemberRecord(String name, String address, long incarnation) {
 
-	private static final ObjectMapper MAPPER = new ObjectMapper();
-
 	/**
 	 * Returns the stored form.
 	 * @return the bytes, as JSON
 	 */
 	public byte[] encode() {
-		try {
-			return MAPPER.writeValueAsBytes(
-					MAPPER.createObjectNode().put("address", this.address).put("incarnation", this.incarnation));
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException("writing to memory failed", ex);
-		}
+		return JsonTree.write((json) -> {
+			json.writeStartObject();
+			json.writeStringField("address", this.address);
+			json.writeNumberField("incarnation", this.incarnation);
+			json.writeEndObject();
+		});
 	}
 
 	/**
@@ -39,8 +34,8 @@
 	 */
 	public static Optional<MemberRecord> decode(StoredRow row) {
 		try {
-			JsonNode root = MAPPER.readTree(row.value());
-			if (root == null || !root.path("address").isTextual()) {
+			JsonNode root = JsonTree.read(row.value());
+			if (!root.path("address").isTextual()) {
 				return Optional.empty();
 			}
 			return Optional
--- a/src/main/java/org/magnoliahub/platform/NodeSettingsReader.java
+++ b/src/main/java/org/magnoliahub/platform/NodeSettingsReader.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -9,13 +10,11 @@
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.MissingNode;
-import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Reads the settings file of a process. All faults of a file are reported at once; fields
- * that are not known are ignored.
+ * Reads the settings file of a process, which is JSON. All faults of a file are reported
+ * at once; fields that are not known are ignored.
  */
 public final class NodeSettingsReader {
 
@@ -66,13 +65,13 @@
 	public static NodeSettings parse(String text) throws PlatformFormatException {
 		JsonNode root;
 		try {
-			root = new YAMLMapper().readTree(text);
+			root = JsonTree.read(text.getBytes(StandardCharsets.UTF_8));
 		}
 		catch (IOException ex) {
-			throw new PlatformFormatException("the settings are not YAML: " + ex.getMessage(), ex);
+			throw new PlatformFormatException("the settings are not JSON: " + ex.getMessage(), ex);
 		}
 		NodeSettingsReader reader = new NodeSettingsReader();
-		NodeSettings settings = reader.settings((root != null) ? root : MissingNode.getInstance());
+		NodeSettings settings = reader.settings(root);
 		if (settings == null || !reader.faults.isEmpty()) {
 			throw new PlatformFormatException("invalid settings: " + String.join("; ", reader.faults));
 		}
--- a/src/main/java/org/magnoliahub/platform/StageCallFormat.java
+++ b/src/main/java/org/magnoliahub/platform/StageCallFormat.java
@@ -1,14 +1,11 @@
 package org.magnoliahub.platform;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import org.magnoliahub.serving.PieceFailure;
 import org.magnoliahub.serving.PieceResult;
 import org.magnoliahub.serving.StageTask;
@@ -25,8 +22,6 @@
 	/** Path of the call that gives results up. */
 	public static final String FREE_PATH = "/api/stage-free";
 
-	private final ObjectMapper mapper = new ObjectMapper();
-
 	/**
 	 * Writes a call.
 	 * @param tasks its pieces
@@ -34,8 +29,7 @@
 	 * @return the body
 	 */
 	public byte[] run(List<StageTask> tasks, long now) {
-		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-		try (JsonGenerator json = this.mapper.createGenerator(bytes)) {
+		return JsonTree.write((json) -> {
 			json.writeStartObject();
 			json.writeArrayFieldStart("items");
 			for (StageTask task : tasks) {
@@ -43,11 +37,7 @@
 			}
 			json.writeEndArray();
 			json.writeEndObject();
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException("writing to memory failed", ex);
-		}
-		return bytes.toByteArray();
+		});
 	}
 
 	private static void item(JsonGenerator json, StageTask task, long now) throws IOException {
@@ -81,7 +71,7 @@
 	public List<PieceResult> results(byte[] body, int count, String availabilityZone) throws PlatformFormatException {
 		JsonNode items;
 		try {
-			items = this.mapper.readTree(body).path("items");
+			items = JsonTree.read(body).path("items");
 		}
 		catch (IOException ex) {
 			throw new PlatformFormatException("the answer of a stage call is not JSON", ex);
@@ -115,13 +105,15 @@
 	 * @return the body
 	 */
 	public byte[] free(List<String> handles) {
-		try {
-			return this.mapper
-				.writeValueAsBytes(this.mapper.createObjectNode().set("handles", this.mapper.valueToTree(handles)));
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException("writing to memory failed", ex);
-		}
+		return JsonTree.write((json) -> {
+			json.writeStartObject();
+			json.writeArrayFieldStart("handles");
+			for (String handle : handles) {
+				json.writeString(handle);
+			}
+			json.writeEndArray();
+			json.writeEndObject();
+		});
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/platform/StoreFormat.java
+++ b/src/main/java/org/magnoliahub/platform/StoreFormat.java
@@ -1,16 +1,15 @@
 package org.magnoliahub.platform;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
 
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Calls of the platform's store.
@@ -35,7 +34,7 @@
 	/** Status of a feed whose history is no longer there. */
 	public static final int HISTORY_GONE = 410;
 
-	private final ObjectMapper mapper = new ObjectMapper();
+	private static final List<String> CHANGES = List.of("writes", "remove");
 
 	/**
 	 * Returns the target of a call that reads rows.
@@ -67,7 +66,7 @@
 	 */
 	public StoredRows rows(byte[] body) throws PlatformFormatException {
 		try {
-			JsonNode root = this.mapper.readTree(body);
+			JsonNode root = JsonTree.read(body);
 			List<StoredRow> rows = new ArrayList<>();
 			for (JsonNode row : root.path("rows")) {
 				boolean removed = row.path("tombstone").asBoolean(false);
@@ -92,11 +91,10 @@
 	 * @return the body
 	 */
 	public byte[] put(String table, String key, byte[] value) {
-		ObjectNode root = transaction();
-		ObjectNode row = root.withArray("writes").addObject();
-		row.put("table", table).put("part", "").put("key", key);
-		row.put("value", Base64.getEncoder().encodeToString(value));
-		return bytes(root);
+		return transaction("writes", (json) -> {
+			writeKey(json, table, key);
+			json.writeStringField("value", Base64.getEncoder().encodeToString(value));
+		}, null);
 	}
 
 	/**
@@ -107,27 +105,37 @@
 	 * @return the body
 	 */
 	public byte[] remove(String table, String key, long revision) {
-		ObjectNode root = transaction();
-		root.withArray("expected").addObject().put("table", table).put("part", "").put("key", key).put("ver", revision);
-		root.withArray("remove").addObject().put("table", table).put("part", "").put("key", key);
-		return bytes(root);
+		return transaction("remove", (json) -> writeKey(json, table, key), (json) -> {
+			writeKey(json, table, key);
+			json.writeNumberField("ver", revision);
+		});
 	}
 
-	private ObjectNode transaction() {
-		ObjectNode root = this.mapper.createObjectNode();
-		root.putArray("expected");
-		root.putArray("writes");
-		root.putArray("remove");
-		return root;
+	private static byte[] transaction(String change, JsonTree.Content row, JsonTree.@Nullable Content expected) {
+		return JsonTree.write((json) -> {
+			json.writeStartObject();
+			writeRows(json, "expected", expected);
+			for (String list : CHANGES) {
+				writeRows(json, list, list.equals(change) ? row : null);
+			}
+			json.writeEndObject();
+		});
 	}
 
-	private byte[] bytes(ObjectNode root) {
-		try {
-			return this.mapper.writeValueAsBytes(root);
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException("writing to memory failed", ex);
+	private static void writeRows(JsonGenerator json, String list, JsonTree.@Nullable Content row) throws IOException {
+		json.writeArrayFieldStart(list);
+		if (row != null) {
+			json.writeStartObject();
+			row.write(json);
+			json.writeEndObject();
 		}
+		json.writeEndArray();
+	}
+
+	private static void writeKey(JsonGenerator json, String table, String key) throws IOException {
+		json.writeStringField("table", table);
+		json.writeStringField("part", "");
+		json.writeStringField("key", key);
 	}
 
 }
--- a/src/main/java/org/magnoliahub/platform/emulator/EmulatedSettings.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EmulatedSettings.java
@@ -47,14 +47,12 @@
 			""";
 
 	private static final String NODE = """
-			node_name: "%s"
-			ip: "%s"
-			zone: "z1"
-			listen: {front: "%s:%d", ready_address: "%s:%d"}
-			internal_ports: [%d]
-			bounds: {drain_ms: 2000, config_apply_ms: 2000, grace_s: 8, retry_budget_ratio: %s,
-			  retry_budget_extra: %s, budget_window_s: 10}
-			platform_settings: {address: "%s"}
+			{"node_name":"%s","ip":"%s","zone":"z1",
+			"listen":{"front":"%s:%d","ready_address":"%s:%d"},
+			"internal_ports":[%d],
+			"bounds":{"drain_ms":2000,"config_apply_ms":2000,"grace_s":8,"retry_budget_ratio":%s,
+			"retry_budget_extra":%s,"budget_window_s":10},
+			"platform_settings":{"address":"%s"}}
 			""";
 
 	private static final String READINESS = "GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
--- a/src/main/java/org/magnoliahub/platform/emulator/StoreEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/StoreEmulator.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The platform's store in memory: rows, their feed, and outages on demand.
@@ -35,6 +36,8 @@
 
 	private volatile Mode mode = Mode.SOUND;
 
+	private volatile RawServer.@Nullable Handler otherAnswer;
+
 	private long oldestRevision;
 
 	/**
@@ -103,7 +106,20 @@
 			.count();
 	}
 
+	/**
+	 * Lets something else answer all calls.
+	 * @param handler answers from now on, or {@code null} for the store itself
+	 */
+	public void setAnswer(RawServer.@Nullable Handler handler) {
+		this.otherAnswer = handler;
+	}
+
 	private void handle(RawServer.Request request, Socket socket) throws IOException {
+		RawServer.Handler other = this.otherAnswer;
+		if (other != null) {
+			other.handle(request, socket);
+			return;
+		}
 		switch (this.mode) {
 			case SILENT -> {
 				return;
--- /dev/null
+++ b/src/main/java/org/magnoliahub/serving/MemberList.java
@@ -0,0 +1,107 @@
+package org.magnoliahub.serving;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * When each listed gateway last wrote its row, and which rows of gateways that do not
+ * return this gateway removes. One gateway is in charge of each row, so that a row costs
+ * one call however many gateways there are.
+ */
+public final class MemberList {
+
+	/** Time between two writes of a live gateway's row. */
+	public static final long WRITE_MILLIS = 300_000;
+
+	/** Age from which a row is taken to be left over; several writes were missed. */
+	public static final long LEFT_OVER_MILLIS = 3 * WRITE_MILLIS;
+
+	private final String ownName;
+
+	private final Map<String, Row> rows = new HashMap<>();
+
+	/**
+	 * Creates an empty list.
+	 * @param ownName name of this gateway
+	 */
+	public MemberList(String ownName) {
+		this.ownName = ownName;
+	}
+
+	/**
+	 * Notes a row.
+	 * @param member name of the gateway
+	 * @param revision revision of the row
+	 * @param now monotonic time, in milliseconds
+	 */
+	public void listed(String member, long revision, long now) {
+		Row known = this.rows.get(member);
+		if (known == null || known.revision() != revision) {
+			this.rows.put(member, new Row(revision, now));
+		}
+	}
+
+	/**
+	 * Notes that a row is gone.
+	 * @param member name of the gateway
+	 */
+	public void removed(String member) {
+		this.rows.remove(member);
+	}
+
+	/**
+	 * Keeps only some rows.
+	 * @param members names of the gateways that are listed
+	 */
+	public void retain(Set<String> members) {
+		this.rows.keySet().retainAll(members);
+	}
+
+	/**
+	 * Returns whether this gateway is listed.
+	 * @return whether its row is known
+	 */
+	public boolean isOwnListed() {
+		return this.rows.containsKey(this.ownName);
+	}
+
+	/**
+	 * Returns the rows that this gateway removes now.
+	 * @param now monotonic time, in milliseconds
+	 * @return rows of gateways that did not write for a long time
+	 */
+	public List<LeftOver> leftOver(long now) {
+		List<String> live = new ArrayList<>();
+		List<LeftOver> old = new ArrayList<>();
+		this.rows.forEach((member, row) -> {
+			if (now - row.seenAt() < LEFT_OVER_MILLIS || member.equals(this.ownName)) {
+				live.add(member);
+			}
+			else {
+				old.add(new LeftOver(member, row.revision()));
+			}
+		});
+		old.removeIf((row) -> !isInCharge(row.member(), live));
+		return old;
+	}
+
+	private boolean isInCharge(String member, List<String> live) {
+		return !live.isEmpty() && Rendezvous.rank(member, live).get(0).equals(this.ownName);
+	}
+
+	/**
+	 * A row of a gateway that does not return.
+	 *
+	 * @param member name of the gateway
+	 * @param revision revision that the row must still have
+	 */
+	public record LeftOver(String member, long revision) {
+	}
+
+	private record Row(long revision, long seenAt) {
+	}
+
+}
--- a/src/main/java/org/magnoliahub/time/TimerService.java
+++ b/src/main/java/org/magnoliahub/time/TimerService.java
@@ -4,17 +4,13 @@
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.disposables.Disposable;
 
 /**
- * Monotonic time and timers. All parts subscribe to it; none reads a clock or sleeps.
+ * Monotonic time and timers that can be combined with other asynchronous work. All parts
+ * subscribe to it; none reads a clock or sleeps.
  */
-public interface TimerService {
-
-	/**
-	 * Returns the monotonic time.
-	 * @return nanoseconds since an arbitrary origin of this process
-	 */
-	long nanoTime();
+public interface TimerService extends Timers {
 
 	/**
 	 * Completes after a delay, on the event loop.
@@ -31,12 +27,14 @@
 	 */
 	Flowable<Long> every(Duration period);
 
-	/**
-	 * Returns the monotonic time in milliseconds.
-	 * @return milliseconds since an arbitrary origin of this process
-	 */
-	default long milliTime() {
-		return Math.floorDiv(nanoTime(), 1_000_000L);
+	@Override
+	default Disposable schedule(Duration delay, Runnable task) {
+		return after(delay).subscribe(task::run);
+	}
+
+	@Override
+	default Disposable repeat(Duration period, Runnable task) {
+		return every(period).subscribe((tick) -> task.run());
 	}
 
 }
--- a/src/test/java/org/magnoliahub/platform/NodeSettingsReaderTests.java
+++ b/src/test/java/org/magnoliahub/platform/NodeSettingsReaderTests.java
@@ -13,27 +13,22 @@
 class NodeSettingsReaderTests {
 
 	private static final String SETTINGS = """
-			node_name: "front-1"
-			ip: "10.1.0.41"
-			zone: "z1"
-			unknown: true
-			listen:
-			  front: "10.1.0.41:8625"
-			  ready_address: "10.1.0.41:8621"
-			internal_ports:
-			  - 7740
-			  - 7755
-			limits:
-			  memory_mb: 430
-			bounds:
-			  drain_ms: 2000
-			  config_apply_ms: 2000
-			  grace_s: 8
-			  retry_budget_ratio: 0.2
-			  retry_budget_extra: 58
-			  budget_window_s: 10
-			platform_settings:
-			  address: "10.200.1.7:8624"
+			{
+			  "node_name": "front-1",
+			  "ip": "10.1.0.41",
+			  "zone": "z1",
+			  "unknown": true,
+			  "listen": {
+			    "front": "10.1.0.41:8625",
+			    "ready_address": "10.1.0.41:8621",
+			    "control": "10.1.0.41:8628"
+			  },
+			  "internal_ports": [7740, 7755],
+			  "limits": {"memory_mb": 430},
+			  "bounds": {"drain_ms": 2000, "config_apply_ms": 2000, "grace_s": 8, "retry_budget_ratio": 0.2,
+			    "retry_budget_extra": 58, "budget_window_s": 10},
+			  "platform_settings": {"address": "10.200.1.7:8624"}
+			}
 			""";
 
 	@Test
@@ -48,7 +43,8 @@
 
 	@Test
 	void vmWithoutCallersHasNoCallerAddress() throws PlatformFormatException {
-		NodeSettings settings = NodeSettingsReader.parse(SETTINGS.replaceAll("(?m)^  (front|ready_address):.*\n", ""));
+		NodeSettings settings = NodeSettingsReader
+			.parse(SETTINGS.replaceAll("(?m)^ *\"(front|ready_address)\":.*\n", ""));
 		assertThat(settings.callerAddress()).isNull();
 		assertThat(settings.readinessAddress()).isNull();
 	}
@@ -56,7 +52,7 @@
 	@Test
 	void namesAllFaultsAtOnce() {
 		String faulty = SETTINGS.replace("front-1", "")
-			.replace("drain_ms: 2000", "drain_ms: soon")
+			.replace("\"drain_ms\": 2000", "\"drain_ms\": \"soon\"")
 			.replace("7740", "99999");
 		assertThatExceptionOfType(PlatformFormatException.class).isThrownBy(() -> NodeSettingsReader.parse(faulty))
 			.withMessageContaining("node_name")
@@ -66,7 +62,7 @@
 
 	@Test
 	void missingStoreIsAFault() {
-		String faulty = SETTINGS.substring(0, SETTINGS.indexOf("platform_settings"));
+		String faulty = SETTINGS.replace("platform_settings", "other_settings");
 		assertThatExceptionOfType(PlatformFormatException.class).isThrownBy(() -> NodeSettingsReader.parse(faulty))
 			.withMessageContaining("platform_settings.address");
 	}
--- a/src/test/java/org/magnoliahub/process/EntryProcessIT.java
+++ b/src/test/java/org/magnoliahub/process/EntryProcessIT.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -39,6 +40,9 @@
 
 	private static final Duration UNREAD_TIME = Duration.ofSeconds(6);
 
+	/** Classes loaded until the first answer, those of the Java runtime included. */
+	private static final long MOST_CLASSES = 2_300;
+
 	private StoreEmulator store;
 
 	private EmulatedSettings.Node node;
@@ -55,7 +59,7 @@
 		this.store.put(StoreFormat.CONFIGURATION_TABLE, StoreFormat.CONFIGURATION_KEY,
 				EmulatedSettings.configuration(1, List.of()));
 		this.node = EmulatedSettings.Node.withFreePorts("gateway-0", IP);
-		this.settings = directory.resolve("settings.yaml");
+		this.settings = directory.resolve("settings.json");
 		this.log = directory.resolve("log").toFile();
 		writeSettings(0.2);
 	}
@@ -78,7 +82,11 @@
 	}
 
 	private Process start(ProcessBuilder.Redirect output) throws IOException {
-		ProcessBuilder builder = new ProcessBuilder(commandLine()).redirectErrorStream(true).redirectOutput(output);
+		return launch(commandLine(), output);
+	}
+
+	private Process launch(List<String> command, ProcessBuilder.Redirect output) throws IOException {
+		ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output);
 		builder.environment().put(EmulatedSettings.PATH_VARIABLE, this.settings.toString());
 		Process started = builder.start();
 		this.process = started;
@@ -151,12 +159,32 @@
 		}
 	}
 
+	/**
+	 * Guards against a start that loads again what the first answers do not need: on the
+	 * smallest VMs each hundred classes are a tenth of a second without service.
+	 */
+	@Test
+	void startLoadsFewClasses() throws IOException {
+		Path classes = this.settings.resolveSibling("classes");
+		List<String> command = new ArrayList<>(commandLine());
+		command.add(1, "-Xlog:class+load:file=" + classes);
+		launch(command, ProcessBuilder.Redirect.to(this.log));
+		awaitReady();
+		try (Socket socket = this.node.connect(this.node.callerPort())) {
+			RawServer.write(socket, "GET /look/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nAuthorization: Bearer "
+					+ EmulatedSettings.KEY + "\r\n\r\n");
+			assertThat(CallerAnswer.read(socket.getInputStream()).status()).isEqualTo(503);
+		}
+		long loaded = Files.readAllLines(classes).stream().filter((line) -> line.contains("source:")).count();
+		assertThat(loaded).isBetween(500L, MOST_CLASSES);
+	}
+
 	/**
 	 * Guards against a start with half of the settings.
 	 */
 	@Test
 	void faultySettingsAreAllNamed() throws IOException, InterruptedException {
-		Files.writeString(this.settings, "zone: \"z1\"\n");
+		Files.writeString(this.settings, "{\"zone\":\"z1\"}");
 		Process gateway = start();
 		assertThat(gateway.waitFor(20, TimeUnit.SECONDS)).isTrue();
 		assertThat(gateway.exitValue()).isEqualTo(2);
