Count what entry gateways serve in the daily report

Cause: the report, which the users asked not to lose, knew nothing of the entry gateways. Change: each gateway hands the record of an ended request to a thread of its own, which sums, encodes and writes one object a minute with the existing writer; PlatformObjects is the object store on the users' platform, for gateways and for the report command (--entry-store). A full queue and the last requests that a stop cannot write are counted and logged; a store that is away delays objects; the reader names gaps.

A run that ends before its first interval leaves no object, so its requests are not counted.

Ruled out: rows of the table, which have a limit of 64 KiB each and would put ordering by time and gap detection into a second format.

--- a/src/main/java/org/magnoliahub/command/ReportCommand.java
+++ b/src/main/java/org/magnoliahub/command/ReportCommand.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 
@@ -12,11 +14,17 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.magnoliahub.claim.ClaimAdministration;
 import org.magnoliahub.configuration.ConfigurationRepository;
+import org.magnoliahub.entry.PlatformObjects;
+import org.magnoliahub.platform.HostPort;
+import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.report.DailyReport;
 import org.magnoliahub.report.HtmlReport;
 import org.magnoliahub.report.RecordReader;
 import org.magnoliahub.report.ReportBuilder;
 import org.magnoliahub.report.TextReport;
+import org.magnoliahub.store.InMemoryTableStore;
+import org.magnoliahub.time.SchedulerTimerService;
+import org.magnoliahub.time.TimerService;
 
 /**
  * Prints the daily report, read from the platform without a gateway.
@@ -41,6 +49,8 @@
 		Settings.declare(parser, "--format", "text or html; default: text");
 		Settings.declare(parser, "--output", "file to write; default: standard output");
 		Settings.declare(parser, "--maximum-objects", "most objects read per day; default: 4000000");
+		Settings.declare(parser, "--entry-store",
+				"host and port of the users' platform, to report what entry gateways served; needs no other store");
 		this.context.access().declare(parser);
 	}
 
@@ -54,6 +64,10 @@
 		}
 		Optional<String> file = settings.optionalText("--output");
 		int objects = (int) settings.number("--maximum-objects", 1, 10_000_000, 4_000_000);
+		Optional<String> entryStore = settings.optionalText("--entry-store");
+		if (entryStore.isPresent()) {
+			return write(entryReport(settings, entryStore.get(), objects), format, file, output);
+		}
 		Platform platform = this.context.access().open(settings);
 		DailyReport report = ReportBuilder
 			.of(RecordReader.of(platform.objectStore(), Schedulers.computation()),
@@ -61,6 +75,35 @@
 					ClaimAdministration.of(platform.tableStore()), this.context.clock()::instant, objects)
 			.build()
 			.blockingGet();
+		return write(report, format, file, output);
+	}
+
+	// The entry gateways keep neither claims nor a configuration of their own.
+	private DailyReport entryReport(Settings settings, String address, int objects) throws CommandException {
+		InetSocketAddress store = null;
+		try {
+			store = HostPort.parse(address);
+		}
+		catch (PlatformFormatException ex) {
+			settings.addFault("--entry-store: " + ex.getMessage());
+		}
+		settings.check();
+		if (store == null) {
+			throw new CommandException(ExitCode.USAGE, "--entry-store is faulty");
+		}
+		try (PlatformObjects stored = PlatformObjects.open(store)) {
+			TimerService timers = SchedulerTimerService.of(Schedulers.single(), System::nanoTime);
+			InMemoryTableStore none = InMemoryTableStore.of(timers, Duration.ZERO);
+			return ReportBuilder
+				.of(RecordReader.of(stored, Schedulers.computation()), ConfigurationRepository.of(none, stored),
+						ClaimAdministration.of(none), this.context.clock()::instant, objects)
+				.build()
+				.blockingGet();
+		}
+	}
+
+	private static ExitCode write(DailyReport report, String format, Optional<String> file, PrintStream output)
+			throws CommandException {
 		String content = format.equals("html") ? HtmlReport.render(report) : TextReport.render(report);
 		if (file.isEmpty()) {
 			output.print(content);
--- a/src/main/java/org/magnoliahub/entry/EntryContext.java
+++ b/src/main/java/org/magnoliahub/entry/EntryContext.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import org.magnoliahub.gateway.RequestRecorder;
 import org.magnoliahub.serving.EndpointDirectory;
 import org.magnoliahub.serving.EndpointSelector;
 import org.magnoliahub.serving.RepeatBudget;
@@ -22,10 +23,12 @@
  * @param budget limits repeats
  * @param currentConfiguration the configuration in force
  * @param stopPlan what is still taken during a planned stop
+ * @param records takes what the daily report counts
+ * @param gateway name of this gateway
  */
 record EntryContext(Timers timers, EntryLog log, EntryMetrics metrics, HttpClient http, EndpointDirectory directory,
 		EndpointSelector selector, RepeatBudget budget, Supplier<Optional<ServingConfiguration>> currentConfiguration,
-		StopPlan stopPlan) {
+		StopPlan stopPlan, RequestRecorder records, String gateway) {
 
 	long now() {
 		return this.timers.milliTime();
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -84,6 +84,9 @@
 	/** Pieces have no result. */
 	STAGE_FAILED(Importance.HIGH, "id", "stage", "reason", "age_ms"),
 
+	/** A planned stop could not write the records of the last requests. */
+	RECORDS_LOST(Importance.HIGH, "requests"),
+
 	/** Lines of a kind were left out. */
 	LOG_LIMITED(Importance.HIGH, "kind", "omitted");
 
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -86,6 +86,8 @@
 
 	private final StoreClient store;
 
+	private final RequestRecords records;
+
 	private final StageCoordinator stages;
 
 	private final CallerServer callers;
@@ -102,13 +104,15 @@
 
 	private @Nullable ServingConfiguration configuration;
 
+	private @Nullable Boolean objectsReachable;
+
 	private int openRequests;
 
 	private long loopDue;
 
 	private final StopPlan stopPlan;
 
-	private EntryGateway(NodeSettings settings, Consumer<String> output) {
+	private EntryGateway(NodeSettings settings, Duration recordInterval, Consumer<String> output) {
 		this.settings = settings;
 		this.group = new NioEventLoopGroup(1);
 		this.timers = new LoopTimers(this.group.next());
@@ -119,12 +123,15 @@
 		RepeatBudget budget = new RepeatBudget(bounds.repeatRatio(), bounds.repeatConstant(),
 				bounds.repeatWindowMillis());
 		EndpointSelector selector = new EndpointSelector(this.directory, settings.availabilityZone(), this.random);
-		this.context = new EntryContext(this.timers, this.log, this.metrics, http, this.directory, selector, budget,
-				() -> Optional.ofNullable(this.configuration), this.stopPlan);
 		this.store = new StoreClient(http, this.timers, this.metrics, text(settings.storeAddress()));
+		long incarnation = this.random.nextLong(Long.MAX_VALUE);
+		this.records = new RequestRecords(settings.nodeName(), incarnation,
+				PlatformObjects.of(this.store, this.group.next(), this::onObjectCall), recordInterval);
+		this.context = new EntryContext(this.timers, this.log, this.metrics, http, this.directory, selector, budget,
+				() -> Optional.ofNullable(this.configuration), this.stopPlan, this.records, settings.nodeName());
 		this.stages = new StageCoordinator(this.context, this.group, settings.nodeName());
 		MemberRecord own = new MemberRecord(settings.nodeName(), settings.ip() + ":" + settings.internalPort(),
-				this.random.nextLong(Long.MAX_VALUE));
+				incarnation);
 		this.members = new MemberTable(this.store, this.timers, this.log, own, this.stages::setMembers);
 		this.callers = new CallerServer(this.timers, this::limits, this::accept, this.log);
 	}
@@ -132,12 +139,13 @@
 	/**
 	 * Starts a gateway.
 	 * @param settings its settings
+	 * @param recordInterval time between two objects with records of requests
 	 * @param output takes log lines, must not block
 	 * @return the running gateway
 	 */
-	public static EntryGateway start(NodeSettings settings, Consumer<String> output) {
+	public static EntryGateway start(NodeSettings settings, Duration recordInterval, Consumer<String> output) {
 		long started = System.nanoTime();
-		EntryGateway gateway = new EntryGateway(settings, output);
+		EntryGateway gateway = new EntryGateway(settings, recordInterval, output);
 		gateway.group.next().submit(gateway::open).syncUninterruptibly();
 		// Binding waits for the event loop, so it is done on this thread.
 		try {
@@ -166,6 +174,7 @@
 				this.members);
 		this.timers.repeat(IDLE_CHECK_INTERVAL, () -> this.context.http().closeIdle());
 		this.stages.start();
+		this.records.start();
 		this.timers.schedule(METRICS_DELAY, this::startMetrics);
 	}
 
@@ -189,6 +198,18 @@
 		return new TableWatcher.Pace(0, Math.max(SHORTEST_CONFIGURATION_WAIT_MILLIS, wait));
 	}
 
+	private void onObjectCall(boolean reachable, String reason) {
+		if (Boolean.valueOf(reachable).equals(this.objectsReachable)) {
+			return;
+		}
+		this.objectsReachable = reachable;
+		this.log.event(EntryEvent.STORE_CONTACT)
+			.field("table", "objects")
+			.field("outcome", reachable ? "regained" : "lost")
+			.field("reason", reason)
+			.write();
+	}
+
 	// Endpoints write all the time, so a call that waits for a change would not wait.
 	private TableWatcher.Pace endpointPace() {
 		long interval = this.settings.bounds().drainMillis() / DRAIN_SHARE;
@@ -237,6 +258,8 @@
 		this.metrics.gauge("entry.endpoints", this.directory::size);
 		this.metrics.gauge("entry.endpoints.age.ms", () -> this.directory.age(this.timers.milliTime()));
 		this.metrics.gauge("entry.members", this.members::size);
+		this.metrics.gauge("entry.records.waiting", this.records::waiting);
+		this.metrics.gauge("entry.records.omitted", this.records::omitted);
 		this.metrics.gauge("entry.start.queue", () -> this.stages.gate().size());
 		this.metrics.gauge("entry.configuration.version",
 				() -> Optional.ofNullable(this.configuration).map(ServingConfiguration::version).orElse(0L));
@@ -279,6 +302,12 @@
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
+		if (!this.records.close()) {
+			this.group.next().execute(() -> {
+				this.log.event(EntryEvent.RECORDS_LOST).field("requests", this.records.waiting()).write();
+				this.log.flush();
+			});
+		}
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/EntryMain.java
+++ b/src/main/java/org/magnoliahub/entry/EntryMain.java
@@ -1,5 +1,6 @@
 package org.magnoliahub.entry;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -25,6 +26,13 @@
 
 	private static final long SETTINGS_CHECK_SECONDS = 1;
 
+	/** Environment variable with the seconds between two objects with records. */
+	private static final String RECORD_INTERVAL = "MAGNOLIAHUB_RECORD_SECONDS";
+
+	private static final long DEFAULT_RECORD_SECONDS = 60;
+
+	private static final long MAXIMUM_RECORD_SECONDS = 3_600;
+
 	private EntryMain() {
 	}
 
@@ -61,15 +69,17 @@
 
 	private static void run(Map<String, String> environment, ReloadRequests reloads) throws InterruptedException {
 		NodeSettings settings;
+		Duration interval;
 		try {
 			settings = NodeSettingsReader.read(environment);
+			interval = recordInterval(environment);
 		}
 		catch (PlatformFormatException ex) {
 			System.err.println("magnoliahub: error: " + ex.getMessage());
 			System.exit(INVALID_SETTINGS);
 			return;
 		}
-		EntryGateway gateway = start(settings);
+		EntryGateway gateway = start(settings, interval);
 		reloads.setReload(() -> gateway.reload(environment));
 		Signal.handle(new Signal("TERM"), (signal) -> {
 			gateway.stop();
@@ -85,10 +95,25 @@
 		}
 	}
 
+	private static Duration recordInterval(Map<String, String> environment) throws PlatformFormatException {
+		String text = environment.getOrDefault(RECORD_INTERVAL, "" + DEFAULT_RECORD_SECONDS);
+		try {
+			long seconds = Long.parseLong(text);
+			if (seconds >= 1 && seconds <= MAXIMUM_RECORD_SECONDS) {
+				return Duration.ofSeconds(seconds);
+			}
+		}
+		catch (NumberFormatException ex) {
+			// The message below says what was expected.
+		}
+		throw new PlatformFormatException(
+				RECORD_INTERVAL + " must be a number from 1 to " + MAXIMUM_RECORD_SECONDS + ", but was '" + text + "'");
+	}
+
 	// Without its addresses a process would run and serve nobody.
-	private static EntryGateway start(NodeSettings settings) {
+	private static EntryGateway start(NodeSettings settings, Duration recordInterval) {
 		try {
-			return EntryGateway.start(settings, StandardOutput.open());
+			return EntryGateway.start(settings, recordInterval, StandardOutput.open());
 		}
 		catch (RuntimeException ex) {
 			System.err.println("magnoliahub: error: the gateway cannot start: " + ex);
--- a/src/main/java/org/magnoliahub/entry/EntryMetrics.java
+++ b/src/main/java/org/magnoliahub/entry/EntryMetrics.java
@@ -156,7 +156,7 @@
 			.register(meters);
 	}
 
-	private static String shortened(String reason) {
+	static String shortened(String reason) {
 		int end = 0;
 		while (end < reason.length() && (Character.isLetter(reason.charAt(end)) || reason.charAt(end) == '_')) {
 			end++;
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -473,6 +473,11 @@
 
 	private final class StageOutcome implements StageRun.Listener {
 
+		@Override
+		public void onStageEnd(String stageService, int pieces, long startedMillis, boolean complete) {
+			RequestFlow.this.journal.stageEnded(stageService, pieces, startedMillis, complete);
+		}
+
 		@Override
 		public void onComplete() {
 			dispatch();
--- a/src/main/java/org/magnoliahub/entry/RequestJournal.java
+++ b/src/main/java/org/magnoliahub/entry/RequestJournal.java
@@ -1,25 +1,48 @@
 package org.magnoliahub.entry;
 
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.model.AttemptRecord;
+import org.magnoliahub.model.RequestId;
+import org.magnoliahub.model.RequestRecord;
 import org.magnoliahub.serving.CallerRequest;
 import org.magnoliahub.serving.EndpointChoice;
 import org.magnoliahub.serving.Route;
 
 /**
- * Log lines and metrics of one request.
+ * Log lines, metrics and the record of one request.
  */
 final class RequestJournal {
 
+	/** Name of the last step in the report, after all stages. */
+	private static final String REQUEST_STAGE = "request";
+
+	private static final String NO_ID = "(none)";
+
+	private static final int FIRST_FAILURE = 400;
+
 	private final EntryContext context;
 
 	private final CallerRequest request;
 
 	private final long arrivedMillis;
 
+	private final List<AttemptRecord> attempts = new ArrayList<>();
+
 	private @Nullable Route route;
 
+	private @Nullable String workspace;
+
+	private String endpoint = "";
+
+	private int attempt;
+
+	private long sentMillis;
+
 	RequestJournal(EntryContext context, CallerRequest request, long arrivedMillis) {
 		this.context = context;
 		this.request = request;
@@ -38,9 +61,10 @@
 		return this.context.now() - this.arrivedMillis;
 	}
 
-	void admitted(@Nullable String workspace, long budgetMillis, long configurationVersion) {
+	void admitted(@Nullable String named, long budgetMillis, long configurationVersion) {
+		this.workspace = named;
 		line(EntryEvent.REQUEST_ADMITTED).field("route", routeName())
-			.field("workspace", (workspace != null) ? workspace : "")
+			.field("workspace", (named != null) ? named : "")
 			.field("budget_ms", budgetMillis)
 			.field("pieces", this.request.pieces().toString())
 			.field("configuration", configurationVersion)
@@ -54,9 +78,12 @@
 			.write();
 	}
 
-	void sent(EndpointChoice choice, int attempt) {
-		line(EntryEvent.REQUEST_SENT).field("endpoint", choice.endpoint().record().id())
-			.field("attempt", attempt)
+	void sent(EndpointChoice choice, int number) {
+		this.endpoint = choice.endpoint().record().id();
+		this.attempt = number;
+		this.sentMillis = this.context.now();
+		line(EntryEvent.REQUEST_SENT).field("endpoint", this.endpoint)
+			.field("attempt", number)
 			.field("age_ms", age())
 			.field("expected_ms", choice.expectedMillis())
 			.field("doubtful", choice.isDoubtful())
@@ -64,9 +91,10 @@
 			.write();
 	}
 
-	void attemptFailed(String endpoint, int attempt, String reason, boolean mayHaveRun, String next) {
-		line(EntryEvent.ATTEMPT_FAILED).field("endpoint", endpoint)
-			.field("attempt", attempt)
+	void attemptFailed(String failing, int number, String reason, boolean mayHaveRun, String next) {
+		attemptEnded(mayHaveRun ? "failed" : "never_started");
+		line(EntryEvent.ATTEMPT_FAILED).field("endpoint", failing)
+			.field("attempt", number)
 			.field("age_ms", age())
 			.field("reason", reason)
 			.field("may_have_run", mayHaveRun)
@@ -75,6 +103,27 @@
 		this.context.metrics().attemptFailed(mayHaveRun, next);
 	}
 
+	/**
+	 * Notes the end of a stage.
+	 * @param service service of the stage
+	 * @param pieces number of its pieces
+	 * @param startedMillis monotonic time of its submission
+	 * @param complete whether all pieces have a result
+	 */
+	void stageEnded(String service, int pieces, long startedMillis, boolean complete) {
+		this.attempts.add(new AttemptRecord(service, "", 1, 0, this.context.now() - startedMillis,
+				complete ? "completed" : "failed", pieces));
+	}
+
+	private void attemptEnded(String result) {
+		if (this.endpoint.isEmpty()) {
+			return;
+		}
+		this.attempts.add(new AttemptRecord(REQUEST_STAGE, this.endpoint, this.attempt, 0,
+				this.context.now() - this.sentMillis, result, 1));
+		this.endpoint = "";
+	}
+
 	void resumed(@Nullable String lastEventId) {
 		line(EntryEvent.STREAM_RESUMED).field("last_event", (lastEventId != null) ? lastEventId : "").write();
 	}
@@ -87,6 +136,7 @@
 			.field("retry_after_ms", retryAfterMillis)
 			.write();
 		count("refused", reason);
+		record("not_run", reason, false);
 	}
 
 	/**
@@ -101,20 +151,50 @@
 			.field("age_ms", age())
 			.write();
 		count("failed", reason);
+		attemptEnded("failed");
+		record(isRepeatable() ? "failed" : "outcome_unknown", reason, false);
 	}
 
-	void answered(int status, long firstMillis, String endpoint) {
+	/**
+	 * Notes an answer that was passed on.
+	 * @param status the status
+	 * @param firstMillis time to the first event of a stream, negative for other answers
+	 * @param answering id of the endpoint
+	 */
+	void answered(int status, long firstMillis, String answering) {
 		line(EntryEvent.REQUEST_ANSWERED).field("status", status)
 			.field("age_ms", age())
 			.field("first_ms", firstMillis)
-			.field("endpoint", endpoint)
+			.field("endpoint", answering)
 			.write();
 		count("answered", "");
+		boolean success = status < FIRST_FAILURE;
+		attemptEnded(success ? "completed" : "failed");
+		long decisive = (firstMillis >= 0) ? firstMillis : age();
+		boolean inTime = success && this.route != null && decisive <= this.route.latencyObjectiveMillis();
+		record(success ? "complete" : "failed", success ? "" : "status_" + status, inTime);
 	}
 
 	void cancelled(String state) {
 		line(EntryEvent.REQUEST_CANCELLED).field("age_ms", age()).field("state", state).write();
 		count("cancelled", "");
+		attemptEnded("cancelled");
+		record((this.sentMillis > 0) ? "failed" : "not_run", "caller_gone", false);
+	}
+
+	private boolean isRepeatable() {
+		return this.route != null && this.route.isRepeatable();
+	}
+
+	private void record(String outcome, String reason, boolean inTime) {
+		String text = this.request.requestId();
+		String id = text.isBlank() ? NO_ID : text.substring(0, Math.min(text.length(), RequestId.MAXIMUM_LENGTH));
+		long millis = age();
+		this.context.records()
+			.record(new RequestRecord(new RequestId(id), this.context.gateway(),
+					(this.workspace != null) ? this.workspace : "", routeName(), routeName(),
+					Instant.now().minusMillis(millis), millis, outcome, EntryMetrics.shortened(reason), reason, inTime,
+					this.attempts));
 	}
 
 	private EntryLog.Line line(EntryEvent event) {
--- a/src/main/java/org/magnoliahub/entry/StageRun.java
+++ b/src/main/java/org/magnoliahub/entry/StageRun.java
@@ -50,6 +50,8 @@
 
 	private final Map<Integer, Long> submissions = new HashMap<>();
 
+	private final Map<Integer, Long> submittedMillis = new HashMap<>();
+
 	private boolean over;
 
 	private boolean released;
@@ -141,6 +143,7 @@
 		StageWork work = new StageWork("", 0, this.request.requestId(), stage, this.progress.missing(stage),
 				inputs.isEmpty() ? this.request.pieceKey() : null, inputs, definition.resultBytes(), startBy(stage),
 				this.expiresAt, this.route.priority(), zone(stage, inputs.isEmpty()));
+		this.submittedMillis.put(stage, this.context.now());
 		this.submissions.put(stage, this.coordinator.submit(definition.service(), work, this));
 	}
 
@@ -197,6 +200,7 @@
 			return;
 		}
 		this.submissions.remove(stage);
+		stageEnded(stage, true);
 		releaseInputs(stage);
 		submitReady();
 		if (this.progress.isComplete()) {
@@ -204,7 +208,13 @@
 		}
 	}
 
+	private void stageEnded(int stage, boolean complete) {
+		this.listener.onStageEnd(this.route.stages().get(stage).service(), this.progress.pieces(stage),
+				this.submittedMillis.getOrDefault(stage, this.context.now()), complete);
+	}
+
 	private void failed(int stage, PieceFailure failure) {
+		stageEnded(stage, false);
 		this.context.log()
 			.event(EntryEvent.STAGE_FAILED)
 			.field("id", this.request.requestId())
@@ -282,6 +292,15 @@
 	 */
 	interface Listener {
 
+		/**
+		 * Called when a stage ended.
+		 * @param service its service
+		 * @param pieces number of its pieces
+		 * @param startedMillis monotonic time of its submission
+		 * @param complete whether all pieces have a result
+		 */
+		void onStageEnd(String service, int pieces, long startedMillis, boolean complete);
+
 		/**
 		 * Called when all stages are done.
 		 */
--- a/src/main/java/org/magnoliahub/entry/StoreClient.java
+++ b/src/main/java/org/magnoliahub/entry/StoreClient.java
@@ -5,6 +5,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -41,16 +43,29 @@
 	}
 
 	void get(String target, long timeoutMillis, Handler handler) {
-		call(HttpMethod.GET, target, EMPTY, timeoutMillis, handler);
+		call(HttpMethod.GET, target, PlatformHeaders.ownCallHeaders("", 0), EMPTY, timeoutMillis, handler);
+	}
+
+	void delete(String target, long timeoutMillis, Handler handler) {
+		call(HttpMethod.DELETE, target, PlatformHeaders.ownCallHeaders("", 0), EMPTY, timeoutMillis, handler);
+	}
+
+	void put(String target, byte[] body, boolean onlyIfAbsent, long timeoutMillis, Handler handler) {
+		HttpHeaders headers = PlatformHeaders.ownCallHeaders("", 0);
+		if (onlyIfAbsent) {
+			headers.set(HttpHeaderNames.IF_NONE_MATCH, "*");
+		}
+		call(HttpMethod.PUT, target, headers, body, timeoutMillis, handler);
 	}
 
 	void post(String target, byte[] body, long timeoutMillis, Handler handler) {
-		call(HttpMethod.POST, target, body, timeoutMillis, handler);
+		call(HttpMethod.POST, target, PlatformHeaders.ownCallHeaders("", 0), body, timeoutMillis, handler);
 	}
 
-	private void call(HttpMethod method, String target, byte[] body, long timeoutMillis, Handler handler) {
-		HttpCall call = new HttpCall(this.address, method, target, PlatformHeaders.ownCallHeaders("", 0), body,
-				IDLE_MILLIS, CONNECT_MILLIS, MAXIMUM_ANSWER_BYTES, (response) -> true);
+	private void call(HttpMethod method, String target, HttpHeaders headers, byte[] body, long timeoutMillis,
+			Handler handler) {
+		HttpCall call = new HttpCall(this.address, method, target, headers, body, IDLE_MILLIS, CONNECT_MILLIS,
+				MAXIMUM_ANSWER_BYTES, (response) -> true);
 		BodyCollector collector = new BodyCollector(method, handler);
 		HttpExchange exchange = this.http.send(call, collector);
 		collector.timeout = this.timers.schedule(Duration.ofMillis(timeoutMillis), () -> {
--- a/src/main/java/org/magnoliahub/entry/WarmUp.java
+++ b/src/main/java/org/magnoliahub/entry/WarmUp.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 
 import org.magnoliahub.platform.NodeSettings;
 import org.magnoliahub.platform.NodeSettingsReader;
@@ -28,7 +29,7 @@
 			int callers = freePort();
 			int readiness = freePort();
 			NodeSettings settings = NodeSettingsReader.parse(settings(callers, readiness));
-			EntryGateway.start(settings, StandardOutput.open());
+			EntryGateway.start(settings, Duration.ofHours(1), StandardOutput.open());
 			request(callers, "/");
 			request(readiness, PlatformHeaders.READINESS_PATH);
 			Thread.sleep(PAUSE_MILLIS);
--- a/src/main/java/org/magnoliahub/platform/emulator/StoreEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/StoreEmulator.java
@@ -2,12 +2,14 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -30,6 +32,8 @@
 
 	private final Map<String, Map<String, Row>> tables = new HashMap<>();
 
+	private final Map<String, String> objects = new ConcurrentSkipListMap<>();
+
 	private long revision;
 
 	private final AtomicInteger calls = new AtomicInteger();
@@ -153,6 +157,9 @@
 			feed(socket, parameter(target, "table"), Long.parseLong(parameter(target, "after")),
 					Long.parseLong(parameter(target, "wait_ms")));
 		}
+		else if (target.startsWith("/api/blob-")) {
+			object(request, socket);
+		}
 		else {
 			change(MAPPER.readTree(request.body()));
 			if (this.mode == Mode.LOSES_ANSWERS) {
@@ -163,6 +170,33 @@
 		}
 	}
 
+	private void object(RawServer.Request request, Socket socket) throws IOException {
+		String path = URLDecoder.decode(request.target(), StandardCharsets.UTF_8);
+		if (path.startsWith("/api/blob-put/")) {
+			boolean absent = this.objects.putIfAbsent(path.substring("/api/blob-put/".length()),
+					request.body()) == null;
+			answer(socket, absent ? 200 : 412, "");
+		}
+		else if (path.startsWith("/api/blob-get/")) {
+			String body = this.objects.get(path.substring("/api/blob-get/".length()));
+			answer(socket, (body != null) ? 200 : 404, (body != null) ? body : "");
+		}
+		else {
+			answer(socket, 200,
+					names(parameter(path, "prefix"), path.contains("&after=") ? parameter(path, "after") : ""));
+		}
+	}
+
+	private String names(String prefix, String after) {
+		ObjectNode root = MAPPER.createObjectNode().put("has_more", false);
+		root.putArray("names");
+		this.objects.keySet()
+			.stream()
+			.filter((key) -> key.startsWith(prefix) && key.compareTo(after) > 0)
+			.forEach(root.withArray("names")::add);
+		return root.toString();
+	}
+
 	private synchronized void change(JsonNode call) {
 		for (JsonNode row : call.path("writes")) {
 			put(row.path("table").asText(), row.path("key").asText(),
--- a/src/test/java/org/magnoliahub/entry/EntryFixture.java
+++ b/src/test/java/org/magnoliahub/entry/EntryFixture.java
@@ -25,6 +25,8 @@
 
 	static final String KEY = EmulatedSettings.KEY;
 
+	private static final Duration RECORD_INTERVAL = Duration.ofSeconds(2);
+
 	final StoreEmulator store = new StoreEmulator();
 
 	private final List<RawServer> opened = new ArrayList<>();
@@ -64,7 +66,7 @@
 		EmulatedSettings.Node node = EmulatedSettings.Node.withFreePorts("gateway-" + index, "127.0.0.1");
 		NodeSettings settings = NodeSettingsReader
 			.parse(EmulatedSettings.gateway(node, new EmulatedSettings.Budget(0.2, 58), this.store.address()));
-		this.gateways.add(EntryGateway.start(settings, this.log::add));
+		this.gateways.add(EntryGateway.start(settings, RECORD_INTERVAL, this.log::add));
 		this.nodes.add(node);
 		return index;
 	}
