Check the number of tokens and name what is wrong with a request

max_tokens of -4 gave an empty success and 1e99 ran until its deadline: both are now refused with the field and its range.

--- a/src/main/java/org/magnoliahub/gateway/RequestCoordinator.java
+++ b/src/main/java/org/magnoliahub/gateway/RequestCoordinator.java
@@ -141,6 +141,15 @@
 		return this.idle;
 	}
 
+	/**
+	 * Returns whether the configuration in force has a pipeline.
+	 * @param pipeline name of the pipeline
+	 * @return whether it is declared
+	 */
+	public boolean isDeclared(String pipeline) {
+		return this.context.configuration().get().pipelines().containsKey(pipeline);
+	}
+
 	/**
 	 * Returns the number of requests in flight.
 	 * @return the number
--- a/src/main/java/org/magnoliahub/server/CallerRoutes.java
+++ b/src/main/java/org/magnoliahub/server/CallerRoutes.java
@@ -73,8 +73,8 @@
 		context.future(() -> toFuture(finished).thenAccept((event) -> answer(context, event)));
 	}
 
-	private static Submission read(Context context) throws InvalidRequestException {
-		JsonNode body = SubmissionBody.parse(context.bodyAsBytes());
+	private Submission read(Context context) throws InvalidRequestException {
+		JsonNode body = body(context);
 		String workspace = context.header("Workspace");
 		if (workspace == null) {
 			throw new InvalidRequestException("the header Workspace is required");
@@ -84,6 +84,21 @@
 				budget(context.header("Request-Timeout-Ms")));
 	}
 
+	// A caller that names no pipeline of the configuration learns that first.
+	private JsonNode body(Context context) throws InvalidRequestException {
+		try {
+			return SubmissionBody.parse(context.bodyAsBytes());
+		}
+		catch (InvalidRequestException ex) {
+			String pipeline = context.pathParam("pipeline");
+			boolean declared = Single.fromCallable(() -> this.coordinator.isDeclared(pipeline))
+				.subscribeOn(this.eventLoop)
+				.blockingGet();
+			throw declared ? ex
+					: new InvalidRequestException("pipeline '" + pipeline + "' is not declared; " + ex.getMessage());
+		}
+	}
+
 	private static Optional<Duration> budget(@Nullable String header) throws InvalidRequestException {
 		if (header == null) {
 			return Optional.empty();
--- a/src/main/java/org/magnoliahub/server/SubmissionBody.java
+++ b/src/main/java/org/magnoliahub/server/SubmissionBody.java
@@ -14,6 +14,9 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
+	/** More than any engine generates for one request. */
+	private static final int MAXIMUM_TOKENS = 1_000_000;
+
 	private SubmissionBody() {
 	}
 
@@ -38,9 +41,22 @@
 			throw new InvalidRequestException(
 					"the body must be a JSON object with the text field 'class' and the field 'input'");
 		}
+		checkTokens(body.path("input").path("max_tokens"));
 		return body;
 	}
 
+	private static void checkTokens(JsonNode tokens) throws InvalidRequestException {
+		if (tokens.isMissingNode()) {
+			return;
+		}
+		boolean inRange = tokens.isIntegralNumber() && tokens.canConvertToInt() && tokens.asInt() >= 1
+				&& tokens.asInt() <= MAXIMUM_TOKENS;
+		if (!inRange) {
+			throw new InvalidRequestException("the field 'input.max_tokens' must be a whole number from 1 to "
+					+ MAXIMUM_TOKENS + ", but was " + tokens);
+		}
+	}
+
 	private static String fault(JsonProcessingException ex) {
 		JsonLocation location = ex.getLocation();
 		// A body beyond the parser's bounds, such as its depth, has no location.
--- a/src/test/java/org/magnoliahub/process/ServingPathIT.java
+++ b/src/test/java/org/magnoliahub/process/ServingPathIT.java
@@ -67,6 +67,16 @@
 			.contains("complete");
 	}
 
+	/**
+	 * Guards against an answer that only speaks of the body of a request for a pipeline
+	 * that does not exist.
+	 */
+	@Test
+	void unknownPipelineIsNamedThoughTheBodyIsIncomplete() throws IOException {
+		assertThat(this.system.submit(0, "absent", "", "{\"class\":\"draft\"}", JSON)).contains("pipeline 'absent'")
+			.contains("the field 'input'");
+	}
+
 	@ParameterizedTest
 	@CsvSource(delimiter = ';', quoteCharacter = '`', textBlock = """
 			report;   ;{"class":"draft"                         ;invalid_request
--- a/src/test/java/org/magnoliahub/server/SubmissionBodyTests.java
+++ b/src/test/java/org/magnoliahub/server/SubmissionBodyTests.java
@@ -36,4 +36,22 @@
 		assertThatExceptionOfType(InvalidRequestException.class).isThrownBy(() -> SubmissionBody.parse(bytes(body)));
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "-4", "0", "1e99", "1000001", "1.5", "\"12\"", "null", "99999999999999999999" })
+	void numberOfTokensOutOfRangeIsInvalid(String tokens) {
+		byte[] body = bytes("{\"class\":\"draft\",\"input\":{\"max_tokens\":" + tokens + "}}");
+		assertThatExceptionOfType(InvalidRequestException.class).isThrownBy(() -> SubmissionBody.parse(body))
+			.withMessageContaining("input.max_tokens")
+			.withMessageContaining("from 1 to 1000000");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "1", "12", "1000000" })
+	void numberOfTokensInRangeIsTaken(String tokens) throws InvalidRequestException {
+		assertThat(SubmissionBody.parse(bytes("{\"class\":\"draft\",\"input\":{\"max_tokens\":" + tokens + "}}"))
+			.path("input")
+			.path("max_tokens")
+			.asInt()).isPositive();
+	}
+
 }
