Run entry gateways in the demonstration and play endless answers in the soak

Cause: demo ran only the earlier programs, which the users' platform does not run. The soak gets the fault ENDPOINT_ENDLESS, which plays each kind of EndlessAnswer.

--- a/src/main/java/org/magnoliahub/command/DemoCommand.java
+++ b/src/main/java/org/magnoliahub/command/DemoCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -24,12 +25,17 @@
 import org.magnoliahub.gateway.GatewayLimits;
 import org.magnoliahub.model.AvailabilityZone;
 import org.magnoliahub.model.Endpoint;
+import org.magnoliahub.platform.HostPort;
+import org.magnoliahub.platform.PlatformFormatException;
+import org.magnoliahub.platform.emulator.EmulatedSettings;
+import org.magnoliahub.report.TextReport;
 import org.magnoliahub.routing.RoutingPolicy;
 import org.magnoliahub.server.AgentProcess;
 import org.magnoliahub.server.AgentSettings;
 import org.magnoliahub.server.EventLoop;
 import org.magnoliahub.server.GatewayProcess;
 import org.magnoliahub.server.GatewaySettings;
+import org.magnoliahub.soak.Demonstration;
 import org.magnoliahub.standin.EngineSpeed;
 import org.magnoliahub.standin.EngineStandIn;
 import org.magnoliahub.standin.ServiceStandIn;
@@ -39,8 +45,8 @@
 import org.magnoliahub.store.PlatformServices;
 
 /**
- * Runs a whole system with stand-ins in one process, sends requests through it and prints
- * their outcomes.
+ * Runs a whole system with stand-ins, sends requests through it and prints their
+ * outcomes: entry gateways before an emulated platform, or the product's own interface.
  */
 final class DemoCommand implements Command {
 
@@ -52,6 +58,13 @@
 
 	private static final MediaType JSON = MediaType.get("application/json");
 
+	/** Time after which the records of the requests are in the store. */
+	private static final long RECORDS_MILLIS = 6_000;
+
+	private static final int MAXIMUM_OBJECTS = 1_000;
+
+	private final Clock clock = Clock.systemUTC();
+
 	private final List<AutoCloseable> started = new ArrayList<>();
 
 	@Override
@@ -61,9 +74,12 @@
 
 	@Override
 	public void configure(Subparser parser) {
-		parser.help("run everything in one process and send requests");
-		parser.description("Runs a gateway, agents, engines and the platform in one process, sends requests "
-				+ "and prints their outcomes.");
+		parser.help("run the system before an emulated platform and send requests");
+		parser.description("Runs entry gateways as processes before an emulated platform, sends requests, prints "
+				+ "what callers got and the report of the day. With --edge own: a gateway with the product's own "
+				+ "interface, agents and engines in one process.");
+		Settings.declare(parser, "--edge", "platform or own; default: platform");
+		Settings.declare(parser, "--gateways", "number of entry gateways, 1 to 9; default: 2");
 		Settings.declare(parser, "--listen-port", "port for callers, 0 for any free one; default: 0");
 		Settings.declare(parser, "--keep-running-seconds", "how long to go on after the requests; default: 0");
 	}
@@ -74,7 +90,44 @@
 		Settings settings = Settings.of(arguments, environment);
 		int port = (int) settings.number("--listen-port", 0, 65_535, 0);
 		long seconds = settings.number("--keep-running-seconds", 0, 86_400, 0);
+		int gateways = (int) settings.number("--gateways", 1, 9, 2);
+		String edge = settings.optionalText("--edge").orElse("platform");
+		if (!edge.equals("platform") && !edge.equals("own")) {
+			settings.addFault("--edge must be platform or own, but was '" + edge + "'");
+		}
+		if (edge.equals("platform") && port != 0) {
+			settings.addFault("--listen-port is for --edge own; entry gateways print their addresses");
+		}
 		settings.check();
+		return edge.equals("own") ? runOwnInterface(port, seconds, output, errors)
+				: runEntryGateways(gateways, seconds, output);
+	}
+
+	private ExitCode runEntryGateways(int gateways, long seconds, PrintStream output) throws CommandException {
+		try (Demonstration demonstration = Demonstration.start(gateways)) {
+			boolean expected = demonstration.sendRequests(output::println);
+			TimeUnit.MILLISECONDS.sleep(RECORDS_MILLIS);
+			output.println();
+			output.print(TextReport.render(EntryReport.read(HostPort.parse(demonstration.storeAddress()),
+					this.clock.instant(), MAXIMUM_OBJECTS)));
+			output.println("\ncallers: curl -s http://ADDRESS/look/1 -H 'Host: h' -H 'Request-Id: r1' "
+					+ "-H 'Authorization: Bearer " + EmulatedSettings.KEY + "'");
+			demonstration.callerAddresses().forEach((address) -> output.println("gateway: " + address));
+			output.println("report: magnoliahub report --entry-store " + demonstration.storeAddress());
+			TimeUnit.SECONDS.sleep(seconds);
+			return expected ? ExitCode.SUCCESS : ExitCode.FAILURE;
+		}
+		catch (IOException | PlatformFormatException ex) {
+			throw new CommandException(ExitCode.FAILURE, "the demonstration failed: " + ex.getMessage());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return ExitCode.FAILURE;
+		}
+	}
+
+	private ExitCode runOwnInterface(int port, long seconds, PrintStream output, PrintStream errors)
+			throws CommandException {
 		try {
 			GatewayProcess gateway = start(port);
 			boolean whole = sendRequests(gateway, output);
--- a/src/main/java/org/magnoliahub/command/ReportCommand.java
+++ b/src/main/java/org/magnoliahub/command/ReportCommand.java
@@ -5,7 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
+import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
 
@@ -14,7 +14,6 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.magnoliahub.claim.ClaimAdministration;
 import org.magnoliahub.configuration.ConfigurationRepository;
-import org.magnoliahub.entry.PlatformObjects;
 import org.magnoliahub.platform.HostPort;
 import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.report.DailyReport;
@@ -22,9 +21,6 @@
 import org.magnoliahub.report.RecordReader;
 import org.magnoliahub.report.ReportBuilder;
 import org.magnoliahub.report.TextReport;
-import org.magnoliahub.store.InMemoryTableStore;
-import org.magnoliahub.time.SchedulerTimerService;
-import org.magnoliahub.time.TimerService;
 
 /**
  * Prints the daily report, read from the platform without a gateway.
@@ -66,7 +62,8 @@
 		int objects = (int) settings.number("--maximum-objects", 1, 10_000_000, 4_000_000);
 		Optional<String> entryStore = settings.optionalText("--entry-store");
 		if (entryStore.isPresent()) {
-			return write(entryReport(settings, entryStore.get(), objects), format, file, output);
+			return write(entryReport(settings, entryStore.get(), this.context.clock().instant(), objects), format, file,
+					output);
 		}
 		Platform platform = this.context.access().open(settings);
 		DailyReport report = ReportBuilder
@@ -78,8 +75,8 @@
 		return write(report, format, file, output);
 	}
 
-	// The entry gateways keep neither claims nor a configuration of their own.
-	private DailyReport entryReport(Settings settings, String address, int objects) throws CommandException {
+	private static DailyReport entryReport(Settings settings, String address, Instant now, int objects)
+			throws CommandException {
 		InetSocketAddress store = null;
 		try {
 			store = HostPort.parse(address);
@@ -91,15 +88,7 @@
 		if (store == null) {
 			throw new CommandException(ExitCode.USAGE, "--entry-store is faulty");
 		}
-		try (PlatformObjects stored = PlatformObjects.open(store)) {
-			TimerService timers = SchedulerTimerService.of(Schedulers.single(), System::nanoTime);
-			InMemoryTableStore none = InMemoryTableStore.of(timers, Duration.ZERO);
-			return ReportBuilder
-				.of(RecordReader.of(stored, Schedulers.computation()), ConfigurationRepository.of(none, stored),
-						ClaimAdministration.of(none), this.context.clock()::instant, objects)
-				.build()
-				.blockingGet();
-		}
+		return EntryReport.read(store, now, objects);
 	}
 
 	private static ExitCode write(DailyReport report, String format, Optional<String> file, PrintStream output)
--- a/src/main/java/org/magnoliahub/entry/EntryMain.java
+++ b/src/main/java/org/magnoliahub/entry/EntryMain.java
@@ -27,7 +27,7 @@
 	private static final long SETTINGS_CHECK_SECONDS = 1;
 
 	/** Environment variable with the seconds between two objects with records. */
-	private static final String RECORD_INTERVAL = "MAGNOLIAHUB_RECORD_SECONDS";
+	public static final String RECORD_INTERVAL = "MAGNOLIAHUB_RECORD_SECONDS";
 
 	private static final long DEFAULT_RECORD_SECONDS = 60;
 
--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -23,6 +23,9 @@
 
 	private static final int EVENT_MILLIS = 30;
 
+	/** Parts of an endless answer that are sent at once. */
+	private static final int ENDLESS_PARTS = 200;
+
 	private static final int MAXIMUM_EVENTS = 10;
 
 	private final String id;
@@ -142,7 +145,10 @@
 		EndpointRun run = new EndpointRun(request, signature, body);
 		this.observer.started(run);
 		try {
-			if (isStream(request)) {
+			if (this.mode == Mode.ENDLESS) {
+				endless(run, socket);
+			}
+			else if (isStream(request)) {
 				stream(run, socket);
 			}
 			else {
@@ -154,6 +160,17 @@
 		}
 	}
 
+	private static void endless(EndpointRun run, Socket socket) throws IOException {
+		String requestId = run.request().requestId();
+		EndlessAnswer[] kinds = EndlessAnswer.values();
+		EndlessAnswer kind = kinds[Math.floorMod(requestId.hashCode(), kinds.length)];
+		RawServer.write(socket, kind.start(requestId, run.signature()));
+		String part = kind.part().repeat(ENDLESS_PARTS);
+		while (!socket.isClosed()) {
+			RawServer.write(socket, part);
+		}
+	}
+
 	private static boolean isStream(EndpointRequest request) {
 		return request.target().startsWith("/draft/") || request.target().startsWith("/once/")
 				|| request.target().startsWith("/staged/");
@@ -274,6 +291,11 @@
 		/** Sends bytes that are no answer. */
 		GARBLES,
 
+		/**
+		 * Sends bytes without end instead of an answer, until the connection is closed.
+		 */
+		ENDLESS,
+
 		/** Sends each answer once more, where the next one is expected. */
 		ADDS_ANSWERS
 
--- a/src/main/java/org/magnoliahub/report/ReportTables.java
+++ b/src/main/java/org/magnoliahub/report/ReportTables.java
@@ -18,6 +18,9 @@
 
 	private static final int SHOWN_ROWS = 20;
 
+	/** Requests that no route or class was found for. */
+	private static final String NO_CLASS = "(none)";
+
 	private ReportTables() {
 	}
 
@@ -78,9 +81,10 @@
 				List.of("class", "share in time", "requests", "in time", "late", "not run", "failed", "unknown"),
 				totals.classes()
 					.stream()
-					.map((each) -> List.of(each.requestClass(), share(each, day.incomplete()), text(each.requests()),
-							text(each.inTime()), text(each.complete() - each.inTime()), text(each.notRun()),
-							text(each.failed()), text(each.unknown())))
+					.map((each) -> List.of(each.requestClass().isEmpty() ? NO_CLASS : each.requestClass(),
+							share(each, day.incomplete()), text(each.requests()), text(each.inTime()),
+							text(each.complete() - each.inTime()), text(each.notRun()), text(each.failed()),
+							text(each.unknown())))
 					.toList(),
 				day.incomplete()));
 		if (!period.gaps().isEmpty()) {
--- a/src/main/java/org/magnoliahub/soak/FaultInjector.java
+++ b/src/main/java/org/magnoliahub/soak/FaultInjector.java
@@ -89,6 +89,7 @@
 		this.actions.put(FaultKind.ENDPOINT_TRUNCATES, (fault) -> mode(fault, EndpointEmulator.Mode.TRUNCATES));
 		this.actions.put(FaultKind.ENDPOINT_GARBLES, (fault) -> mode(fault, EndpointEmulator.Mode.GARBLES));
 		this.actions.put(FaultKind.ENDPOINT_ADDS_ANSWERS, (fault) -> mode(fault, EndpointEmulator.Mode.ADDS_ANSWERS));
+		this.actions.put(FaultKind.ENDPOINT_ENDLESS, (fault) -> mode(fault, EndpointEmulator.Mode.ENDLESS));
 		this.actions.put(FaultKind.ENDPOINT_RESTART, this::restart);
 		this.actions.put(FaultKind.ENDPOINT_DRAIN, this::drain);
 	}
--- a/src/main/java/org/magnoliahub/soak/FaultKind.java
+++ b/src/main/java/org/magnoliahub/soak/FaultKind.java
@@ -71,6 +71,9 @@
 	/** An endpoint sends bytes that are no answer. */
 	ENDPOINT_GARBLES(false),
 
+	/** An endpoint sends bytes without end. */
+	ENDPOINT_ENDLESS(false),
+
 	/** An endpoint sends more answers than it was asked for. */
 	ENDPOINT_ADDS_ANSWERS(false),
 
--- a/src/main/java/org/magnoliahub/soak/GatewayChild.java
+++ b/src/main/java/org/magnoliahub/soak/GatewayChild.java
@@ -29,6 +29,8 @@
 
 	private final File log;
 
+	private String recordSeconds = "60";
+
 	private volatile @Nullable Process process;
 
 	private volatile int incarnation;
@@ -54,11 +56,33 @@
 	static GatewayChild prepare(String name, String ip, EmulatedSettings.Budget budget, String store, Path directory)
 			throws IOException {
 		EmulatedSettings.Node node = EmulatedSettings.Node.withFreePorts(name, ip);
-		Path settings = directory.resolve(name + ".yaml");
+		Path settings = directory.resolve(name + ".json");
 		Files.writeString(settings, EmulatedSettings.gateway(node, budget, store));
 		return new GatewayChild(node, settings, directory.resolve(name + ".log").toFile());
 	}
 
+	/**
+	 * Returns the start of loopback addresses for the gateways of this process, which
+	 * share the port of their metrics.
+	 * @return three numbers with their points
+	 */
+	static String network() {
+		long process = ProcessHandle.current().pid();
+		return "127." + (1 + process / 250 % 250) + "." + process % 250 + ".";
+	}
+
+	void setRecordSeconds(String seconds) {
+		this.recordSeconds = seconds;
+	}
+
+	/**
+	 * Returns where callers connect.
+	 * @return host and port
+	 */
+	String callerAddress() {
+		return this.node.ip() + ":" + this.node.callerPort();
+	}
+
 	/**
 	 * Starts the process, which must not run.
 	 * @throws IOException if it cannot be started
@@ -68,6 +92,7 @@
 		ProcessBuilder builder = new ProcessBuilder(List.of(java, "-Xmx96m", "-Xss256k", "-XX:+UseSerialGC",
 				"-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), EntryMain.class.getName()));
 		builder.environment().put(EmulatedSettings.PATH_VARIABLE, this.settings.toString());
+		builder.environment().put(EntryMain.RECORD_INTERVAL, this.recordSeconds);
 		builder.redirectErrorStream(true);
 		builder.redirectOutput(ProcessBuilder.Redirect.appendTo(this.log));
 		this.process = builder.start();
--- a/src/main/java/org/magnoliahub/soak/Soak.java
+++ b/src/main/java/org/magnoliahub/soak/Soak.java
@@ -115,10 +115,8 @@
 		return counts;
 	}
 
-	// Each gateway has an address of its own, since they share the port of their metrics.
 	private void startGateways(StoreEmulator store) throws IOException, InterruptedException {
-		long process = ProcessHandle.current().pid();
-		String network = "127." + (1 + process / 250 % 250) + "." + process % 250 + ".";
+		String network = GatewayChild.network();
 		for (int index = 0; index < this.options.gateways(); index++) {
 			LoopbackProxy link = LoopbackProxy.start(store.address());
 			this.storeLinks.add(link);
