--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -86,7 +86,7 @@
 	STAGE_FAILED(Importance.HIGH, "id", "stage", "reason", "age_ms"),
 
 	/** A planned stop could not write the records of the last requests. */
-	RECORDS_LOST(Importance.HIGH, "requests"),
+	RECORDS_LOST(Importance.HIGH, "reason"),
 
 	/** Lines of a kind were left out. */
 	LOG_LIMITED(Importance.HIGH, "kind", "omitted");
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -301,9 +301,10 @@
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
-		if (!this.records.close()) {
+		String notWritten = this.records.close();
+		if (notWritten != null) {
 			this.group.next().execute(() -> {
-				this.log.event(EntryEvent.RECORDS_LOST).field("requests", this.records.waiting()).write();
+				this.log.event(EntryEvent.RECORDS_LOST).field("reason", notWritten).write();
 				this.log.flush();
 			});
 		}
--- a/src/main/java/org/magnoliahub/entry/MemberTable.java
+++ b/src/main/java/org/magnoliahub/entry/MemberTable.java
@@ -102,7 +102,7 @@
 	@Override
 	public void onList(List<StoredRow> rows) {
 		this.members.keySet().retainAll(rows.stream().map(StoredRow::key).toList());
-		this.list.retain(Map.copyOf(this.members).keySet());
+		this.list.retain(this.members.keySet());
 		onChanges(rows);
 	}
 
--- a/src/main/java/org/magnoliahub/entry/RequestRecords.java
+++ b/src/main/java/org/magnoliahub/entry/RequestRecords.java
@@ -130,18 +130,19 @@
 	/**
 	 * Writes what is left, marked as the end of this run, if the store takes it at once.
 	 * A run that ends before its first interval leaves no object.
-	 * @return whether everything was written
+	 * @return why requests are not counted, or {@code null} if everything was written
 	 */
-	boolean close() {
+	@Nullable String close() {
 		RecordWriter present = this.writer;
 		if (present == null) {
 			this.thread.shutdownNow();
-			return this.waiting.isEmpty();
+			return this.waiting.isEmpty() ? null : "the gateway ended before its first interval";
 		}
-		return Completable.defer(() -> {
+		boolean written = Completable.defer(() -> {
 			drain(present);
 			return present.close();
 		}).subscribeOn(Schedulers.from(this.thread)).blockingAwait(CLOSE_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+		return written ? null : "the store did not take them in time";
 	}
 
 }
