Repeat a plain request whose answer begins and does not end

Cause: each byte of a body counted as a sign of life, so a lookup whose answer trickles, or comes in a million small chunks, stayed with that endpoint until its deadline and got 504. Change: only the head and events of streams count; a plain answer that is not whole within the silence limit after its head is replaced, if the request may be repeated and the budget allows it. A test with a trickling body fails before and passes now. Ruled out: a lower limit of bytes, which bounds only one of the two.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -180,8 +180,8 @@
 		if (this.over || this.head == null || this.headers == null) {
 			return;
 		}
-		this.lastHeardMillis = this.context.now();
 		if (!(this.streaming && this.head.isSuccess())) {
+			// A body that does not end is as silent as one that does not begin.
 			if (this.body.readableBytes() + data.readableBytes() > MAXIMUM_BODY_BYTES) {
 				spoiled("answer too large");
 				return;
@@ -189,6 +189,7 @@
 			this.body.writeBytes(data);
 			return;
 		}
+		this.lastHeardMillis = this.context.now();
 		byte[] events = this.splitter.add(data);
 		if (this.splitter.partialBytes() > MAXIMUM_EVENT_BYTES) {
 			spoiled("event too large");
--- a/src/test/java/org/magnoliahub/entry/EndlessBytesTests.java
+++ b/src/test/java/org/magnoliahub/entry/EndlessBytesTests.java
@@ -113,6 +113,30 @@
 		}
 	}
 
+	/**
+	 * Guards against a body that stays below every limit of bytes and does not end before
+	 * the deadline of a request that another endpoint could answer.
+	 */
+	@Test
+	void lookupWhoseBodyTricklesIsRepeatedElsewhere() throws Exception {
+		this.fixture.addEndpoint("i-1", "plain", (request, socket) -> {
+			this.calls.incrementAndGet();
+			RawServer.write(socket, EndlessAnswer.CHUNKED_BODY.start(request.header("Request-Id"), "s"));
+			for (int part = 0; part < 100; part++) {
+				RawServer.write(socket, EndlessAnswer.CHUNKED_BODY.part());
+				Awaitility.await().pollDelay(Duration.ofMillis(50)).until(() -> true);
+			}
+		});
+		this.fixture.awaitEndpoints();
+		this.fixture.addEndpoint("i-2", "plain",
+				(request, socket) -> RawServer.write(socket, EntryFixture.signed(request, "sound")));
+		this.fixture.awaitEndpoints();
+		for (int index = 0; index < 4; index++) {
+			assertThat(this.fixture.send("GET", "/look/1", "r" + index).body()).isEqualTo("sound");
+		}
+		assertThat(this.calls.get()).isPositive();
+	}
+
 	@ParameterizedTest
 	@EnumSource
 	void generationGoesToAnotherEngine(EndlessAnswer kind) throws Exception {
