Let the test of a trickling body ask that endpoint for sure

The choice between two endpoints of equal cost is random, so all four lookups could go to the sound one; a build failed on that check of the test itself. The sound endpoint is now slower than expected, so that the next request goes to the other one; the check stays.

--- a/src/test/java/org/magnoliahub/entry/EndlessBytesTests.java
+++ b/src/test/java/org/magnoliahub/entry/EndlessBytesTests.java
@@ -128,8 +128,11 @@
 			}
 		});
 		this.fixture.awaitEndpoints();
-		this.fixture.addEndpoint("i-2", "plain",
-				(request, socket) -> RawServer.write(socket, EntryFixture.signed(request, "sound")));
+		// Slower than expected, so that the next request goes to the other endpoint.
+		this.fixture.addEndpoint("i-2", "plain", (request, socket) -> {
+			Awaitility.await().pollDelay(Duration.ofMillis(150)).until(() -> true);
+			RawServer.write(socket, EntryFixture.signed(request, "sound"));
+		});
 		this.fixture.awaitEndpoints();
 		for (int index = 0; index < 4; index++) {
 			assertThat(this.fixture.send("GET", "/look/1", "r" + index).body()).isEqualTo("sound");
