Bound the body of an endpoint's answer in one place

The attempt already bounds every body that it gathers, so the limit of the connection repeated that check for plain answers. The bound is the same 4 MiB and the outcome as well: the endpoint counts as failing and the request goes on as after a broken answer. EndlessBytesTests and EntryGatewayTests pass.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -112,7 +112,7 @@
 		this.call = this.choice.begin(request.promptParts(), now);
 		HttpCall http = new HttpCall(this.choice.endpoint().record().address(), caller.method(), caller.target(),
 				requestHeaders, caller.body(), this.repeatable ? IDLE_MILLIS : IDLE_ONCE_MILLIS, CONNECT_MILLIS,
-				this.streaming ? Long.MAX_VALUE : MAXIMUM_BODY_BYTES,
+				Long.MAX_VALUE,
 				(response) -> request.requestId().equals(PlatformHeaders.answerHead(response).requestId()));
 		this.exchange = this.context.http().send(http, this);
 		if (this.repeatable && !this.over) {
