--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -97,11 +97,15 @@
 	STAGE_SUBMITTED(Importance.LOW, "id", "stage", "service", "pieces", "owner", "age_ms"),
 
 	/** A stage batch was sent. */
-	STAGE_CALL_SENT(Importance.LOW, "service", "endpoint", "pieces", "waiting", "expected_ms"),
+	STAGE_CALL_SENT(Importance.LOW, "service", "endpoint", "pieces", "waiting", "expected_ms", "room_bytes",
+			"stored_ms"),
 
 	/** A stage batch failed. */
 	STAGE_CALL_FAILED(Importance.HIGH, "service", "endpoint", "pieces", "reason", "age_ms"),
 
+	/** Pieces of a batch for which the endpoint had no result capacity. */
+	STAGE_CAPACITY_MISSING(Importance.HIGH, "service", "endpoint", "pieces", "missing", "room_bytes"),
+
 	/** A stage of a request failed. */
 	STAGE_FAILED(Importance.HIGH, "id", "stage", "reason", "age_ms"),
 
--- a/src/main/java/org/magnoliahub/entry/StageEndpointClient.java
+++ b/src/main/java/org/magnoliahub/entry/StageEndpointClient.java
@@ -20,6 +20,7 @@
 import org.magnoliahub.platform.StageCallFormat;
 import org.magnoliahub.serving.EndpointNotice;
 import org.magnoliahub.serving.EndpointState;
+import org.magnoliahub.serving.PieceFailure;
 import org.magnoliahub.serving.PieceResult;
 import org.magnoliahub.serving.ResponseHead;
 import org.magnoliahub.serving.StageBatch;
@@ -77,6 +78,8 @@
 			.field("pieces", batch.tasks().size())
 			.field("waiting", queue.size())
 			.field("expected_ms", batch.expectedMillis())
+			.field("room_bytes", batch.freeBytes())
+			.field("stored_ms", queue.meanStorageMillis())
 			.write();
 		long budget = 1;
 		for (StageTask task : batch.tasks()) {
@@ -235,6 +238,7 @@
 				List<PieceResult> results = StageEndpointClient.this.format.results(ByteBufUtil.getBytes(this.body),
 						this.batch.tasks().size(), this.batch.endpoint().record().availabilityZone());
 				finish();
+				reportMissingCapacity(results);
 				long now = StageEndpointClient.this.context.now();
 				StageEndpointClient.this.context.metrics()
 					.stageCall(this.batch.tasks().size(), "done", now - this.sentMillis);
@@ -253,6 +257,21 @@
 			}
 		}
 
+		private void reportMissingCapacity(List<PieceResult> results) {
+			long missing = results.stream().filter((result) -> result.failure() == PieceFailure.NO_ROOM).count();
+			if (missing == 0) {
+				return;
+			}
+			StageEndpointClient.this.context.log()
+				.event(EntryEvent.STAGE_CAPACITY_MISSING)
+				.field("service", this.queue.service())
+				.field("endpoint", this.batch.endpoint().record().id())
+				.field("pieces", results.size())
+				.field("missing", missing)
+				.field("room_bytes", this.batch.freeBytes())
+				.write();
+		}
+
 		private void finish() {
 			this.ended = true;
 			this.timeout.dispose();
--- a/src/main/java/org/magnoliahub/serving/StageBatch.java
+++ b/src/main/java/org/magnoliahub/serving/StageBatch.java
@@ -9,9 +9,11 @@
  * @param tasks tasks, in the order in which the call lists their pieces
  * @param expectedMillis expected duration at typical speed, in milliseconds
  * @param endpointCall call that the endpoint's state tracks
+ * @param freeBytes free result capacity of the endpoint before the call, as far as the
+ * queue knows, in bytes
  */
 public record StageBatch(EndpointState endpoint, List<StageTask> tasks, double expectedMillis,
-		EndpointCall endpointCall) {
+		EndpointCall endpointCall, long freeBytes) {
 
 	/**
 	 * Creates a batch with an immutable copy of the tasks.
--- a/src/main/java/org/magnoliahub/serving/StageCapacity.java
+++ b/src/main/java/org/magnoliahub/serving/StageCapacity.java
@@ -19,6 +19,8 @@
 
 	private double meanStorageMillis = INITIAL_STORAGE_MILLIS;
 
+	private double observedStorageMillis;
+
 	/**
 	 * Records the storage time of a released result.
 	 * @param millis time from the response that contained the result to its release
@@ -27,6 +29,22 @@
 		this.meanStorageMillis += SMOOTHING * (Math.max(0, millis) - this.meanStorageMillis);
 	}
 
+	/**
+	 * Records the storage time of a released result of any size.
+	 * @param millis time from the response that contained the result to its release
+	 */
+	void observeStorageTime(long millis) {
+		this.observedStorageMillis += SMOOTHING * (Math.max(0, millis) - this.observedStorageMillis);
+	}
+
+	/**
+	 * Returns the mean storage time of results of any size.
+	 * @return milliseconds
+	 */
+	double observedStorageMillis() {
+		return this.observedStorageMillis;
+	}
+
 	/**
 	 * Returns the throughput of the endpoints with full batches.
 	 * @param endpoints endpoints that receive batches
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -175,9 +175,10 @@
 				continue;
 			}
 			this.queued.sort(Comparator.comparingLong((task) -> urgencyKey(task.job(), zone, now)));
-			List<StageTask> tasks = takeTasks(freeBytes(endpoint, now), eligible);
+			long freeBytes = freeBytes(endpoint, now);
+			List<StageTask> tasks = takeTasks(freeBytes, eligible);
 			if (!tasks.isEmpty()) {
-				return Optional.of(startBatch(endpoint, tasks, now));
+				return Optional.of(startBatch(endpoint, tasks, freeBytes, now));
 			}
 			endpoint.eject(now, FULL_EJECTION_MILLIS);
 		}
@@ -195,9 +196,9 @@
 		return backlog;
 	}
 
-	private StageBatch startBatch(EndpointState endpoint, List<StageTask> tasks, long now) {
+	private StageBatch startBatch(EndpointState endpoint, List<StageTask> tasks, long freeBytes, long now) {
 		double expected = this.limits.expectedMillis(tasks.size());
-		StageBatch batch = new StageBatch(endpoint, tasks, expected, endpoint.beginCall(now, expected, 0));
+		StageBatch batch = new StageBatch(endpoint, tasks, expected, endpoint.beginCall(now, expected, 0), freeBytes);
 		this.running.put(endpoint.record().id(), batch);
 		return batch;
 	}
@@ -353,12 +354,21 @@
 	 */
 	public void releaseResults(List<String> handles, long now) {
 		for (StoredResults.StoredResult result : this.storedResults.remove(handles)) {
+			this.capacity.observeStorageTime(now - result.storedAt());
 			if (this.limits.isLargeResult(result.bytes())) {
 				this.capacity.recordStorageTime(now - result.storedAt());
 			}
 		}
 	}
 
+	/**
+	 * Returns how long results were stored on average before they were released.
+	 * @return milliseconds
+	 */
+	public long meanStorageMillis() {
+		return (long) this.capacity.observedStorageMillis();
+	}
+
 	/**
 	 * Removes the marks of cancelled jobs that have no running batch.
 	 */
