Move the time estimates of a chain of stages out of the entry gateway

StageChain holds what StageExecution computed on its own: expected wait, full batches, least time and what remains from a stage on. No decision changes.

--- a/src/main/java/org/magnoliahub/entry/StageExecution.java
+++ b/src/main/java/org/magnoliahub/entry/StageExecution.java
@@ -12,6 +12,7 @@
 import org.magnoliahub.serving.Route;
 import org.magnoliahub.serving.RouteStage;
 import org.magnoliahub.serving.ServiceDefinition;
+import org.magnoliahub.serving.StageChain;
 import org.magnoliahub.serving.StageJob;
 import org.magnoliahub.serving.StageLimits;
 import org.magnoliahub.serving.StageProgress;
@@ -23,9 +24,6 @@
  */
 final class StageExecution implements StageCoordinator.PieceListener {
 
-	/** Assumed time from sending the request itself to its first event. */
-	private static final long ENGINE_FIRST_EVENT_MILLIS = 250;
-
 	/** Time after which the announcement of pieces that were not submitted expires. */
 	private static final long ANNOUNCEMENT_LIFETIME_MILLIS = 2_500;
 
@@ -52,6 +50,8 @@
 
 	private final StageProgress stageProgress;
 
+	private final StageChain chain;
+
 	private final Map<Integer, Long> jobIds = new HashMap<>();
 
 	private final Map<Integer, Long> submittedMillis = new HashMap<>();
@@ -71,6 +71,7 @@
 		this.listener = listener;
 		this.engineZone = engineZone;
 		this.stageProgress = new StageProgress(route.stages(), request.pieces());
+		this.chain = new StageChain(route.stages(), this.stageProgress, this::stageLimits);
 	}
 
 	void start() {
@@ -102,15 +103,7 @@
 	 * @return the time in milliseconds
 	 */
 	long expectedWaitMillis() {
-		double wait = 0;
-		double elapsed = 0;
-		for (int stage = firstStageOfLongestChain(); stage >= 0; stage = nextStageOfLongestChain(stage)) {
-			String service = this.route.stages().get(stage).service();
-			double queued = Math.max(0, this.coordinator.load(service).waitMillis(isLargeResult(stage)) - elapsed);
-			wait += queued;
-			elapsed += queued + fullBatchMillis(stage);
-		}
-		return (long) wait;
+		return this.chain.expectedWaitMillis(this.coordinator::load);
 	}
 
 	/**
@@ -135,11 +128,7 @@
 	 * @return the time in milliseconds
 	 */
 	long chainMillis() {
-		double millis = ENGINE_FIRST_EVENT_MILLIS;
-		for (int stage = firstStageOfLongestChain(); stage >= 0; stage = nextStageOfLongestChain(stage)) {
-			millis += fullBatchMillis(stage);
-		}
-		return (long) millis;
+		return this.chain.fullBatchesMillis();
 	}
 
 	/**
@@ -148,25 +137,7 @@
 	 * @return the time in milliseconds to the end of the last stage
 	 */
 	long minimumChainMillis() {
-		double millis = 0;
-		for (int stage = firstStageOfLongestChain(); stage >= 0; stage = nextStageOfLongestChain(stage)) {
-			StageLimits limits = stageLimits(stage);
-			millis += (limits != null)
-					? limits.expectedMillis(Math.min(limits.maximumBatchSize(), this.stageProgress.pieceCount(stage)))
-					: 0;
-		}
-		return (long) millis;
-	}
-
-	private int firstStageOfLongestChain() {
-		int first = -1;
-		for (int stage = 0; stage < this.route.stages().size(); stage++) {
-			if (this.stageProgress.pieceCount(stage) > 0 && (first < 0
-					|| this.stageProgress.downstreamDepth(stage) > this.stageProgress.downstreamDepth(first))) {
-				first = stage;
-			}
-		}
-		return first;
+		return this.chain.minimumMillis();
 	}
 
 	List<String> requestInputs() {
@@ -192,7 +163,8 @@
 		List<String> inputs = this.stageProgress.stageInputs(stage);
 		StageJob job = new StageJob("", 0, this.request.requestId(), stage, this.stageProgress.missingPieces(stage),
 				inputs.isEmpty() ? this.request.pieceKey() : null, inputs, definition.resultBytes(),
-				startDeadline(stage), this.expiresAt, this.route.priority(), zonePreference(stage, inputs.isEmpty()));
+				this.latencyDeadlineMillis - this.chain.remainingMillis(stage), this.expiresAt, this.route.priority(),
+				zonePreference(stage, inputs.isEmpty()));
 		this.submittedMillis.put(stage, this.context.now());
 		this.jobIds.put(stage, this.coordinator.submit(definition.service(), job, this));
 	}
@@ -206,47 +178,13 @@
 				: ZonePreference.NONE;
 	}
 
-	private long startDeadline(int stage) {
-		double remaining = ENGINE_FIRST_EVENT_MILLIS + fullBatchMillis(stage);
-		int next = stage;
-		while (this.stageProgress.downstreamDepth(next) > 0) {
-			next = nextStageOfLongestChain(next);
-			remaining += fullBatchMillis(next);
-		}
-		return this.latencyDeadlineMillis - (long) remaining;
-	}
-
-	private int nextStageOfLongestChain(int stage) {
-		int longest = -1;
-		for (int next = 0; next < this.route.stages().size(); next++) {
-			boolean follows = this.stageProgress.pieceCount(next) > 0
-					&& this.route.stages().get(next).inputStages().contains(stage);
-			if (follows && (longest < 0
-					|| this.stageProgress.downstreamDepth(next) > this.stageProgress.downstreamDepth(longest))) {
-				longest = next;
-			}
-		}
-		return longest;
-	}
-
-	private @Nullable StageLimits stageLimits(int stage) {
-		String service = this.route.stages().get(stage).service();
+	private @Nullable StageLimits stageLimits(String service) {
 		return this.context.configuration()
 			.flatMap((configuration) -> configuration.service(service))
 			.map(ServiceDefinition::stageLimits)
 			.orElse(null);
 	}
 
-	private boolean isLargeResult(int stage) {
-		StageLimits limits = stageLimits(stage);
-		return limits != null && limits.isLargeResult(this.route.stages().get(stage).resultBytes());
-	}
-
-	private double fullBatchMillis(int stage) {
-		StageLimits limits = stageLimits(stage);
-		return (limits != null) ? limits.expectedMillis(limits.maximumBatchSize()) : 0;
-	}
-
 	@Override
 	public void onPiece(int stage, int piece, PieceResult result) {
 		if (this.cancelled) {
