--- a/src/test/java/org/magnoliahub/serving/StageChainSimulation.java
+++ b/src/test/java/org/magnoliahub/serving/StageChainSimulation.java
@@ -20,6 +20,8 @@
  */
 final class StageChainSimulation {
 
+	static final Outcomes NO_REQUESTS = new Outcomes();
+
 	private static final long LOAD_REPORT_MILLIS = 150;
 
 	private static final long ANNOUNCEMENT_MILLIS = 2_500;
@@ -141,6 +143,13 @@
 		return this.reportedLoads.getOrDefault(service, StageLoad.UNKNOWN);
 	}
 
+	private boolean isStored(String handle) {
+		return this.services.values()
+			.stream()
+			.flatMap((service) -> service.storedBytes.values().stream())
+			.anyMatch((stored) -> stored.containsKey(handle));
+	}
+
 	private void fail(StageTask task) {
 		Request request = this.requestsByJob.get(task.job().jobId());
 		if (request != null) {
@@ -164,10 +173,6 @@
 
 		private int refused;
 
-		double inTimeShare() {
-			return (double) this.inTime / this.asked;
-		}
-
 		double lateShareOfAnswered() {
 			return (double) this.late / Math.max(1, this.inTime + this.late);
 		}
@@ -241,6 +246,10 @@
 			double millis = this.limits.batchOverheadMillis();
 			for (StageTask task : batch.tasks()) {
 				Request request = StageChainSimulation.this.requestsByJob.get(task.job().jobId());
+				if (!areInputsStored(task.job())) {
+					results.add(PieceResult.failed(PieceFailure.INPUT_GONE));
+					continue;
+				}
 				long used = stored.values().stream().mapToLong(Long::longValue).sum();
 				if (used + task.job().resultBytes() > this.limits.resultCapacityBytes()) {
 					results.add(PieceResult.failed(PieceFailure.NO_ROOM));
@@ -249,6 +258,7 @@
 				String handle = this.name + "/" + endpoint + "/" + StageChainSimulation.this.nextId++;
 				stored.put(handle, task.job().resultBytes());
 				results.add(new PieceResult(handle, "z1", null));
+				expireLater(handle);
 				millis += this.limits.pieceMillis() * ((request != null) ? request.workFactor(task.job().stage()) : 1);
 			}
 			at(StageChainSimulation.this.now + (long) millis, () -> finish(owner, batch, results));
@@ -256,7 +266,6 @@
 
 		private void finish(StageQueue owner, StageBatch batch, List<PieceResult> results) {
 			if (owner != this.queue) {
-				results.forEach((result) -> expireLater(String.valueOf(result.handle())));
 				return;
 			}
 			for (StageQueue.CompletedPiece piece : this.queue.complete(batch, results, StageChainSimulation.this.now)) {
@@ -270,6 +279,10 @@
 			startBatches();
 		}
 
+		private boolean areInputsStored(StageJob job) {
+			return job.inputs().stream().allMatch(StageChainSimulation.this::isStored);
+		}
+
 		private void expireLater(String handle) {
 			at(StageChainSimulation.this.now + this.limits.resultLifetimeMillis(), () -> forget(List.of(handle)));
 		}
@@ -294,7 +307,9 @@
 
 		private final long firstArrival;
 
-		private final long startedAt = StageChainSimulation.this.now;
+		private final long startedAt;
+
+		private final boolean repeated;
 
 		private final StageProgress progress;
 
@@ -309,6 +324,12 @@
 		private boolean ended;
 
 		private Request(RequestClass requestClass, long firstArrival) {
+			this(requestClass, firstArrival, StageChainSimulation.this.now, false);
+		}
+
+		private Request(RequestClass requestClass, long firstArrival, long startedAt, boolean repeated) {
+			this.startedAt = startedAt;
+			this.repeated = repeated;
 			this.requestClass = requestClass;
 			this.firstArrival = firstArrival;
 			this.progress = new StageProgress(requestClass.stages(), requestClass.pieces());
@@ -317,7 +338,8 @@
 		}
 
 		private Outcomes outcomes() {
-			return StageChainSimulation.this.outcomes.computeIfAbsent(this.requestClass.name(), (name) -> new Outcomes());
+			return StageChainSimulation.this.outcomes.computeIfAbsent(this.requestClass.name(),
+					(name) -> new Outcomes());
 		}
 
 		private double workFactor(int stage) {
@@ -377,6 +399,10 @@
 
 		private void onPiece(StageTask task, PieceResult result) {
 			int stage = task.job().stage();
+			if (result.failure() == PieceFailure.INPUT_GONE && !this.repeated) {
+				repeat();
+				return;
+			}
 			if (this.ended || result.handle() == null) {
 				end();
 				return;
@@ -400,6 +426,11 @@
 			end();
 		}
 
+		private void repeat() {
+			end();
+			new Request(this.requestClass, this.firstArrival, this.startedAt, true).start();
+		}
+
 		private void end() {
 			this.ended = true;
 			this.jobs.forEach((id, job) -> {
