Count the wait for result capacity wherever few full batches fill it

Cause: admission counted the wait for room only for results of which an endpoint stores fewer than 50. The second stage stores 98, less than two full batches, and holds them until the third stage is done, so room binds it at about 740 pieces a second where admission expected 1,190. Class of fault: a limit measured in units that do not bind. Ruled out: processor time (late without it too), the first and third stage and the engines (they take what is expected). Looked for elsewhere: the same estimate serves all stage services.

--- a/src/main/java/org/magnoliahub/serving/StageCapacity.java
+++ b/src/main/java/org/magnoliahub/serving/StageCapacity.java
@@ -15,6 +15,12 @@
 	/** Assumed storage time of a result until the first one has been released. */
 	private static final double INITIAL_STORAGE_MILLIS = 600;
 
+	/**
+	 * Share of the result capacity that is occupied under load. The next batch of an
+	 * endpoint can use capacity that is released during a batch only after its end.
+	 */
+	private static final double USABLE_SHARE = 0.8;
+
 	private static final double SMOOTHING = 0.05;
 
 	private double meanStorageMillis = INITIAL_STORAGE_MILLIS;
@@ -61,20 +67,18 @@
 	}
 
 	/**
-	 * Returns the expected wait for result capacity.
+	 * Returns the expected wait for result capacity. Each result occupies capacity from
+	 * the start of its batch until it is released.
 	 * @param endpoints number of endpoints
 	 * @param limits limits of the service
 	 * @param bytes total size of the results that are stored, in production or queued, in
 	 * bytes
-	 * @return milliseconds, zero if the capacity holds all of them
+	 * @return milliseconds, zero if the usable capacity holds all of them
 	 */
 	double capacityWaitMillis(int endpoints, StageLimits limits, long bytes) {
-		double capacity = (double) endpoints * limits.resultCapacityBytes();
-		if (bytes <= capacity) {
-			return 0;
-		}
+		double usable = USABLE_SHARE * endpoints * limits.resultCapacityBytes();
 		double occupancyMillis = this.meanStorageMillis + limits.expectedMillis(limits.maximumBatchSize());
-		return (bytes - capacity) * occupancyMillis / capacity;
+		return Math.max(0, bytes - usable) * occupancyMillis / usable;
 	}
 
 }
--- a/src/main/java/org/magnoliahub/serving/StageLimits.java
+++ b/src/main/java/org/magnoliahub/serving/StageLimits.java
@@ -13,16 +13,17 @@
 public record StageLimits(int concurrentCalls, int maximumBatchSize, double batchOverheadMillis, double pieceMillis,
 		long resultCapacityBytes, long resultLifetimeMillis) {
 
-	/** A result is large if an endpoint can store fewer results of its size than this. */
-	private static final int SMALL_RESULT_COUNT = 50;
+	/** Results are large if an endpoint stores fewer full batches of them than this. */
+	private static final int SMALL_RESULT_BATCHES = 4;
 
 	/**
-	 * Returns whether a few results of a size fill the result capacity of an endpoint.
+	 * Returns whether a few full batches of results fill the result capacity of an
+	 * endpoint.
 	 * @param bytes size of a result, in bytes
 	 * @return whether the result capacity limits the number of pieces in progress
 	 */
 	public boolean isLargeResult(long bytes) {
-		return bytes * SMALL_RESULT_COUNT > this.resultCapacityBytes;
+		return bytes * this.maximumBatchSize * SMALL_RESULT_BATCHES > this.resultCapacityBytes;
 	}
 
 	/**
--- a/src/test/java/org/magnoliahub/serving/ResultCapacityAdmissionTests.java
+++ b/src/test/java/org/magnoliahub/serving/ResultCapacityAdmissionTests.java
@@ -75,7 +75,6 @@
 	}
 
 	@Test
-	@Tag("known-red")
 	void fourOfFiveAnsweredDraftsAreInTimeInBursts() {
 		assertThat(lateShareOfDrafts(false)).isLessThan(0.2);
 	}
--- a/src/test/java/org/magnoliahub/serving/StageCapacityTests.java
+++ b/src/test/java/org/magnoliahub/serving/StageCapacityTests.java
@@ -75,6 +75,13 @@
 		assertThat(this.queue.load(400).capacityWaitMillis()).isZero();
 	}
 
+	@Test
+	void resultsOfLessThanTwoFullBatchesWaitForCapacity() {
+		StageLimits limits = new StageLimits(1, 53, 240, 3.9, 5_936_000, 4_000);
+		assertThat(limits.isLargeResult(60_000)).isTrue();
+		assertThat(limits.isLargeResult(8_000)).isFalse();
+	}
+
 	@Test
 	void longStorageTimesIncreaseTheWaitForCapacity() {
 		long now = 0;
