Put late pieces behind others unless their inputs occupy scarce capacity

Cause: pieces with inputs were never put behind others for being late, so each piece of the second stage started just after it had become late (the domino effect of earliest deadline first under overload). The rule was made because waiting inputs hold room; inputs of the second stage are 8 KB of 12 MB. Ruled out: lost knowledge of stored results after a change of the owner. Change: StageJob says whether its inputs are large where they are stored; only such late pieces keep their place. The message to the owner carries the flag as a last field: earlier versions ignore it, and without it the old rule holds. latePieceWithInputsIsNotDeferred becomes latePieceWithLargeInputsIsNotDeferred, with the opposite case beside it: what it forbade in general is the fault. Looked for elsewhere: late pieces without inputs were deferred already.

--- a/src/main/java/org/magnoliahub/entry/PeerCodec.java
+++ b/src/main/java/org/magnoliahub/entry/PeerCodec.java
@@ -76,6 +76,7 @@
 			packer.packLong(submit.resultBytes()).packLong(submit.startBudgetMillis());
 			packer.packLong(submit.budgetMillis()).packInt(submit.priority());
 			packer.packString(submit.zonePreference().zone()).packLong(submit.zonePreference().bytes());
+			packer.packBoolean(submit.largeInputs());
 		}
 		else if (message instanceof PeerMessage.Result result) {
 			packer.packInt(RESULT).packString(result.service()).packLong(result.jobId()).packInt(result.piece());
@@ -162,9 +163,15 @@
 		}
 		String pieceKey = unpackOptional(unpacker);
 		List<String> inputs = unpackStrings(unpacker);
-		return new PeerMessage.Submit(service, jobId, requestId, stage, pieces, pieceKey, inputs, unpacker.unpackLong(),
-				unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackInt(),
-				new ZonePreference(unpacker.unpackString(), unpacker.unpackLong()));
+		long resultBytes = unpacker.unpackLong();
+		long startBudgetMillis = unpacker.unpackLong();
+		long budgetMillis = unpacker.unpackLong();
+		int priority = unpacker.unpackInt();
+		ZonePreference zonePreference = new ZonePreference(unpacker.unpackString(), unpacker.unpackLong());
+		// Gateways of earlier versions do not send this field.
+		boolean largeInputs = unpacker.hasNext() ? unpacker.unpackBoolean() : !inputs.isEmpty();
+		return new PeerMessage.Submit(service, jobId, requestId, stage, pieces, pieceKey, inputs, largeInputs,
+				resultBytes, startBudgetMillis, budgetMillis, priority, zonePreference);
 	}
 
 	private static PeerMessage unpackResult(MessageUnpacker unpacker) throws IOException {
--- a/src/main/java/org/magnoliahub/entry/PeerMessage.java
+++ b/src/main/java/org/magnoliahub/entry/PeerMessage.java
@@ -41,6 +41,8 @@
 	 * @param pieceKey key that identifies the data of the pieces, or {@code null} if they
 	 * have inputs
 	 * @param inputs handles of the results that are their inputs
+	 * @param largeInputs whether these results use a large share of the capacity where
+	 * they are stored
 	 * @param resultBytes size of one result, in bytes
 	 * @param startBudgetMillis time within which they must start to meet the latency
 	 * objective, in milliseconds
@@ -50,8 +52,9 @@
 	 * results are used
 	 */
 	record Submit(String service, long jobId, String requestId, int stage, List<Integer> pieces,
-			@Nullable String pieceKey, List<String> inputs, long resultBytes, long startBudgetMillis, long budgetMillis,
-			int priority, ZonePreference zonePreference) implements PeerMessage {
+			@Nullable String pieceKey, List<String> inputs, boolean largeInputs, long resultBytes,
+			long startBudgetMillis, long budgetMillis, int priority,
+			ZonePreference zonePreference) implements PeerMessage {
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -181,8 +181,8 @@
 	long submit(String service, StageJob template, PieceListener listener) {
 		long id = this.nextJobId++;
 		StageJob job = new StageJob(this.selfName, id, template.requestId(), template.stage(), template.pieces(),
-				template.pieceKey(), template.inputs(), template.resultBytes(), template.startDeadline(),
-				template.expiresAt(), template.priority(), template.zonePreference());
+				template.pieceKey(), template.inputs(), template.largeInputs(), template.resultBytes(),
+				template.startDeadline(), template.expiresAt(), template.priority(), template.zonePreference());
 		Submission submission = new Submission(service, job, listener, owner(service));
 		this.submissions.put(id, submission);
 		this.context.log()
@@ -236,8 +236,8 @@
 			return;
 		}
 		link.send(new PeerMessage.Submit(submission.service, job.jobId(), job.requestId(), job.stage(), job.pieces(),
-				job.pieceKey(), job.inputs(), job.resultBytes(), job.startDeadline() - now, job.expiresAt() - now,
-				job.priority(), job.zonePreference()));
+				job.pieceKey(), job.inputs(), job.largeInputs(), job.resultBytes(), job.startDeadline() - now,
+				job.expiresAt() - now, job.priority(), job.zonePreference()));
 	}
 
 	/**
@@ -345,8 +345,9 @@
 		long now = this.context.now();
 		if (message instanceof PeerMessage.Submit submit) {
 			StageJob job = new StageJob(member, submit.jobId(), submit.requestId(), submit.stage(), submit.pieces(),
-					submit.pieceKey(), submit.inputs(), submit.resultBytes(), now + submit.startBudgetMillis(),
-					now + submit.budgetMillis(), submit.priority(), submit.zonePreference());
+					submit.pieceKey(), submit.inputs(), submit.largeInputs(), submit.resultBytes(),
+					now + submit.startBudgetMillis(), now + submit.budgetMillis(), submit.priority(),
+					submit.zonePreference());
 			StageQueue queue = queue(submit.service());
 			if (queue == null) {
 				submit.pieces()
@@ -400,8 +401,8 @@
 			this.submissions.remove(lostJob.jobId());
 			StageJob remainder = new StageJob(this.selfName, lostJob.jobId(), lostJob.requestId(), lostJob.stage(),
 					new ArrayList<>(submission.pendingPieces), lostJob.pieceKey(), lostJob.inputs(),
-					lostJob.resultBytes(), lostJob.startDeadline(), lostJob.expiresAt(), lostJob.priority(),
-					lostJob.zonePreference());
+					lostJob.largeInputs(), lostJob.resultBytes(), lostJob.startDeadline(), lostJob.expiresAt(),
+					lostJob.priority(), lostJob.zonePreference());
 			Submission resubmission = new Submission(submission.service, remainder, submission.listener,
 					owner(submission.service));
 			this.submissions.put(lostJob.jobId(), resubmission);
--- a/src/main/java/org/magnoliahub/entry/StageExecution.java
+++ b/src/main/java/org/magnoliahub/entry/StageExecution.java
@@ -162,9 +162,9 @@
 		RouteStage definition = this.route.stages().get(stage);
 		List<String> inputs = this.stageProgress.stageInputs(stage);
 		StageJob job = new StageJob("", 0, this.request.requestId(), stage, this.stageProgress.missingPieces(stage),
-				inputs.isEmpty() ? this.request.pieceKey() : null, inputs, definition.resultBytes(),
-				this.latencyDeadlineMillis - this.chain.remainingMillis(stage), this.expiresAt, this.route.priority(),
-				zonePreference(stage, inputs.isEmpty()));
+				inputs.isEmpty() ? this.request.pieceKey() : null, inputs, this.chain.hasLargeInputs(stage),
+				definition.resultBytes(), this.latencyDeadlineMillis - this.chain.remainingMillis(stage),
+				this.expiresAt, this.route.priority(), zonePreference(stage, inputs.isEmpty()));
 		this.submittedMillis.put(stage, this.context.now());
 		this.jobIds.put(stage, this.coordinator.submit(definition.service(), job, this));
 	}
--- a/src/main/java/org/magnoliahub/serving/StageChain.java
+++ b/src/main/java/org/magnoliahub/serving/StageChain.java
@@ -94,6 +94,15 @@
 		return (long) millis;
 	}
 
+	/**
+	 * Returns whether the results that a stage uses are large where they are stored.
+	 * @param stage index of the stage
+	 * @return whether an endpoint that stores them can run few batches meanwhile
+	 */
+	public boolean hasLargeInputs(int stage) {
+		return this.stages.get(stage).inputStages().stream().anyMatch(this::isLargeResult);
+	}
+
 	private int first() {
 		int first = NONE;
 		for (int stage = 0; stage < this.stages.size(); stage++) {
--- a/src/main/java/org/magnoliahub/serving/StageJob.java
+++ b/src/main/java/org/magnoliahub/serving/StageJob.java
@@ -15,6 +15,8 @@
  * @param pieces indexes of the pieces
  * @param pieceKey key of the pieces, {@code null} if the stage has inputs
  * @param inputs handles of the results that are inputs of each piece
+ * @param largeInputs whether the inputs use a large share of the result capacity where
+ * they are stored
  * @param resultBytes approximate size of one result, in bytes
  * @param startDeadline monotonic time by which the pieces have to start for the request
  * to meet its latency objective, in milliseconds
@@ -23,8 +25,8 @@
  * @param zonePreference zone that holds the inputs or in which the results are needed
  */
 public record StageJob(String origin, long jobId, String requestId, int stage, List<Integer> pieces,
-		@Nullable String pieceKey, List<String> inputs, long resultBytes, long startDeadline, long expiresAt,
-		int priority, ZonePreference zonePreference) {
+		@Nullable String pieceKey, List<String> inputs, boolean largeInputs, long resultBytes, long startDeadline,
+		long expiresAt, int priority, ZonePreference zonePreference) {
 
 	/**
 	 * Creates a job with immutable copies of the lists.
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -231,9 +231,8 @@
 		if (job.zonePreference().isOtherZone(zone)) {
 			key += CROSS_ZONE_MILLIS;
 		}
-		// Stored inputs occupy result capacity and expire, so late pieces that have
-		// inputs are not deferred.
-		if (job.inputs().isEmpty() && job.startDeadline() < now) {
+		// Large inputs occupy result capacity that other requests need.
+		if (!job.largeInputs() && job.startDeadline() < now) {
 			key += LATE_PENALTY_MILLIS;
 		}
 		return key;
--- a/src/test/java/org/magnoliahub/entry/PeerCodecTests.java
+++ b/src/test/java/org/magnoliahub/entry/PeerCodecTests.java
@@ -25,9 +25,9 @@
 
 	static Stream<PeerMessage> messages() {
 		return Stream.of(new PeerMessage.Hello("a"), new PeerMessage.Heartbeat(Map.of("s", new StageLoad(12, 4, 3))),
-				new PeerMessage.Submit("s", 1, "r", 2, List.of(0, 3), "k", List.of(), 800, -5, 900, 1,
+				new PeerMessage.Submit("s", 1, "r", 2, List.of(0, 3), "k", List.of(), false, 800, -5, 900, 1,
 						new ZonePreference("z", 9)),
-				new PeerMessage.Submit("s", 1, "r", 2, List.of(0), null, List.of("a/b", "c/d"), 800, 5, 900, 1,
+				new PeerMessage.Submit("s", 1, "r", 2, List.of(0), null, List.of("a/b", "c/d"), true, 800, 5, 900, 1,
 						new ZonePreference("", 0)),
 				new PeerMessage.Result("s", 4, 5, new PieceResult("a/b", "z", null, new PieceTimes(1, 2, 3))),
 				new PeerMessage.Result("s", 4, 5, PieceResult.failed(PieceFailure.LATE)),
--- a/src/test/java/org/magnoliahub/serving/ResultCapacityAdmissionTests.java
+++ b/src/test/java/org/magnoliahub/serving/ResultCapacityAdmissionTests.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.stream.IntStream;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -80,7 +79,6 @@
 	}
 
 	@Test
-	@Tag("known-red")
 	void twoOfThreeAnsweredDraftsAreInTimeWhenTheQueueOwnerChangesInABurst() {
 		assertThat(lateShareOfDrafts(true)).isLessThan(1.0 / 3);
 	}
--- a/src/test/java/org/magnoliahub/serving/ServingFixtures.java
+++ b/src/test/java/org/magnoliahub/serving/ServingFixtures.java
@@ -30,7 +30,7 @@
 
 	static StageJob job(long jobId, int pieces, long startDeadline, long resultBytes) {
 		return new StageJob("gateway", jobId, "request-" + jobId, 0, IntStream.range(0, pieces).boxed().toList(), "key",
-				List.of(), resultBytes, startDeadline, 100_000, 0, ZonePreference.NONE);
+				List.of(), false, resultBytes, startDeadline, 100_000, 0, ZonePreference.NONE);
 	}
 
 	static CallerRequest request(List<PromptSegment> segments, int promptTokens) {
--- a/src/test/java/org/magnoliahub/serving/StageChainSimulation.java
+++ b/src/test/java/org/magnoliahub/serving/StageChainSimulation.java
@@ -374,7 +374,7 @@
 			RouteStage definition = this.requestClass.stages().get(stage);
 			StageJob job = new StageJob("gateway", id, "request-" + System.identityHashCode(this), stage,
 					this.progress.missingPieces(stage), inputs.isEmpty() ? "key" : null, inputs,
-					definition.resultBytes(),
+					this.chain.hasLargeInputs(stage), definition.resultBytes(),
 					this.startedAt + this.requestClass.objectiveMillis() - this.chain.remainingMillis(stage),
 					this.startedAt + 4 * this.requestClass.objectiveMillis(), this.requestClass.priority(),
 					ZonePreference.NONE);
--- a/src/test/java/org/magnoliahub/serving/StageQueueTests.java
+++ b/src/test/java/org/magnoliahub/serving/StageQueueTests.java
@@ -54,14 +54,23 @@
 	}
 
 	@Test
-	void latePieceWithInputsIsNotDeferred() {
-		StageJob late = new StageJob("gateway", 1, "request-1", 1, List.of(0), null, List.of("10.0.0.1:80/x"), 10, 50,
-				100_000, 0, ZonePreference.NONE);
+	void latePieceWithLargeInputsIsNotDeferred() {
+		StageJob late = new StageJob("gateway", 1, "request-1", 1, List.of(0), null, List.of("10.0.0.1:80/x"), true, 10,
+				50, 100_000, 0, ZonePreference.NONE);
 		this.queue.add(late, 0);
 		this.queue.add(ServingFixtures.job(2, 10, 900, 10), 0);
 		assertThat(this.queue.nextBatch(100).orElseThrow().tasks().get(0).job().jobId()).isEqualTo(1);
 	}
 
+	@Test
+	void latePieceWithSmallInputsDoesNotDelayPiecesThatCanMeetTheirObjective() {
+		StageJob late = new StageJob("gateway", 1, "request-1", 1, List.of(0), null, List.of("10.0.0.1:80/x"), false,
+				10, 50, 100_000, 0, ZonePreference.NONE);
+		this.queue.add(late, 0);
+		this.queue.add(ServingFixtures.job(2, 10, 900, 10), 0);
+		assertThat(this.queue.nextBatch(100).orElseThrow().tasks()).allMatch((task) -> task.job().jobId() == 2);
+	}
+
 	@Test
 	void storedResultsReduceTheCapacityForABatch() {
 		this.queue.add(ServingFixtures.job(1, 3, 500, 3_000), 0);
@@ -127,7 +136,7 @@
 
 	@Test
 	void expiredPiecesAreRemoved() {
-		StageJob work = new StageJob("gateway", 1, "request-1", 0, List.of(0), "key", List.of(), 10, 50, 300, 0,
+		StageJob work = new StageJob("gateway", 1, "request-1", 0, List.of(0), "key", List.of(), false, 10, 50, 300, 0,
 				ZonePreference.NONE);
 		this.queue.add(work, 0);
 		assertThat(this.queue.removeExpired(0)).isEmpty();
@@ -211,21 +220,21 @@
 		StageQueue other = twoZones();
 		other.add(jobInZone(1, "z2", 5_000), 0);
 		assertThat(other.nextBatch(0)).isPresent();
-		other.add(new StageJob("gateway", 2, "request-2", 1, List.of(0), null, List.of("10.0.0.1:80/x"), 10, 5_000,
-				100_000, 0, new ZonePreference("z2", 8_000)), 0);
+		other.add(new StageJob("gateway", 2, "request-2", 1, List.of(0), null, List.of("10.0.0.1:80/x"), true, 10,
+				5_000, 100_000, 0, new ZonePreference("z2", 8_000)), 0);
 		assertThat(other.nextBatch(0)).isPresent();
 	}
 
 	@Test
 	void pieceWithALargeResultDoesNotWaitForAZoneWithoutCapacity() {
 		StageQueue other = twoZones();
-		StageJob large = new StageJob("gateway", 1, "request-1", 0, List.of(0), "key", List.of(), 10_000, 5_000,
+		StageJob large = new StageJob("gateway", 1, "request-1", 0, List.of(0), "key", List.of(), false, 10_000, 5_000,
 				100_000, 0, new ZonePreference("z2", 1_000_000));
 		other.add(large, 0);
 		StageBatch batch = other.nextBatch(0).orElseThrow();
 		other.complete(batch, results(batch), 300);
-		other.add(new StageJob("gateway", 2, "request-2", 0, List.of(0), "key", List.of(), 10_000, 5_000, 100_000, 0,
-				new ZonePreference("z2", 1_000_000)), 300);
+		other.add(new StageJob("gateway", 2, "request-2", 0, List.of(0), "key", List.of(), false, 10_000, 5_000,
+				100_000, 0, new ZonePreference("z2", 1_000_000)), 300);
 		assertThat(other.nextBatch(300).orElseThrow().endpoint().record().availabilityZone()).isEqualTo("z1");
 	}
 
@@ -243,8 +252,8 @@
 	}
 
 	private static StageJob jobInZone(long jobId, String zone, long startDeadline) {
-		return new StageJob("gateway", jobId, "request-" + jobId, 1, List.of(0), null, List.of("10.0.0.1:80/x"), 10,
-				startDeadline, 100_000, 0, new ZonePreference(zone, 1_000_000));
+		return new StageJob("gateway", jobId, "request-" + jobId, 1, List.of(0), null, List.of("10.0.0.1:80/x"), true,
+				10, startDeadline, 100_000, 0, new ZonePreference(zone, 1_000_000));
 	}
 
 	/**
@@ -270,8 +279,8 @@
 
 	@Test
 	void pieceWithoutCapacityIsRemovedWhenItsRequestExpires() {
-		this.queue.add(new StageJob("gateway", 1, "request-1", 0, List.of(0), "key", List.of(), 10, 500, 1_000, 0,
-				ZonePreference.NONE), 0);
+		this.queue.add(new StageJob("gateway", 1, "request-1", 0, List.of(0), "key", List.of(), false, 10, 500, 1_000,
+				0, ZonePreference.NONE), 0);
 		StageBatch batch = this.queue.nextBatch(0).orElseThrow();
 		assertThat(this.queue.complete(batch, noCapacityResults(batch), 1)).isEmpty();
 		assertThat(this.queue.removeExpired(900)).hasSize(1);
