Split the owner of stage queues and the order of pieces from their users

StageOwners determines which gateway owns a queue and keeps the links to the candidates, PieceOrder holds the order of queued pieces, and StageJob copies itself instead of three calls with thirteen arguments. No behaviour changes.

--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -1,7 +1,6 @@
 package org.magnoliahub.entry;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,7 +13,6 @@
 import org.magnoliahub.platform.MemberRecord;
 import org.magnoliahub.serving.PieceFailure;
 import org.magnoliahub.serving.PieceResult;
-import org.magnoliahub.serving.RendezvousHash;
 import org.magnoliahub.serving.ServiceDefinition;
 import org.magnoliahub.serving.ServingConfiguration;
 import org.magnoliahub.serving.StageJob;
@@ -34,26 +32,17 @@
 
 	private static final int TICKS_PER_HEARTBEAT = 3;
 
-	/** Number of possible owners per service to which a link is kept open. */
-	private static final int OWNER_CANDIDATES = 3;
-
 	private final EntryContext context;
 
-	private final EventLoopGroup group;
-
 	private final String selfName;
 
 	private final StageEndpointClient stageClient;
 
 	private final PeerServer server = new PeerServer(this);
 
-	private final Map<String, MemberRecord> members = new HashMap<>();
-
-	private final Map<String, PeerLink> links = new HashMap<>();
-
 	private final Map<String, StageQueue> queues = new HashMap<>();
 
-	private final Map<String, List<String>> ownerCandidates = new HashMap<>();
+	private final StageOwners owners;
 
 	private final Map<Long, Submission> submissions = new HashMap<>();
 
@@ -63,8 +52,9 @@
 
 	StageCoordinator(EntryContext context, EventLoopGroup group, String selfName) {
 		this.context = context;
-		this.group = group;
 		this.selfName = selfName;
+		this.owners = new StageOwners(selfName,
+				(member) -> new PeerLink(group, context.timers(), context.log(), selfName, member, this));
 		this.stageClient = new StageEndpointClient(context, this::deliverResult);
 	}
 
@@ -81,17 +71,14 @@
 	 * @param listed the gateways, with or without this one
 	 */
 	void setMembers(Map<String, MemberRecord> listed) {
-		Map<String, MemberRecord> others = new HashMap<>(listed);
-		others.remove(this.selfName);
-		if (others.equals(this.members)) {
+		if (!this.owners.setMembers(listed)) {
 			return;
 		}
-		this.members.clear();
-		this.members.putAll(others);
+		Set<String> others = this.owners.others();
 		this.context.retryBudget().setGatewayCount(others.size() + 1);
 		this.context.selector().setGatewayCount(others.size() + 1);
-		this.context.gateways().setOthers(others.keySet());
-		updateOwnerCandidates();
+		this.context.gateways().setOthers(others);
+		this.context.configuration().ifPresent((configuration) -> this.owners.update(configuration.services()));
 	}
 
 	/**
@@ -105,56 +92,7 @@
 				queue.setLimits(service.stageLimits());
 			}
 		}
-		updateOwnerCandidates();
-	}
-
-	private void updateOwnerCandidates() {
-		this.ownerCandidates.clear();
-		Optional<ServingConfiguration> configuration = this.context.configuration();
-		if (configuration.isEmpty()) {
-			return;
-		}
-		Set<String> names = new HashSet<>(this.members.keySet());
-		names.add(this.selfName);
-		Set<String> needed = new HashSet<>();
-		for (ServiceDefinition service : configuration.get().services()) {
-			if (service.stageLimits() == null) {
-				continue;
-			}
-			List<String> ranked = RendezvousHash.rank(service.name(), names);
-			List<String> candidates = ranked.subList(0, Math.min(OWNER_CANDIDATES, ranked.size()));
-			this.ownerCandidates.put(service.name(), List.copyOf(candidates));
-			needed.addAll(candidates);
-		}
-		needed.remove(this.selfName);
-		for (String name : List.copyOf(this.links.keySet())) {
-			if (!needed.contains(name)) {
-				this.links.remove(name).close();
-			}
-		}
-		for (String name : needed) {
-			MemberRecord member = this.members.get(name);
-			if (member != null) {
-				this.links
-					.computeIfAbsent(name,
-							(key) -> new PeerLink(this.group, this.context.timers(), this.context.log(), this.selfName,
-									member, this))
-					.update(member);
-			}
-		}
-	}
-
-	private String owner(String service) {
-		for (String candidate : this.ownerCandidates.getOrDefault(service, List.of())) {
-			if (candidate.equals(this.selfName)) {
-				return candidate;
-			}
-			PeerLink link = this.links.get(candidate);
-			if (link != null && link.isOpen()) {
-				return candidate;
-			}
-		}
-		return this.selfName;
+		this.owners.update(configuration.services());
 	}
 
 	/**
@@ -163,8 +101,8 @@
 	 * @return the load, as far as known to this gateway
 	 */
 	StageLoad load(String service) {
-		String owner = owner(service);
-		PeerLink link = this.links.get(owner);
+		String owner = this.owners.owner(service);
+		PeerLink link = this.owners.link(owner);
 		if (link != null) {
 			return link.load(service);
 		}
@@ -181,10 +119,8 @@
 	 */
 	long submit(String service, StageJob template, PieceListener listener) {
 		long id = this.nextJobId++;
-		StageJob job = new StageJob(this.selfName, id, template.requestId(), template.stage(), template.pieces(),
-				template.pieceKey(), template.inputs(), template.largeInputs(), template.resultBytes(),
-				template.startDeadline(), template.expiresAt(), template.priority(), template.zonePreference());
-		Submission submission = new Submission(service, job, listener, owner(service));
+		StageJob job = template.submittedBy(this.selfName, id);
+		Submission submission = new Submission(service, job, listener, this.owners.owner(service));
 		this.submissions.put(id, submission);
 		this.context.log()
 			.event(EntryEvent.STAGE_SUBMITTED)
@@ -204,7 +140,7 @@
 	 * one
 	 */
 	void announce(PeerMessage.Announce announcement) {
-		PeerLink link = this.links.get(owner(announcement.service()));
+		PeerLink link = this.owners.link(this.owners.owner(announcement.service()));
 		if (link != null) {
 			link.send(announcement);
 			return;
@@ -223,7 +159,7 @@
 	private void dispatch(Submission submission) {
 		long now = this.context.now();
 		StageJob job = submission.job;
-		PeerLink link = this.links.get(submission.owner);
+		PeerLink link = this.owners.link(submission.owner);
 		if (submission.owner.equals(this.selfName) || link == null) {
 			StageQueue queue = queue(submission.service);
 			if (queue == null) {
@@ -250,7 +186,7 @@
 		if (submission == null) {
 			return;
 		}
-		PeerLink link = this.links.get(submission.owner);
+		PeerLink link = this.owners.link(submission.owner);
 		if (submission.owner.equals(this.selfName) || link == null) {
 			StageQueue queue = this.queues.get(submission.service);
 			if (queue != null) {
@@ -270,8 +206,8 @@
 		if (handles.isEmpty()) {
 			return;
 		}
-		String owner = owner(service);
-		PeerLink link = this.links.get(owner);
+		String owner = this.owners.owner(service);
+		PeerLink link = this.owners.link(owner);
 		if (owner.equals(this.selfName) || link == null) {
 			releaseLocally(service, handles);
 			return;
@@ -327,7 +263,7 @@
 			queue.purgeCancelled();
 			sendReadyBatches(queue);
 		}
-		this.links.values().forEach(PeerLink::maintain);
+		this.owners.maintainLinks();
 		if (++this.ticks % TICKS_PER_HEARTBEAT == 0) {
 			this.server.broadcastHeartbeat(this::heartbeat);
 		}
@@ -400,12 +336,9 @@
 			}
 			StageJob lostJob = submission.job;
 			this.submissions.remove(lostJob.jobId());
-			StageJob remainder = new StageJob(this.selfName, lostJob.jobId(), lostJob.requestId(), lostJob.stage(),
-					new ArrayList<>(submission.pendingPieces), lostJob.pieceKey(), lostJob.inputs(),
-					lostJob.largeInputs(), lostJob.resultBytes(), lostJob.startDeadline(), lostJob.expiresAt(),
-					lostJob.priority(), lostJob.zonePreference());
+			StageJob remainder = lostJob.withPieces(List.copyOf(submission.pendingPieces));
 			Submission resubmission = new Submission(submission.service, remainder, submission.listener,
-					owner(submission.service));
+					this.owners.owner(submission.service));
 			this.submissions.put(lostJob.jobId(), resubmission);
 			dispatch(resubmission);
 		}
--- a/src/main/java/org/magnoliahub/serving/StageJob.java
+++ b/src/main/java/org/magnoliahub/serving/StageJob.java
@@ -36,4 +36,27 @@
 		inputs = List.copyOf(inputs);
 	}
 
+	/**
+	 * Returns this job as submitted by a gateway.
+	 * @param gateway name of the gateway
+	 * @param id id of the job, unique at the gateway
+	 * @return the job
+	 */
+	public StageJob submittedBy(String gateway, long id) {
+		return new StageJob(gateway, id, this.requestId, this.stage, this.pieces, this.pieceKey, this.inputs,
+				this.largeInputs, this.resultBytes, this.startDeadline, this.expiresAt, this.priority,
+				this.zonePreference);
+	}
+
+	/**
+	 * Returns this job with other pieces of its stage.
+	 * @param newPieces indexes of the pieces
+	 * @return the job
+	 */
+	public StageJob withPieces(List<Integer> newPieces) {
+		return new StageJob(this.origin, this.jobId, this.requestId, this.stage, newPieces, this.pieceKey, this.inputs,
+				this.largeInputs, this.resultBytes, this.startDeadline, this.expiresAt, this.priority,
+				this.zonePreference);
+	}
+
 }
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -23,17 +23,6 @@
  */
 public final class StageQueue {
 
-	/** Time that each priority level below the most urgent adds to the start deadline. */
-	private static final long PRIORITY_STEP_MILLIS = 300;
-
-	/** Time that a transfer between zones adds to the start deadline. */
-	private static final long CROSS_ZONE_MILLIS = 250;
-
-	/**
-	 * Time added to the start deadline of late pieces, to sort them behind all others.
-	 */
-	private static final long LATE_PENALTY_MILLIS = 1_000_000;
-
 	/** Added to the slowdown of a free endpoint outside the preferred zone. */
 	private static final double CROSS_ZONE_SLOWDOWN = 0.35;
 
@@ -168,13 +157,13 @@
 		}
 		HealthyEndpoints healthy = HealthyEndpoints.of(this.directory.availableEndpoints(this.service, now), now);
 		ZoneBacklog backlog = backlog(healthy, now);
-		for (EndpointState endpoint : freeEndpoints(healthy, mostUrgentZone(now), now)) {
+		for (EndpointState endpoint : freeEndpoints(healthy, PieceOrder.mostUrgentZone(this.queued, now), now)) {
 			String zone = endpoint.record().availabilityZone();
 			Predicate<StageTask> eligible = (task) -> backlog.mayRunIn(task.job(), zone, now);
 			if (this.queued.stream().noneMatch(eligible)) {
 				continue;
 			}
-			this.queued.sort(Comparator.comparingLong((task) -> urgencyKey(task.job(), zone, now)));
+			this.queued.sort(PieceOrder.inZone(zone, now));
 			long freeBytes = freeBytes(endpoint, now);
 			List<StageTask> tasks = takeTasks(freeBytes, eligible);
 			if (!tasks.isEmpty()) {
@@ -203,13 +192,6 @@
 		return batch;
 	}
 
-	private String mostUrgentZone(long now) {
-		return this.queued.stream()
-			.min(Comparator.comparingLong((task) -> urgencyKey(task.job(), task.job().zonePreference().zone(), now)))
-			.map((task) -> task.job().zonePreference().zone())
-			.orElse("");
-	}
-
 	private List<StageTask> takeTasks(long freeBytes, Predicate<StageTask> eligible) {
 		List<StageTask> tasks = new ArrayList<>();
 		long bytes = freeBytes;
@@ -226,18 +208,6 @@
 		return tasks;
 	}
 
-	private static long urgencyKey(StageJob job, String zone, long now) {
-		long key = job.startDeadline() + PRIORITY_STEP_MILLIS * job.priority();
-		if (job.zonePreference().isOtherZone(zone)) {
-			key += CROSS_ZONE_MILLIS;
-		}
-		// Large inputs occupy result capacity that other requests need.
-		if (!job.largeInputs() && job.startDeadline() < now) {
-			key += LATE_PENALTY_MILLIS;
-		}
-		return key;
-	}
-
 	private List<EndpointState> freeEndpoints(HealthyEndpoints healthy, String zone, long now) {
 		return healthy.endpoints()
 			.stream()
