--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -30,6 +30,8 @@
 
 	private static final long PAUSE_MILLIS = 1_800;
 
+	private static final double REQUESTS_PER_SECOND = 1;
+
 	private final String id;
 
 	private final int limit;
@@ -155,11 +157,16 @@
 	}
 
 	private String notice(EndpointRequest request) {
+		String rate = "";
+		if (this.mode == Mode.LIMITED) {
+			this.observer.limited(request, REQUESTS_PER_SECOND);
+			rate = "Server-Limit: " + REQUESTS_PER_SECOND + "\r\n";
+		}
 		if (!this.leaving) {
-			return "";
+			return rate;
 		}
 		this.observer.told(request, 0);
-		return "Server-Leaving: 1\r\n";
+		return rate + "Server-Leaving: 1\r\n";
 	}
 
 	private void run(EndpointRequest request, Socket socket) throws IOException {
@@ -313,6 +320,9 @@
 		/** Refuses all requests and asks for a pause. */
 		PAUSES,
 
+		/** States in all answers the request rate that it accepts from all gateways. */
+		LIMITED,
+
 		/** Takes several times as long. */
 		SLOW,
 
--- a/src/main/java/org/magnoliahub/platform/emulator/RunObserver.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/RunObserver.java
@@ -31,4 +31,12 @@
 	default void told(EndpointRequest request, long pauseMillis) {
 	}
 
+	/**
+	 * An endpoint states in its answer to a request which request rate it accepts.
+	 * @param request the request
+	 * @param perSecond requests per second of all gateways together
+	 */
+	default void limited(EndpointRequest request, double perSecond) {
+	}
+
 }
--- a/src/main/java/org/magnoliahub/soak/FaultInjector.java
+++ b/src/main/java/org/magnoliahub/soak/FaultInjector.java
@@ -95,6 +95,7 @@
 		this.actions.put(FaultKind.ENDPOINT_LINK_TO, (fault) -> link(fault, LoopbackProxy.Harm.LOSES_REQUESTS));
 		this.actions.put(FaultKind.ENDPOINT_LINK_FROM, (fault) -> link(fault, LoopbackProxy.Harm.LOSES_ANSWERS));
 		this.actions.put(FaultKind.ENDPOINT_FULL, (fault) -> mode(fault, EndpointEmulator.Mode.FULL));
+		this.actions.put(FaultKind.ENDPOINT_LIMITED, (fault) -> mode(fault, EndpointEmulator.Mode.LIMITED));
 		this.actions.put(FaultKind.ENDPOINT_PAUSES, (fault) -> mode(fault, EndpointEmulator.Mode.PAUSES));
 		this.actions.put(FaultKind.ENDPOINT_LEAVES, this::leave);
 		this.actions.put(FaultKind.ENDPOINT_SLOW, (fault) -> mode(fault, EndpointEmulator.Mode.SLOW));
--- a/src/main/java/org/magnoliahub/soak/FaultKind.java
+++ b/src/main/java/org/magnoliahub/soak/FaultKind.java
@@ -68,6 +68,9 @@
 	/** An endpoint refuses all requests and asks for pauses. */
 	ENDPOINT_PAUSES(false),
 
+	/** An endpoint states in its answers a low request rate. */
+	ENDPOINT_LIMITED(false),
+
 	/** An endpoint says in its answers that it leaves, and its row does not. */
 	ENDPOINT_LEAVES(false),
 
--- a/src/main/java/org/magnoliahub/soak/Finding.java
+++ b/src/main/java/org/magnoliahub/soak/Finding.java
@@ -43,6 +43,9 @@
 		/** An endpoint that asked for a pause gets nothing until its end. */
 		PAUSE,
 
+		/** All gateways together respect the request rate that an endpoint states. */
+		REQUEST_RATE,
+
 		/** A configuration is in force in time. */
 		CONFIGURATION_IN_TIME,
 
--- a/src/main/java/org/magnoliahub/soak/Ledger.java
+++ b/src/main/java/org/magnoliahub/soak/Ledger.java
@@ -24,6 +24,8 @@
 
 	private final List<Notice> notices = new CopyOnWriteArrayList<>();
 
+	private final List<RateNotice> rateNotices = new CopyOnWriteArrayList<>();
+
 	private final List<Finding> immediate = new CopyOnWriteArrayList<>();
 
 	private final AtomicInteger nextId = new AtomicInteger();
@@ -90,6 +92,26 @@
 		}
 	}
 
+	/**
+	 * Returns the answers in which endpoints stated the request rate that they accept.
+	 * @return the answers in the order in which they were given
+	 */
+	List<RateNotice> rateNotices() {
+		return this.rateNotices;
+	}
+
+	@Override
+	public void limited(EndpointRequest request, double perSecond) {
+		limitedAt(request, perSecond, now());
+	}
+
+	void limitedAt(EndpointRequest request, double perSecond, long millis) {
+		RequestStory story = this.stories.get(request.requestId());
+		if (story != null) {
+			this.rateNotices.add(new RateNotice(request.endpoint(), story.gateway(), millis, perSecond));
+		}
+	}
+
 	/**
 	 * Notes a finding that was made while the load ran.
 	 * @param promise the broken promise
@@ -140,4 +162,15 @@
 	record Notice(String endpoint, int gateway, long millis, long pauseMillis) {
 	}
 
+	/**
+	 * An endpoint told a gateway which request rate it accepts.
+	 *
+	 * @param endpoint id of the endpoint
+	 * @param gateway index of the gateway
+	 * @param millis when its answer was written
+	 * @param perSecond requests per second of all gateways together
+	 */
+	record RateNotice(String endpoint, int gateway, long millis, double perSecond) {
+	}
+
 }
--- a/src/main/java/org/magnoliahub/soak/PromiseChecks.java
+++ b/src/main/java/org/magnoliahub/soak/PromiseChecks.java
@@ -70,6 +70,7 @@
 		checks.checkShares();
 		checks.checkDraining();
 		checks.checkNotices();
+		checks.findings.addAll(RequestRateCheck.check(ledger));
 		checks.checkBudget("plain");
 		checks.checkBudget("model");
 		checks.checkStops(stops);
--- a/src/test/java/org/magnoliahub/soak/PromiseChecksTests.java
+++ b/src/test/java/org/magnoliahub/soak/PromiseChecksTests.java
@@ -77,6 +77,10 @@
 					for (int index = 0; index < 3; index++) {
 						t.arrive(t.send(RequestKind.LOOK), t.start + 1_000);
 					}
+				}), broken(Promise.REQUEST_RATE, (t) -> {
+					for (int index = 0; index < 20; index++) {
+						t.ledger.limitedAt(t.request(t.send(RequestKind.LOOK)), 1, t.start + 100 * index);
+					}
 				}), broken(Promise.REPEAT_BUDGET, (t) -> {
 					for (int index = 0; index < 20; index++) {
 						RequestStory story = t.send(RequestKind.LOOK);
