Move the load estimate of a stage queue into a class of its own

StageLoadEstimator turns what is queued, running, announced and stored into the load that other gateways read. No behaviour changes.

--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -26,9 +26,6 @@
 	/** Added to the slowdown of a free endpoint outside the preferred zone. */
 	private static final double CROSS_ZONE_SLOWDOWN = 0.35;
 
-	/** Expected wait that is reported if the service has no healthy endpoint. */
-	private static final long NO_ENDPOINT_WAIT_MILLIS = 60_000;
-
 	private static final int MAXIMUM_ATTEMPTS = 3;
 
 	/** Ejection of an endpoint that has no free result capacity or rejected a batch. */
@@ -52,6 +49,8 @@
 
 	private final StageCapacity capacity = new StageCapacity();
 
+	private final StageLoadEstimator loadEstimator;
+
 	private StageLimits limits;
 
 	/**
@@ -67,6 +66,8 @@
 		this.limits = limits;
 		this.directory = directory;
 		this.retryBudget = retryBudget;
+		this.loadEstimator = new StageLoadEstimator(service, directory, this.announcedPieces, this.storedResults,
+				this.capacity);
 	}
 
 	/**
@@ -133,7 +134,7 @@
 			return List.of();
 		}
 		List<StageTask> expired = new ArrayList<>();
-		double minimumMillis = this.limits.expectedMillis(1) + pausedMillis(now);
+		double minimumMillis = this.limits.expectedMillis(1) + this.directory.pausedMillis(this.service, now);
 		Iterator<StageTask> tasks = this.queued.iterator();
 		while (tasks.hasNext()) {
 			StageTask task = tasks.next();
@@ -373,47 +374,18 @@
 	 * pause ends, or a large value if pieces are queued
 	 */
 	public double expectedWaitMillis(long now) {
-		this.announcedPieces.removeExpired(now);
-		return isIdle() ? pausedMillis(now) : expectedWaitMillis(healthyEndpoints(now), now);
-	}
-
-	private double expectedWaitMillis(List<EndpointState> healthy, long now) {
-		if (healthy.isEmpty()) {
-			long withoutEndpoint = this.queued.isEmpty() ? 0 : NO_ENDPOINT_WAIT_MILLIS;
-			long paused = pausedMillis(now);
-			return (paused > 0) ? paused : withoutEndpoint;
-		}
-		int pieces = this.queued.size() + this.announcedPieces.pieces();
-		return pieces / StageCapacity.piecesPerMillisecond(healthy, this.limits, now);
-	}
-
-	private boolean isIdle() {
-		return this.queued.isEmpty() && this.announcedPieces.isEmpty();
+		return this.loadEstimator.expectedWaitMillis(contents(), this.limits, now);
 	}
 
-	private long pausedMillis(long now) {
-		return this.directory.pausedMillis(this.service, now);
-	}
-
-	private List<EndpointState> healthyEndpoints(long now) {
-		return HealthyEndpoints.filterHealthy(this.directory.availableEndpoints(this.service, now), now);
-	}
-
-	private double capacityWaitMillis(List<EndpointState> healthy, long now) {
-		if (healthy.isEmpty()) {
-			return 0;
-		}
-		long bytes = this.announcedPieces.bytes();
+	private StageLoadEstimator.Contents contents() {
+		long bytes = 0;
 		for (StageTask task : this.queued) {
 			bytes += task.job().resultBytes();
 		}
 		for (StageBatch batch : this.running.values()) {
 			bytes += batch.resultBytes();
 		}
-		for (EndpointState endpoint : healthy) {
-			bytes += this.storedResults.bytes(endpoint.record().id(), now);
-		}
-		return this.capacity.capacityWaitMillis(healthy.size(), this.limits, bytes);
+		return new StageLoadEstimator.Contents(this.queued.size(), bytes);
 	}
 
 	/**
@@ -422,13 +394,7 @@
 	 * @return the load
 	 */
 	public StageLoad load(long now) {
-		this.announcedPieces.removeExpired(now);
-		long paused = pausedMillis(now);
-		if (isIdle()) {
-			return new StageLoad(paused, 0, paused);
-		}
-		List<EndpointState> healthy = healthyEndpoints(now);
-		return new StageLoad((long) expectedWaitMillis(healthy, now), (long) capacityWaitMillis(healthy, now), paused);
+		return this.loadEstimator.load(contents(), this.limits, now);
 	}
 
 	/**
