--- a/src/main/java/org/magnoliahub/serving/HealthyEndpoints.java
+++ b/src/main/java/org/magnoliahub/serving/HealthyEndpoints.java
@@ -16,6 +16,9 @@
 	/** Slowdown from which an endpoint receives batches only if the queue is long. */
 	private static final double SLOW_THRESHOLD = 1.6;
 
+	/** Added to the slowdown of a free endpoint outside the preferred zone. */
+	private static final double CROSS_ZONE_SLOWDOWN = 0.35;
+
 	static HealthyEndpoints of(List<EndpointState> available, long now) {
 		List<EndpointState> healthy = filterHealthy(available, now);
 		int typicalSpeedCount = (int) healthy.stream().filter((endpoint) -> !isSlow(endpoint, now)).count();
@@ -47,4 +50,17 @@
 		return !isSlow(endpoint, now) || waiting >= this.typicalSpeedCount * batchSize;
 	}
 
+	/**
+	 * Returns the cost of sending a batch to a free endpoint.
+	 * @param endpoint the endpoint
+	 * @param zone preferred zone, empty for none
+	 * @param now monotonic time, in milliseconds
+	 * @return the cost; the endpoint with the lowest one comes first
+	 */
+	static double cost(EndpointState endpoint, String zone, long now) {
+		boolean crossZone = !zone.isEmpty() && !zone.equals(endpoint.record().availabilityZone());
+		return endpoint.slowdown(now) / Math.max(0.05, 1 - endpoint.failureRate(now))
+				+ (crossZone ? CROSS_ZONE_SLOWDOWN : 0);
+	}
+
 }
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
@@ -23,9 +21,6 @@
  */
 public final class StageQueue {
 
-	/** Added to the slowdown of a free endpoint outside the preferred zone. */
-	private static final double CROSS_ZONE_SLOWDOWN = 0.35;
-
 	private static final int MAXIMUM_ATTEMPTS = 3;
 
 	/** Ejection of an endpoint that has no free result capacity or rejected a batch. */
@@ -43,7 +38,7 @@
 
 	private final StoredResults storedResults = new StoredResults();
 
-	private final Set<JobKey> cancelled = new HashSet<>();
+	private final CancelledJobs cancelled = new CancelledJobs();
 
 	private final AnnouncedPieces announcedPieces = new AnnouncedPieces();
 
@@ -106,12 +101,10 @@
 	 * @param jobId id of the job at that gateway
 	 */
 	public void cancel(String origin, long jobId) {
-		JobKey key = new JobKey(origin, jobId);
-		this.queued.removeIf((task) -> JobKey.of(task).equals(key));
-		for (StageBatch batch : this.running.values()) {
-			if (batch.tasks().stream().anyMatch((task) -> JobKey.of(task).equals(key))) {
-				this.cancelled.add(key);
-			}
+		Predicate<StageTask> isOfJob = (task) -> task.job().jobId() == jobId && task.job().origin().equals(origin);
+		this.queued.removeIf(isOfJob);
+		if (this.running.values().stream().anyMatch((batch) -> batch.tasks().stream().anyMatch(isOfJob))) {
+			this.cancelled.add(origin, jobId);
 		}
 	}
 
@@ -121,7 +114,7 @@
 	 * @return whether its result is no longer needed
 	 */
 	public boolean isCancelled(StageTask task) {
-		return this.cancelled.contains(JobKey.of(task));
+		return this.cancelled.contains(task);
 	}
 
 	/**
@@ -215,16 +208,10 @@
 			.filter((endpoint) -> !this.running.containsKey(endpoint.record().id()))
 			.filter((endpoint) -> healthy.mayReceiveBatch(endpoint, this.queued.size(), this.limits.maximumBatchSize(),
 					now))
-			.sorted(Comparator.comparingDouble((endpoint) -> cost(endpoint, zone, now)))
+			.sorted(Comparator.comparingDouble((endpoint) -> HealthyEndpoints.cost(endpoint, zone, now)))
 			.toList();
 	}
 
-	private static double cost(EndpointState endpoint, String zone, long now) {
-		boolean crossZone = !zone.isEmpty() && !zone.equals(endpoint.record().availabilityZone());
-		return endpoint.slowdown(now) / Math.max(0.05, 1 - endpoint.failureRate(now))
-				+ (crossZone ? CROSS_ZONE_SLOWDOWN : 0);
-	}
-
 	private long freeBytes(EndpointState endpoint, long now) {
 		return this.limits.resultCapacityBytes() - this.storedResults.bytes(endpoint.record().id(), now);
 	}
@@ -343,11 +330,7 @@
 	 * Removes the marks of cancelled jobs that have no running batch.
 	 */
 	public void purgeCancelled() {
-		Set<JobKey> live = new HashSet<>();
-		for (StageBatch batch : this.running.values()) {
-			batch.tasks().forEach((task) -> live.add(JobKey.of(task)));
-		}
-		this.cancelled.retainAll(live);
+		this.cancelled.retainRunning(this.running.values());
 	}
 
 	/**
@@ -414,12 +397,4 @@
 	public record CompletedPiece(StageTask task, PieceResult result) {
 	}
 
-	private record JobKey(String origin, long jobId) {
-
-		private static JobKey of(StageTask task) {
-			return new JobKey(task.job().origin(), task.job().jobId());
-		}
-
-	}
-
 }
