--- a/src/main/java/org/magnoliahub/serving/RequestedRate.java
+++ b/src/main/java/org/magnoliahub/serving/RequestedRate.java
@@ -72,10 +72,6 @@
 		this.limited = false;
 	}
 
-	boolean isLimited() {
-		return this.limited;
-	}
-
 	double perSecond() {
 		return this.limited ? this.perSecond : 0;
 	}
@@ -104,8 +100,8 @@
 	}
 
 	private boolean isProbeDue(long now) {
-		long turn = now - this.firstStatedAt - PROBE_STEP_MILLIS * this.share.rank();
-		return Math.floorMod(turn, PROBE_STEP_MILLIS * this.share.all()) < PROBE_MILLIS;
+		long sinceFirstTurn = now - this.firstStatedAt - PROBE_STEP_MILLIS * this.share.rank();
+		return Math.floorMod(sinceFirstTurn, PROBE_STEP_MILLIS * this.share.all()) < PROBE_MILLIS;
 	}
 
 	private long intervalMillis() {
--- a/src/main/java/org/magnoliahub/soak/FaultInjector.java
+++ b/src/main/java/org/magnoliahub/soak/FaultInjector.java
@@ -25,6 +25,9 @@
 
 	private static final long LEAVING_MILLIS = 3_500;
 
+	/** Longer than the window in which requests to a limited endpoint are counted. */
+	private static final long LIMITED_MILLIS = 6_000;
+
 	/** The age of a copy is up to sixty times as much. */
 	private static final long COPY_AGE_STEP_MILLIS = 100;
 
@@ -95,7 +98,7 @@
 		this.actions.put(FaultKind.ENDPOINT_LINK_TO, (fault) -> link(fault, LoopbackProxy.Harm.LOSES_REQUESTS));
 		this.actions.put(FaultKind.ENDPOINT_LINK_FROM, (fault) -> link(fault, LoopbackProxy.Harm.LOSES_ANSWERS));
 		this.actions.put(FaultKind.ENDPOINT_FULL, (fault) -> mode(fault, EndpointEmulator.Mode.FULL));
-		this.actions.put(FaultKind.ENDPOINT_LIMITED, (fault) -> mode(fault, EndpointEmulator.Mode.LIMITED));
+		this.actions.put(FaultKind.ENDPOINT_LIMITED, this::limitRate);
 		this.actions.put(FaultKind.ENDPOINT_PAUSES, (fault) -> mode(fault, EndpointEmulator.Mode.PAUSES));
 		this.actions.put(FaultKind.ENDPOINT_LEAVES, this::leave);
 		this.actions.put(FaultKind.ENDPOINT_SLOW, (fault) -> mode(fault, EndpointEmulator.Mode.SLOW));
@@ -202,6 +205,15 @@
 		hold(fault, this.ledger.disturbances().beginEndpoint(), place::setMode, mode, EndpointEmulator.Mode.SOUND);
 	}
 
+	private void limitRate(PlannedFault fault) throws InterruptedException {
+		SoakEndpoints.Place place = this.endpoints.answeringPlace(fault.target());
+		Disturbances.Span span = this.ledger.disturbances().beginEndpoint();
+		place.setMode(EndpointEmulator.Mode.LIMITED);
+		Thread.sleep(Math.max(fault.lengthMillis(), LIMITED_MILLIS));
+		place.setMode(EndpointEmulator.Mode.SOUND);
+		span.end();
+	}
+
 	private static <T> void hold(PlannedFault fault, Disturbances.Span span, Consumer<T> setter, T during, T after)
 			throws InterruptedException {
 		setter.accept(during);
--- a/src/main/java/org/magnoliahub/soak/RequestRateCheck.java
+++ b/src/main/java/org/magnoliahub/soak/RequestRateCheck.java
@@ -17,8 +17,8 @@
 	/** Time from the first answer in which requests may still be on their way. */
 	private static final long NOTICE_MILLIS = 500;
 
-	/** Time without an answer after which a gateway may not know the rate any more. */
-	private static final long FORGOTTEN_MILLIS = 1_000;
+	/** Time without an answer after which the next one belongs to another rate. */
+	private static final long FORGOTTEN_MILLIS = 15_000;
 
 	private static final double TOLERATED_RATIO = 1.5;
 
--- a/src/test/java/org/magnoliahub/serving/RequestedRateTests.java
+++ b/src/test/java/org/magnoliahub/serving/RequestedRateTests.java
@@ -99,7 +99,7 @@
 	void delayedResponseWithoutARateDoesNotEndIt() {
 		this.rate.state(0, 2, RateShare.WHOLE);
 		assertThat(this.rate.stateNone(900)).isFalse();
-		assertThat(this.rate.isLimited()).isTrue();
+		assertThat(this.rate.perSecond()).isEqualTo(2);
 		assertThat(this.rate.stateNone(1_000)).isTrue();
 		assertThat(this.rate.mayBeginCall(1_000)).isTrue();
 	}
