Log the version, its age and the era with refusals and adopted configurations

The logs could not tell a watch that waits for a lost answer from one that has ended or from a store that serves an older copy: a refusal named neither the version nor how long the store had not confirmed it.

request_refused states configuration and configuration_age_ms, configuration_adopted the era; new gauge entry_configuration_age_ms. No decision changes.

--- a/src/main/java/org/magnoliahub/entry/ConfigurationTable.java
+++ b/src/main/java/org/magnoliahub/entry/ConfigurationTable.java
@@ -10,6 +10,8 @@
 import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.StoredRow;
 import org.magnoliahub.serving.ServingConfiguration;
+import org.magnoliahub.serving.StoreEra;
+import org.magnoliahub.time.Timers;
 
 /**
  * Adopts the operator's configuration. Only a higher version than the current one is
@@ -19,23 +21,34 @@
 
 	private final ConfigurationReader reader = new ConfigurationReader();
 
+	private final Timers timers;
+
 	private final EntryLog log;
 
+	private final StoreEra era;
+
 	private final StoreRestorationReport restorationReport;
 
 	private final Consumer<ServingConfiguration> listener;
 
 	private @Nullable ServingConfiguration current;
 
+	private long lastResponseMillis;
+
 	/**
 	 * Creates a table without a configuration.
+	 * @param timers the timer service
 	 * @param log the log
+	 * @param era the era of the store's data
 	 * @param restorationReport collects the versions after a restoration of the store
 	 * @param listener receives each adopted configuration
 	 */
-	ConfigurationTable(EntryLog log, StoreRestorationReport restorationReport,
+	ConfigurationTable(Timers timers, EntryLog log, StoreEra era, StoreRestorationReport restorationReport,
 			Consumer<ServingConfiguration> listener) {
+		this.timers = timers;
 		this.log = log;
+		this.era = era;
+		this.lastResponseMillis = timers.milliTime();
 		this.restorationReport = restorationReport;
 		this.listener = listener;
 	}
@@ -56,6 +69,15 @@
 		return (this.current != null) ? this.current.version() : 0;
 	}
 
+	/**
+	 * Returns how long the store has not confirmed the current configuration.
+	 * @return the time since its last response, or since the start before the first one,
+	 * in milliseconds
+	 */
+	long ageMillis() {
+		return this.timers.milliTime() - this.lastResponseMillis;
+	}
+
 	@Override
 	public void onList(List<StoredRow> rows, boolean restored) {
 		long listedVersion = apply(rows);
@@ -71,6 +93,7 @@
 
 	// Returns the highest version among the rows, zero if there is none.
 	private long apply(List<StoredRow> rows) {
+		this.lastResponseMillis = this.timers.milliTime();
 		long newestVersion = 0;
 		for (StoredRow row : rows) {
 			if (!row.key().equals(StoreFormat.CONFIGURATION_KEY) || row.removed()) {
@@ -97,6 +120,7 @@
 		this.log.event(EntryEvent.CONFIGURATION_ADOPTED)
 			.field("version", candidate.version())
 			.field("previous", previous)
+			.field("era", this.era.current())
 			.write();
 		this.listener.accept(candidate);
 	}
--- a/src/main/java/org/magnoliahub/entry/EntryContext.java
+++ b/src/main/java/org/magnoliahub/entry/EntryContext.java
@@ -1,7 +1,6 @@
 package org.magnoliahub.entry;
 
 import java.util.Optional;
-import java.util.function.Supplier;
 
 import org.magnoliahub.gateway.RequestRecorder;
 import org.magnoliahub.serving.EndpointDirectory;
@@ -24,23 +23,22 @@
  * @param directory the endpoint directory
  * @param selector selects endpoints
  * @param retryBudget limits retries
- * @param currentConfiguration returns the current configuration
+ * @param configurationTable holds the current configuration
  * @param gracefulShutdown decides which requests are accepted during a graceful shutdown
  * @param requestRecorder records ended requests for the daily report
  * @param gatewayName the name of this gateway
  */
 record EntryContext(Timers timers, EntryLog log, EntryMetrics metrics, HttpClient httpClient,
 		EndpointNoticeHandler endpointNotices, GatewayGroup gateways, EndpointDirectory directory,
-		EndpointSelector selector, WindowedRetryBudget retryBudget,
-		Supplier<Optional<ServingConfiguration>> currentConfiguration, GracefulShutdown gracefulShutdown,
-		RequestRecorder requestRecorder, String gatewayName) {
+		EndpointSelector selector, WindowedRetryBudget retryBudget, ConfigurationTable configurationTable,
+		GracefulShutdown gracefulShutdown, RequestRecorder requestRecorder, String gatewayName) {
 
 	long now() {
 		return this.timers.milliTime();
 	}
 
 	Optional<ServingConfiguration> configuration() {
-		return this.currentConfiguration.get();
+		return this.configurationTable.current();
 	}
 
 }
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -25,7 +25,7 @@
 	SETTINGS_RELOADED(Importance.HIGH, "outcome"),
 
 	/** The gateway uses a new configuration. */
-	CONFIGURATION_ADOPTED(Importance.HIGH, "version", "previous"),
+	CONFIGURATION_ADOPTED(Importance.HIGH, "version", "previous", "era"),
 
 	/** A stored configuration was rejected. */
 	CONFIGURATION_REJECTED(Importance.HIGH, "reason"),
@@ -77,7 +77,8 @@
 
 	/** A request was refused; it was not executed. */
 	REQUEST_REFUSED(Importance.HIGH, "id", "route", "status", "reason", "age_ms", "retry_after_ms", "objective_ms",
-			"queue_ms", "call_ms", "hand_ms", "lost_ms", "engine_ms", "pause_ms"),
+			"queue_ms", "call_ms", "hand_ms", "lost_ms", "engine_ms", "pause_ms", "configuration",
+			"configuration_age_ms"),
 
 	/** A request was sent to an endpoint. */
 	REQUEST_SENT(Importance.LOW, "id", "endpoint", "attempt", "age_ms", "expected_ms", "doubtful", "list_age_ms"),
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -145,13 +145,13 @@
 		this.requestRecorder = new AsyncRequestRecorder(settings.nodeName(), incarnation,
 				PlatformObjectStore.of(this.store, this.group.next(), this::onObjectCall), recordInterval);
 		GatewayGroup gateways = new GatewayGroup(settings.nodeName());
+		this.configurationTable = new ConfigurationTable(this.timers, this.log, this.era, this.restorationReport,
+				this::useConfiguration);
 		this.context = new EntryContext(this.timers, this.log, this.metrics, httpClient,
 				new EndpointNoticeHandler(this.timers, this.log, this.metrics, httpClient, gateways), gateways,
-				this.directory, selector, retryBudget, this::currentConfiguration, this.gracefulShutdown,
+				this.directory, selector, retryBudget, this.configurationTable, this.gracefulShutdown,
 				this.requestRecorder, settings.nodeName());
 		this.stageCoordinator = new StageCoordinator(this.context, this.group, settings.nodeName());
-		this.configurationTable = new ConfigurationTable(this.log, this.restorationReport,
-				this.stageCoordinator::setConfiguration);
 		MemberRecord self = new MemberRecord(settings.nodeName(), settings.ip() + ":" + settings.internalPort(),
 				incarnation);
 		this.memberTable = new MemberTable(this.store, this.timers, this.log, self, this.restorationReport,
@@ -293,6 +293,7 @@
 		this.metrics.gauge("entry.records.waiting", this.requestRecorder::queuedCount);
 		this.metrics.gauge("entry.records.omitted", this.requestRecorder::droppedCount);
 		this.metrics.gauge("entry.configuration.version", this.configurationTable::version);
+		this.metrics.gauge("entry.configuration.age.ms", this.configurationTable::ageMillis);
 		this.metrics.gauge("entry.store.era", this.era::current);
 		this.metrics.gauge("entry.endpoints.leaving",
 				() -> this.directory.all().stream().filter(EndpointState::isDraining).count());
@@ -336,12 +337,12 @@
 		return this.watchers.stream().mapToLong(TableWatcher::revision).max().orElse(-1);
 	}
 
-	private Optional<ServingConfiguration> currentConfiguration() {
-		return this.configurationTable.current();
+	private void useConfiguration(ServingConfiguration configuration) {
+		this.stageCoordinator.setConfiguration(configuration);
 	}
 
 	private CallerLimits limits() {
-		return currentConfiguration().map(ServingConfiguration::limits).orElse(CallerLimits.DEFAULT);
+		return this.configurationTable.current().map(ServingConfiguration::limits).orElse(CallerLimits.DEFAULT);
 	}
 
 	private boolean isReady() {
--- a/src/main/java/org/magnoliahub/entry/RequestTelemetry.java
+++ b/src/main/java/org/magnoliahub/entry/RequestTelemetry.java
@@ -150,6 +150,8 @@
 	void refused(int status, String reason, long retryAfterMillis) {
 		endEvent(EntryEvent.REQUEST_REFUSED, status).field("reason", reason)
 			.field("retry_after_ms", retryAfterMillis)
+			.field("configuration", this.context.configurationTable().version())
+			.field("configuration_age_ms", this.context.configurationTable().ageMillis())
 			.write();
 		countRequest("refused", reason);
 		writeRecord("not_run", reason, false);
--- a/src/test/java/org/magnoliahub/entry/StoreRestorationModelTests.java
+++ b/src/test/java/org/magnoliahub/entry/StoreRestorationModelTests.java
@@ -334,7 +334,7 @@
 			StoreRestorationReport restorationReport = new StoreRestorationReport(simulation.timers, log,
 					new EntryMetrics(), () -> watchers.get(0).revision());
 			StoreCalls calls = simulation.store.calls(era, () -> this.writes++);
-			this.configuration = new ConfigurationTable(log, restorationReport, (newer) -> {
+			this.configuration = new ConfigurationTable(simulation.timers, log, era, restorationReport, (newer) -> {
 			});
 			MemberTable members = new MemberTable(calls, simulation.timers, log,
 					new MemberRecord(name, "10.0.0.2:7740", simulation.random.nextLong(1, 1_000_000)),
