--- a/src/main/java/org/magnoliahub/platform/emulator/StoreEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/StoreEmulator.java
@@ -11,6 +11,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -54,6 +56,10 @@
 
 	private volatile long era = 1;
 
+	private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+
+	private final Set<Socket> silentConnections = ConcurrentHashMap.newKeySet();
+
 	/**
 	 * Starts an empty store.
 	 * @throws IOException if it cannot listen
@@ -180,7 +186,18 @@
 		this.otherAnswer = handler;
 	}
 
+	/**
+	 * Leaves the open connections without any further answer, while new ones work.
+	 */
+	public void silenceConnections() {
+		this.silentConnections.addAll(this.connections);
+	}
+
 	private void handle(RawServer.Request request, Socket socket) throws IOException {
+		this.connections.add(socket);
+		if (this.silentConnections.contains(socket)) {
+			return;
+		}
 		RawServer.Handler other = this.otherAnswer;
 		if (other != null) {
 			other.handle(request, socket);
@@ -353,6 +370,9 @@
 	}
 
 	private void answer(Socket socket, int status, String body) throws IOException {
+		if (this.silentConnections.contains(socket)) {
+			return;
+		}
 		RawServer.write(socket, "HTTP/1.1 " + status + " X\r\nStore-Era: " + this.era + "\r\nContent-Length: "
 				+ body.length() + "\r\n\r\n" + body);
 	}
