Take a newer configuration from another gateway when the store has an older one

Reproduced: a gateway that starts while the store serves an older copy uses that copy until the operator writes again, for however long that takes; 503 for a route that was removed, 404 is due.

Cause: the store was the only source of the configuration, so a process without memory knew nothing newer than the copy. It was listed as accepted in docs/platform.md.

Ruled out: holding requests back until the operator has written again, which makes each restoration an outage.

Older gateways ignore the new field and the new messages. configuration_adopted states the source.

--- a/src/main/java/org/magnoliahub/entry/ConfigurationTable.java
+++ b/src/main/java/org/magnoliahub/entry/ConfigurationTable.java
@@ -19,6 +19,9 @@
  */
 final class ConfigurationTable implements TableWatcher.Listener {
 
+	/** Source of configurations that were read from the store, for logs. */
+	private static final String STORE = "store";
+
 	private final ConfigurationReader reader = new ConfigurationReader();
 
 	private final Timers timers;
@@ -33,6 +36,8 @@
 
 	private @Nullable ServingConfiguration current;
 
+	private byte[] stored = new byte[0];
+
 	private long lastResponseMillis;
 
 	/**
@@ -69,6 +74,14 @@
 		return (this.current != null) ? this.current.version() : 0;
 	}
 
+	/**
+	 * Returns the current configuration as it was stored.
+	 * @return its bytes, empty before the first one
+	 */
+	byte[] stored() {
+		return this.stored;
+	}
+
 	/**
 	 * Returns how long the store has not confirmed the current configuration.
 	 * @return the time since its last response, or since the start before the first one,
@@ -99,28 +112,45 @@
 			if (!row.key().equals(StoreFormat.CONFIGURATION_KEY) || row.removed()) {
 				continue;
 			}
-			try {
-				ServingConfiguration configuration = this.reader.read(row.value());
-				newestVersion = Math.max(newestVersion, configuration.version());
-				adopt(configuration);
-			}
-			catch (PlatformFormatException ex) {
-				this.log.event(EntryEvent.CONFIGURATION_REJECTED).field("reason", ex.getMessage()).write();
-			}
+			newestVersion = Math.max(newestVersion, adopt(row.value(), STORE));
 		}
 		return newestVersion;
 	}
 
-	private void adopt(ServingConfiguration candidate) {
-		long previous = version();
-		if (this.current != null && candidate.version() <= previous) {
-			return;
+	/**
+	 * Applies a configuration that another gateway uses, if it is newer than the current
+	 * one.
+	 * @param member name of that gateway
+	 * @param content the configuration as it was stored
+	 */
+	void applyFromMember(String member, byte[] content) {
+		adopt(content, member);
+	}
+
+	// Returns the version of the configuration, zero if it cannot be read.
+	private long adopt(byte[] content, String source) {
+		try {
+			ServingConfiguration candidate = this.reader.read(content);
+			if (this.current == null || candidate.version() > version()) {
+				use(candidate, content, source);
+			}
+			return candidate.version();
 		}
+		catch (PlatformFormatException ex) {
+			this.log.event(EntryEvent.CONFIGURATION_REJECTED).field("reason", ex.getMessage()).write();
+			return 0;
+		}
+	}
+
+	private void use(ServingConfiguration candidate, byte[] content, String source) {
+		long previous = version();
 		this.current = candidate;
+		this.stored = content;
 		this.log.event(EntryEvent.CONFIGURATION_ADOPTED)
 			.field("version", candidate.version())
 			.field("previous", previous)
 			.field("era", this.era.current())
+			.field("source", source)
 			.write();
 		this.listener.accept(candidate);
 	}
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -25,7 +25,7 @@
 	SETTINGS_RELOADED(Importance.HIGH, "outcome"),
 
 	/** The gateway uses a new configuration. */
-	CONFIGURATION_ADOPTED(Importance.HIGH, "version", "previous", "era"),
+	CONFIGURATION_ADOPTED(Importance.HIGH, "version", "previous", "era", "source"),
 
 	/** A stored configuration was rejected. */
 	CONFIGURATION_REJECTED(Importance.HIGH, "reason"),
--- a/src/main/java/org/magnoliahub/entry/PeerCodec.java
+++ b/src/main/java/org/magnoliahub/entry/PeerCodec.java
@@ -38,8 +38,15 @@
 
 	private static final int ANNOUNCE = 7;
 
+	private static final int CONFIGURATION_REQUEST = 8;
+
+	private static final int CONFIGURATION = 9;
+
 	private static final int MAXIMUM_ITEMS = 10_000;
 
+	/** Larger than any row of the store. */
+	private static final int MAXIMUM_CONFIGURATION_BYTES = 262_144;
+
 	private PeerCodec() {
 	}
 
@@ -64,6 +71,7 @@
 				packer.packLong(load.getValue().waitMillis()).packLong(load.getValue().capacityWaitMillis());
 				packer.packLong(load.getValue().pausedMillis());
 			}
+			packer.packLong(heartbeat.configurationVersion());
 		}
 		else if (message instanceof PeerMessage.Submit submit) {
 			packer.packInt(SUBMIT).packString(submit.service()).packLong(submit.jobId());
@@ -94,6 +102,13 @@
 			packer.packInt(RELEASE).packString(release.service());
 			packStrings(packer, release.handles());
 		}
+		else if (message instanceof PeerMessage.ConfigurationRequest) {
+			packer.packInt(CONFIGURATION_REQUEST);
+		}
+		else if (message instanceof PeerMessage.Configuration configuration) {
+			packer.packInt(CONFIGURATION).packBinaryHeader(configuration.content().length);
+			packer.writePayload(configuration.content());
+		}
 	}
 
 	private static void packResult(MessageBufferPacker packer, PieceResult result) throws IOException {
@@ -140,17 +155,35 @@
 		int type = unpacker.unpackInt();
 		return switch (type) {
 			case HELLO -> new PeerMessage.Hello(unpacker.unpackString());
-			case HEARTBEAT -> new PeerMessage.Heartbeat(unpackLoads(unpacker));
+			case HEARTBEAT -> unpackHeartbeat(unpacker);
 			case SUBMIT -> unpackSubmit(unpacker);
 			case RESULT -> unpackResult(unpacker);
 			case CANCEL -> new PeerMessage.Cancel(unpacker.unpackString(), unpacker.unpackLong());
 			case RELEASE -> new PeerMessage.Release(unpacker.unpackString(), unpackStrings(unpacker));
 			case ANNOUNCE -> new PeerMessage.Announce(unpacker.unpackString(), unpacker.unpackString(),
 					unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackLong(), unpacker.unpackLong());
+			case CONFIGURATION_REQUEST -> new PeerMessage.ConfigurationRequest();
+			case CONFIGURATION -> unpackConfiguration(unpacker);
 			default -> null;
 		};
 	}
 
+	private static PeerMessage unpackConfiguration(MessageUnpacker unpacker) throws IOException {
+		int length = unpacker.unpackBinaryHeader();
+		if (length > MAXIMUM_CONFIGURATION_BYTES) {
+			throw new IOException(
+					"expected at most " + MAXIMUM_CONFIGURATION_BYTES + " bytes of a configuration, but got " + length);
+		}
+		return new PeerMessage.Configuration(unpacker.readPayload(length));
+	}
+
+	private static PeerMessage unpackHeartbeat(MessageUnpacker unpacker) throws IOException {
+		Map<String, StageLoad> loads = unpackLoads(unpacker);
+		// Gateways of earlier versions do not send this field.
+		long configurationVersion = unpacker.hasNext() ? unpacker.unpackLong() : 0;
+		return new PeerMessage.Heartbeat(loads, configurationVersion);
+	}
+
 	private static PeerMessage unpackSubmit(MessageUnpacker unpacker) throws IOException {
 		String service = unpacker.unpackString();
 		long jobId = unpacker.unpackLong();
--- a/src/main/java/org/magnoliahub/entry/PeerLink.java
+++ b/src/main/java/org/magnoliahub/entry/PeerLink.java
@@ -150,8 +150,12 @@
 				this.open = true;
 				logState("open", "");
 			}
+			this.handler.onConfigurationVersion(this, heartbeat.configurationVersion());
 			return;
 		}
+		if (message instanceof PeerMessage.Configuration configuration) {
+			this.handler.onConfiguration(this.member.name(), configuration.content());
+		}
 		if (message instanceof PeerMessage.Result result) {
 			this.handler.onResult(result);
 		}
@@ -196,6 +200,20 @@
 		 */
 		void onResult(PeerMessage.Result result);
 
+		/**
+		 * Called with the version of the configuration that the other gateway uses.
+		 * @param link the link
+		 * @param version the version, zero if it is unknown
+		 */
+		void onConfigurationVersion(PeerLink link, long version);
+
+		/**
+		 * Called with the configuration of another gateway.
+		 * @param member name of that gateway
+		 * @param content the configuration as it was stored
+		 */
+		void onConfiguration(String member, byte[] content);
+
 		/**
 		 * Called when an open link was closed.
 		 * @param member name of the other gateway
--- a/src/main/java/org/magnoliahub/entry/PeerMessage.java
+++ b/src/main/java/org/magnoliahub/entry/PeerMessage.java
@@ -26,8 +26,23 @@
 	 * Heartbeat of a gateway that batches stage calls.
 	 *
 	 * @param loads load of its stage queues, by service
+	 * @param configurationVersion version of its configuration, zero if it has none
 	 */
-	record Heartbeat(Map<String, StageLoad> loads) implements PeerMessage {
+	record Heartbeat(Map<String, StageLoad> loads, long configurationVersion) implements PeerMessage {
+	}
+
+	/**
+	 * Asks for the configuration of a gateway that uses a newer one.
+	 */
+	record ConfigurationRequest() implements PeerMessage {
+	}
+
+	/**
+	 * The configuration of a gateway.
+	 *
+	 * @param content the configuration as it was stored
+	 */
+	record Configuration(byte[] content) implements PeerMessage {
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -44,6 +44,8 @@
 
 	private final StageOwners owners;
 
+	private final ConfigurationExchange configurationExchange;
+
 	private final Map<Long, Submission> submissions = new HashMap<>();
 
 	private long nextJobId = 1;
@@ -56,6 +58,7 @@
 		this.owners = new StageOwners(selfName,
 				(member) -> new PeerLink(group, context.timers(), context.log(), selfName, member, this));
 		this.stageClient = new StageEndpointClient(context, this::deliverResult);
+		this.configurationExchange = new ConfigurationExchange(context.timers(), context.configurationTable());
 	}
 
 	PeerServer server() {
@@ -274,7 +277,7 @@
 		long now = this.context.now();
 		Map<String, StageLoad> loads = new HashMap<>();
 		this.queues.forEach((service, queue) -> loads.put(service, queue.load(now)));
-		return new PeerMessage.Heartbeat(loads);
+		return new PeerMessage.Heartbeat(loads, this.context.configurationTable().version());
 	}
 
 	@Override
@@ -307,6 +310,19 @@
 		else if (message instanceof PeerMessage.Release release) {
 			releaseLocally(release.service(), release.handles());
 		}
+		else if (message instanceof PeerMessage.ConfigurationRequest) {
+			this.server.send(member, this.configurationExchange.response());
+		}
+	}
+
+	@Override
+	public void onConfigurationVersion(PeerLink link, long version) {
+		this.configurationExchange.onVersion(link, version);
+	}
+
+	@Override
+	public void onConfiguration(String member, byte[] content) {
+		this.configurationExchange.onConfiguration(member, content);
 	}
 
 	@Override
--- a/src/test/java/org/magnoliahub/entry/StoreRollbackTests.java
+++ b/src/test/java/org/magnoliahub/entry/StoreRollbackTests.java
@@ -24,6 +24,9 @@
  */
 class StoreRollbackTests {
 
+	/** Time after its start in which a gateway is excused. */
+	private static final long CONTACT_MILLIS = 3_000;
+
 	private EntryFixture fixture;
 
 	@BeforeEach
@@ -69,6 +72,21 @@
 			.until(() -> this.fixture.send("GET", "/look/1", "r4").status() == 200);
 	}
 
+	@Test
+	void gatewayThatStartsBeforeAnOlderCopyUsesTheNewestConfiguration() throws Exception {
+		Thread.sleep(1_500);
+		this.fixture.putConfigurationWithoutRoute(5, "look");
+		Awaitility.await()
+			.atMost(Duration.ofSeconds(4))
+			.until(() -> this.fixture.send("GET", "/look/1", "r1").status() == 404);
+		rollBack(1_000);
+		int started = this.fixture.addGateway();
+		this.fixture.awaitReady(started);
+		Thread.sleep(CONTACT_MILLIS);
+		assertThat(this.fixture.sendTo(started, "GET", "/look/1", "r2").status()).isEqualTo(404);
+		assertThat(this.fixture.log()).contains("\"event\":\"configuration_adopted\",\"version\":5,\"previous\":1");
+	}
+
 	@Test
 	void restoredRecordDoesNotMakeDrainingEndpointAvailable() throws Exception {
 		addHealthyEndpoint("i-1");
