Abort a stream whose resumed run is answered with an error

Cause: a signed status of a resumed run that promises nothing (302, 400, 404, 409, and a 5xx without a permitted retry) went to the caller as a response of its own. Its head is refused by the encoder, which is within the chunks of the stream. On a connection that closes, the close still followed. On a kept one the exchange counted as answered: the connection stayed open until the idle timeout, and a pipelined request was answered into the open chunks.

Change: an error after events is an attempt without a usable response: another attempt within limits and budget, else the connection is closed. The caller's exchange closes the connection if a second head is to be written after a stream has started, whoever asks for it.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -70,6 +70,9 @@
 
 	private final boolean retryable;
 
+	/** Whether events of an earlier attempt have been relayed. */
+	private final boolean resuming;
+
 	private final EventSplitter splitter = new EventSplitter();
 
 	private final ByteBuf body = Unpooled.buffer(0);
@@ -100,6 +103,7 @@
 		this.choice = choice;
 		this.streaming = streaming;
 		this.retryable = retryable;
+		this.resuming = flow.streamPosition() != null;
 	}
 
 	String endpointId() {
@@ -262,6 +266,10 @@
 			return;
 		}
 		this.choice.endpoint().recordSuccess(now);
+		if (this.resuming && !responseHead.isSuccess()) {
+			this.flow.onOutcomeUnknown("status " + responseHead.status());
+			return;
+		}
 		if (this.streaming && responseHead.isSuccess()) {
 			this.flow.onStreamEnd(responseHead.status(), endpointHeaders, this.splitter.incompleteEvent());
 			return;
@@ -285,8 +293,9 @@
 	private void onErrorResponse(ResponseHead responseHead, HttpHeaders endpointHeaders, long now) {
 		this.choice.endpoint().recordFailure(now, false);
 		boolean unproven = impliesNotExecuted(responseHead.status());
-		if (this.flow.mayRetryUnknownOutcome() || unproven || !responseHead.signed()) {
-			// A status that implies "not executed" is not relayed without the proof.
+		if (this.resuming || this.flow.mayRetryUnknownOutcome() || unproven || !responseHead.signed()) {
+			// A status that implies "not executed" is not relayed without the proof, and
+			// no status is relayed after events.
 			this.flow.onOutcomeUnknown("status " + responseHead.status());
 			return;
 		}
--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -254,6 +254,8 @@
 
 		private @Nullable Observer observer;
 
+		private boolean streamStarted;
+
 		private boolean chunked;
 
 		private boolean ended;
@@ -298,6 +300,10 @@
 			if (this.ended) {
 				return;
 			}
+			if (this.streamStarted) {
+				abort();
+				return;
+			}
 			boolean keep = isKeepAlive();
 			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 					HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(content));
@@ -310,6 +316,14 @@
 
 		@Override
 		public void startStream(int status, HttpHeaders headers) {
+			if (this.ended) {
+				return;
+			}
+			if (this.streamStarted) {
+				abort();
+				return;
+			}
+			this.streamStarted = true;
 			DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
 					HttpResponseStatus.valueOf(status));
 			response.headers().set(headers);
--- a/src/main/java/org/magnoliahub/entry/CallerExchange.java
+++ b/src/main/java/org/magnoliahub/entry/CallerExchange.java
@@ -40,7 +40,8 @@
 	long arrivedMillis();
 
 	/**
-	 * Sends a complete response.
+	 * Sends a complete response. If a streamed response has started, the connection is
+	 * closed instead, because a second head would become part of the stream.
 	 * @param status the response status
 	 * @param headers the headers, without connection headers
 	 * @param body the response body
@@ -48,7 +49,8 @@
 	void respond(int status, HttpHeaders headers, byte[] body);
 
 	/**
-	 * Starts a streamed response.
+	 * Starts a streamed response. If one has started before, the connection is closed
+	 * instead.
 	 * @param status the response status
 	 * @param headers the headers, without connection headers
 	 */
