Relay only events that continue the stream from a resumed run

Cause: of a resumed run, only its first whole events were checked. A 2xx of another content type, or one whose bytes hold no whole event, was written into the stream as an incomplete event, and the stream was completed. So was it after a complete response without any event.

Tests, failing before (6 of 6): successOfAnotherContentTypeIsNotWrittenIntoStream (chunk {"error":"no such run"} and the last chunk behind event 2, three cases), eventsOfAnotherContentTypeAreNotWrittenIntoStream, incompleteEventOfResumedRunIsNotWrittenIntoStream ("no such run" and the last chunk) and resumedRunWithoutEventDoesNotCompleteStream (last chunk behind event 2 of more). Passed before and after: a resumed run with a length, incomplete events at the end of a first run and of a continued one, a caller that resumes by itself.

EventSplitterTests states the content type, which StreamPosition now needs; its assertions are unchanged.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -95,7 +96,8 @@
 
 	private boolean readingSuspended;
 
-	private boolean continuationChecked;
+	/** Whether an event behind the last one of an earlier attempt was relayed. */
+	private boolean continued;
 
 	Attempt(EntryContext context, RequestFlow flow, EndpointChoice choice, boolean streaming, boolean retryable) {
 		this.context = context;
@@ -184,6 +186,12 @@
 		}
 		if (responseHead.isSuccess() && (!responseHead.signed() || responseHead.contentEncoded())) {
 			rejectResponse("answer without signature");
+			return;
+		}
+		StreamPosition position = this.flow.streamPosition();
+		if (this.resuming && responseHead.isSuccess() && position != null
+				&& !position.hasContentType(response.headers().get(HttpHeaderNames.CONTENT_TYPE))) {
+			rejectResponse("answer of another content type");
 		}
 	}
 
@@ -224,11 +232,11 @@
 			this.call.recordFirstResponse(this.lastReceivedMillis);
 		}
 		StreamPosition position = this.flow.streamPosition();
-		if (!this.continuationChecked && position != null && !position.isContinuedBy(events)) {
+		if (this.resuming && !this.continued && position != null && !position.isContinuedBy(events)) {
 			rejectResponse("stream does not go on where it stood");
 			return;
 		}
-		this.continuationChecked = true;
+		this.continued = this.resuming;
 		if (!this.flow.onEvents(responseHead.status(), endpointHeaders, events) && this.exchange != null) {
 			this.readingSuspended = true;
 			this.exchange.setReading(false);
@@ -266,8 +274,9 @@
 			return;
 		}
 		this.choice.endpoint().recordSuccess(now);
-		if (this.resuming && !responseHead.isSuccess()) {
-			this.flow.onOutcomeUnknown("status " + responseHead.status());
+		if (this.resuming && !this.continued) {
+			// Covers errors, and a success without an event behind the last relayed one.
+			this.flow.onOutcomeUnknown("status " + responseHead.status() + " without further events");
 			return;
 		}
 		if (this.streaming && responseHead.isSuccess()) {
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -424,7 +424,7 @@
 	boolean onEvents(int status, HttpHeaders headers, byte[] events) {
 		StreamPosition position = this.streamPosition;
 		if (position == null) {
-			position = new StreamPosition();
+			position = new StreamPosition(headers.get(HttpHeaderNames.CONTENT_TYPE));
 			this.streamPosition = position;
 			this.firstEventMillis = this.telemetry.ageMillis();
 			this.context.metrics().firstEvent(this.firstEventMillis);
--- a/src/main/java/org/magnoliahub/entry/StreamPosition.java
+++ b/src/main/java/org/magnoliahub/entry/StreamPosition.java
@@ -1,5 +1,7 @@
 package org.magnoliahub.entry;
 
+import java.util.Locale;
+
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -7,8 +9,36 @@
  */
 final class StreamPosition {
 
+	private final String mediaType;
+
 	private @Nullable String lastEventId;
 
+	/**
+	 * Creates the position before the first event.
+	 * @param contentType content type of the response whose head was relayed, or
+	 * {@code null} if it stated none
+	 */
+	StreamPosition(@Nullable String contentType) {
+		this.mediaType = mediaType(contentType);
+	}
+
+	private static String mediaType(@Nullable String contentType) {
+		if (contentType == null) {
+			return "";
+		}
+		return contentType.split(";", 2)[0].trim().toLowerCase(Locale.ROOT);
+	}
+
+	/**
+	 * Returns whether a response has the media type of the relayed head. Events of
+	 * another one are not part of the stream.
+	 * @param contentType content type of the response, or {@code null} if it states none
+	 * @return whether the media types are equal, regardless of parameters
+	 */
+	boolean hasContentType(@Nullable String contentType) {
+		return this.mediaType.equals(mediaType(contentType));
+	}
+
 	/**
 	 * Advances the position past relayed events.
 	 * @param events complete events
--- a/src/test/java/org/magnoliahub/entry/EventSplitterTests.java
+++ b/src/test/java/org/magnoliahub/entry/EventSplitterTests.java
@@ -40,7 +40,7 @@
 
 	@Test
 	void streamIsContinuedOnlyAfterLastRelayedEvent() {
-		StreamPosition position = new StreamPosition();
+		StreamPosition position = new StreamPosition("text/event-stream");
 		position.advance("id: 4\ndata: x\n\n".getBytes(StandardCharsets.UTF_8));
 		assertThat(position.isContinuedBy("id: 5\ndata: y\n\n".getBytes(StandardCharsets.UTF_8))).isTrue();
 		assertThat(position.isContinuedBy("id: 4\ndata: x\n\n".getBytes(StandardCharsets.UTF_8))).isFalse();
--- a/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
+++ b/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
@@ -160,6 +160,62 @@
 		assertIncomplete(received());
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "Content-Type: application/json\r\n", "Content-Type: text/plain; charset=utf-8\r\n", "" })
+	void successOfAnotherContentTypeIsNotWrittenIntoStream(String contentType) throws Exception {
+		addEndpoints((request, socket) -> RawServer.write(socket,
+				response(request, "200 OK", contentType, "{\"error\":\"no such run\"}")));
+		assertIncomplete(received());
+	}
+
+	@Test
+	void eventsOfAnotherContentTypeAreNotWrittenIntoStream() throws Exception {
+		addEndpoints((request, socket) -> RawServer.write(socket,
+				response(request, "200 OK", "Content-Type: application/json\r\n", "id: 3\n\n{}")));
+		assertIncomplete(received());
+	}
+
+	@Test
+	void incompleteEventOfResumedRunIsNotWrittenIntoStream() throws Exception {
+		addEndpoints((request, socket) -> RawServer.write(socket,
+				response(request, "200 OK", "Content-Type: text/event-stream\r\n", "no such run")));
+		assertIncomplete(received());
+	}
+
+	@Test
+	void resumedRunWithoutEventDoesNotCompleteStream() throws Exception {
+		addEndpoints((request, socket) -> RawServer.write(socket, stream(request)));
+		assertIncomplete(received());
+	}
+
+	@Test
+	void resumedRunWithLengthContinuesStream() throws Exception {
+		addEndpoints((request, socket) -> RawServer.write(socket, response(request, "200 OK",
+				"Content-Type: Text/Event-Stream; charset=utf-8\r\n", EntryFixture.event(3) + EntryFixture.event(4))));
+		CallerAnswer answer = answer();
+		assertThat(answer.complete()).isTrue();
+		assertThat(answer.body()).isEqualTo(RELAYED + EntryFixture.event(3) + EntryFixture.event(4));
+	}
+
+	@Test
+	void incompleteEventAtEndOfContinuedStreamIsRelayed() throws Exception {
+		addEndpoints(
+				(request, socket) -> RawServer.write(socket, stream(request, EntryFixture.event(3), "id: 4\ndata: x")));
+		CallerAnswer answer = answer();
+		assertThat(answer.complete()).isTrue();
+		assertThat(answer.body()).isEqualTo(RELAYED + EntryFixture.event(3) + "id: 4\ndata: x");
+	}
+
+	@Test
+	void incompleteEventAtEndOfFirstRunIsRelayed() throws Exception {
+		this.fixture.addEndpoint("m-1", "model",
+				(request, socket) -> RawServer.write(socket, stream(request, RELAYED, "id: 3\ndata: x")));
+		this.fixture.awaitEndpoints();
+		CallerAnswer answer = answer();
+		assertThat(answer.complete()).isTrue();
+		assertThat(answer.body()).isEqualTo(RELAYED + "id: 3\ndata: x");
+	}
+
 	@Test
 	void errorBeforeFirstEventIsRelayedAsResponse() throws Exception {
 		this.fixture.addEndpoint("m-1", "model", (request, socket) -> RawServer.write(socket,
@@ -171,4 +227,26 @@
 		assertThat(answer.body()).isEqualTo("no such model");
 	}
 
+	@Test
+	void streamThatCallerResumesIsResumedBehindLastRelayedEvent() throws Exception {
+		RawServer.Handler handler = (request, socket) -> {
+			String last = request.header("Last-Event-Id");
+			this.resumedAt.add(last);
+			if (last.equals("4")) {
+				RawServer.write(socket,
+						EntryFixture.streamHead(request) + EntryFixture.chunk(EntryFixture.event(5)) + "5\r\nid:");
+				socket.close();
+				return;
+			}
+			RawServer.write(socket, stream(request, EntryFixture.event(6)));
+		};
+		this.fixture.addEndpoint("m-1", "model", handler);
+		this.fixture.addEndpoint("m-2", "model", handler);
+		this.fixture.awaitEndpoints();
+		CallerAnswer answer = answer("Last-Event-Id: 4");
+		assertThat(answer.complete()).isTrue();
+		assertThat(answer.body()).isEqualTo(EntryFixture.event(5) + EntryFixture.event(6));
+		assertThat(this.resumedAt).containsExactly("4", "5");
+	}
+
 }
