--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -70,6 +71,9 @@
 
 	private final boolean retryable;
 
+	/** Whether events of an earlier attempt have been relayed. */
+	private final boolean resuming;
+
 	private final EventSplitter splitter = new EventSplitter();
 
 	private final ByteBuf body = Unpooled.buffer(0);
@@ -92,7 +96,8 @@
 
 	private boolean readingSuspended;
 
-	private boolean continuationChecked;
+	/** Whether an event behind the last one of an earlier attempt was relayed. */
+	private boolean continued;
 
 	Attempt(EntryContext context, RequestFlow flow, EndpointChoice choice, boolean streaming, boolean retryable) {
 		this.context = context;
@@ -100,6 +105,7 @@
 		this.choice = choice;
 		this.streaming = streaming;
 		this.retryable = retryable;
+		this.resuming = flow.streamPosition() != null;
 	}
 
 	String endpointId() {
@@ -180,6 +186,12 @@
 		}
 		if (responseHead.isSuccess() && (!responseHead.signed() || responseHead.contentEncoded())) {
 			rejectResponse("answer without signature");
+			return;
+		}
+		StreamPosition position = this.flow.streamPosition();
+		if (this.resuming && responseHead.isSuccess() && position != null
+				&& !position.hasContentType(response.headers().get(HttpHeaderNames.CONTENT_TYPE))) {
+			rejectResponse("answer of another content type");
 		}
 	}
 
@@ -220,11 +232,11 @@
 			this.call.recordFirstResponse(this.lastReceivedMillis);
 		}
 		StreamPosition position = this.flow.streamPosition();
-		if (!this.continuationChecked && position != null && !position.isContinuedBy(events)) {
+		if (this.resuming && !this.continued && position != null && !position.isContinuedBy(events)) {
 			rejectResponse("stream does not go on where it stood");
 			return;
 		}
-		this.continuationChecked = true;
+		this.continued = this.resuming;
 		if (!this.flow.onEvents(responseHead.status(), endpointHeaders, events) && this.exchange != null) {
 			this.readingSuspended = true;
 			this.exchange.setReading(false);
@@ -262,6 +274,11 @@
 			return;
 		}
 		this.choice.endpoint().recordSuccess(now);
+		if (this.resuming && !this.continued) {
+			// Covers errors, and a success without an event behind the last relayed one.
+			this.flow.onOutcomeUnknown("status " + responseHead.status() + " without further events");
+			return;
+		}
 		if (this.streaming && responseHead.isSuccess()) {
 			this.flow.onStreamEnd(responseHead.status(), endpointHeaders, this.splitter.incompleteEvent());
 			return;
@@ -285,8 +302,9 @@
 	private void onErrorResponse(ResponseHead responseHead, HttpHeaders endpointHeaders, long now) {
 		this.choice.endpoint().recordFailure(now, false);
 		boolean unproven = impliesNotExecuted(responseHead.status());
-		if (this.flow.mayRetryUnknownOutcome() || unproven || !responseHead.signed()) {
-			// A status that implies "not executed" is not relayed without the proof.
+		if (this.resuming || this.flow.mayRetryUnknownOutcome() || unproven || !responseHead.signed()) {
+			// A status that implies "not executed" is not relayed without the proof, and
+			// no status is relayed after events.
 			this.flow.onOutcomeUnknown("status " + responseHead.status());
 			return;
 		}
