Do not send a request id twice on one connection

An endpoint that repeats an earlier refusal on a kept connection could end a later attempt of the same request: the repeated refusal names the same id, so it passed the check of the id. Callers got 503 for requests that an endpoint was running, or the request was sent to a second endpoint.

How it happened: after a 409 with proof of non-execution the stages are repeated and the endpoint may get the request again; two entries in the store may have one address, so that a 421 is followed by a second attempt there; a caller may use an id twice. In each case the pool returned the connection that had carried the refusal.

A connection now remembers hashes of the ids that it has carried and is not used for the same id again; another pooled connection or a new one is. HttpCall names the request id instead of a predicate, so that the check of the response and that of the connection are in one place.

Ruled out: a new connection for each repeated attempt; attempts at other endpoints would pay for it, and an id that a caller reuses is a first attempt.

Before the change RepeatedResponseTests fails with "expected: 200 but was: 503" at one execution (409, 421 and the reused id), and with "expected: 1 but was: 2" executions (421 and another endpoint).

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -120,8 +120,7 @@
 		this.call = this.choice.beginCall(request.promptSegments(), now);
 		HttpCall httpCall = new HttpCall(this.choice.endpoint().record().address(), caller.method(), caller.target(),
 				requestHeaders, caller.body(), this.retryable ? RETRYABLE_IDLE_MILLIS : NON_RETRYABLE_IDLE_MILLIS,
-				CONNECT_TIMEOUT_MILLIS, Long.MAX_VALUE,
-				(responseHead) -> request.requestId().equals(responseHead.requestId()),
+				CONNECT_TIMEOUT_MILLIS, Long.MAX_VALUE, request.requestId(),
 				this.context.endpointNotices().interceptor(this.choice.endpoint(), Attempt::isFromEndpoint));
 		this.exchange = this.context.httpClient().send(httpCall, this);
 		if (this.retryable && !this.ended) {
--- a/src/main/java/org/magnoliahub/entry/HttpCall.java
+++ b/src/main/java/org/magnoliahub/entry/HttpCall.java
@@ -1,9 +1,8 @@
 package org.magnoliahub.entry;
 
-import java.util.function.Predicate;
-
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import org.jspecify.annotations.Nullable;
 import org.magnoliahub.serving.ResponseHead;
 
 /**
@@ -18,12 +17,22 @@
  * zero to open a new connection
  * @param connectTimeoutMillis timeout for opening a new connection
  * @param maximumBodyBytes maximum size of the response body
- * @param responseFilter accepts the response to this request and rejects late responses
- * to earlier ones
+ * @param requestId id that the response must name, so that a response to an earlier
+ * request is skipped, or {@code null} if responses to such calls name no request
  * @param interceptor checks the call before it is sent and receives the head of its
  * response
  */
 record HttpCall(String address, HttpMethod method, String target, HttpHeaders headers, byte[] body,
-		long maximumIdleMillis, int connectTimeoutMillis, long maximumBodyBytes, Predicate<ResponseHead> responseFilter,
+		long maximumIdleMillis, int connectTimeoutMillis, long maximumBodyBytes, @Nullable String requestId,
 		EndpointInterceptor interceptor) {
+
+	/**
+	 * Returns whether a response belongs to this call.
+	 * @param head the head of the response
+	 * @return {@code false} if the response belongs to an earlier request
+	 */
+	boolean isAnsweredBy(ResponseHead head) {
+		return this.requestId == null || this.requestId.equals(head.requestId());
+	}
+
 }
--- a/src/main/java/org/magnoliahub/entry/HttpClient.java
+++ b/src/main/java/org/magnoliahub/entry/HttpClient.java
@@ -55,16 +55,22 @@
 			return null;
 		}
 		long now = this.timers.milliTime();
-		while (!connections.isEmpty()) {
-			HttpConnection connection = connections.pollLast();
-			if (connection.isUsable(now, call.maximumIdleMillis())) {
+		Iterator<HttpConnection> newestFirst = connections.descendingIterator();
+		while (newestFirst.hasNext()) {
+			HttpConnection connection = newestFirst.next();
+			boolean usable = connection.isUsable(now, call.maximumIdleMillis());
+			if (usable && connection.canCarry(call)) {
+				newestFirst.remove();
 				return connection;
 			}
+			if (usable) {
+				continue;
+			}
 			// Too idle for this request, as are the older ones, but not for others.
 			if (connection.isReusable(now)) {
-				connections.addLast(connection);
 				return null;
 			}
+			newestFirst.remove();
 			connection.close();
 		}
 		return null;
--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -44,6 +44,8 @@
 	private final ResponseOverheadLimit overheadLimit = new ResponseOverheadLimit(
 			() -> abort("bytes without end that are no answer"));
 
+	private final CarriedRequestIds carriedIds = new CarriedRequestIds();
+
 	private @Nullable Channel channel;
 
 	private @Nullable HttpExchange exchange;
@@ -93,6 +95,17 @@
 		return isUsable(now, this.maximumIdleMillis);
 	}
 
+	/**
+	 * Returns whether the connection can carry a request after those that it has carried.
+	 * @param call the request
+	 * @return {@code false} if a response to an earlier request could be mistaken for the
+	 * response to this one
+	 */
+	boolean canCarry(HttpCall call) {
+		String requestId = call.requestId();
+		return requestId == null || !this.carriedIds.mayContain(requestId);
+	}
+
 	void close() {
 		if (this.channel != null) {
 			this.channel.close();
@@ -107,6 +120,9 @@
 		}
 		HttpCall call = next.call();
 		this.exchange = next;
+		if (call.requestId() != null) {
+			this.carriedIds.add(call.requestId());
+		}
 		this.overheadLimit.beginResponse();
 		this.skippingResponse = false;
 		this.receivingResponse = false;
@@ -152,7 +168,7 @@
 			return;
 		}
 		ResponseHead head = PlatformHeaders.answerHead(response);
-		this.skippingResponse = !current.call().responseFilter().test(head);
+		this.skippingResponse = !current.call().isAnsweredBy(head);
 		this.reusable = !head.closesConnection() && hasDelimitedBody(response);
 		if (head.keepAliveMillis() >= 0) {
 			this.keepAliveTimeoutMillis = head.keepAliveMillis();
@@ -204,8 +220,9 @@
 		this.receivingResponse = false;
 		this.overheadLimit.endResponse();
 		boolean written = this.requestWrite != null && this.requestWrite.isDone();
-		if (this.reusable && written && this.channel != null && this.channel.isActive()
-				&& current.call().maximumIdleMillis() > 0 && !current.isEnded()) {
+		boolean kept = this.reusable && written && !this.carriedIds.isFull();
+		if (kept && this.channel != null && this.channel.isActive() && current.call().maximumIdleMillis() > 0
+				&& !current.isEnded()) {
 			this.idleSinceMillis = this.timers.milliTime();
 			this.maximumIdleMillis = current.call().maximumIdleMillis();
 			this.channel.config().setAutoRead(true);
--- a/src/main/java/org/magnoliahub/entry/StageEndpointClient.java
+++ b/src/main/java/org/magnoliahub/entry/StageEndpointClient.java
@@ -89,7 +89,7 @@
 		// a late duplicate of an earlier response could be mistaken for the right one.
 		HttpCall call = new HttpCall(batch.endpoint().record().address(), HttpMethod.POST, StageCallFormat.RUN_PATH,
 				PlatformHeaders.ownCallHeaders(batch.endpoint().record().id(), budget),
-				this.format.run(batch.tasks(), now), 0, CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, (head) -> true,
+				this.format.run(batch.tasks(), now), 0, CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, null,
 				this.context.endpointNotices().stageInterceptor(batch.endpoint()));
 		RunResponseListener listener = new RunResponseListener(queue, batch, done, now);
 		HttpExchange exchange = this.context.httpClient().send(call, listener);
@@ -142,7 +142,7 @@
 		String id = producer.map((endpoint) -> endpoint.record().id()).orElse("");
 		HttpCall call = new HttpCall(address, HttpMethod.POST, StageCallFormat.FREE_PATH,
 				PlatformHeaders.ownCallHeaders(id, RELEASE_TIMEOUT.toMillis()), this.format.free(handles),
-				RELEASE_IDLE_MILLIS, CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, (head) -> true, interceptor);
+				RELEASE_IDLE_MILLIS, CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, null, interceptor);
 		ReleaseResponseListener listener = new ReleaseResponseListener(done);
 		HttpExchange exchange = this.context.httpClient().send(call, listener);
 		listener.timeout = this.context.timers().schedule(RELEASE_TIMEOUT, exchange::cancel);
--- a/src/main/java/org/magnoliahub/entry/StoreClient.java
+++ b/src/main/java/org/magnoliahub/entry/StoreClient.java
@@ -91,7 +91,7 @@
 	private void call(HttpMethod method, String target, HttpHeaders headers, byte[] body, long timeoutMillis,
 			Handler handler) {
 		HttpCall call = new HttpCall(this.address, method, target, headers, body, MAXIMUM_IDLE_MILLIS,
-				CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, (head) -> true, EndpointInterceptor.NONE);
+				CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, null, EndpointInterceptor.NONE);
 		BodyCollector collector = new BodyCollector(method, handler);
 		HttpExchange exchange = this.httpClient.send(call, collector);
 		collector.timeout = this.timers.schedule(Duration.ofMillis(timeoutMillis), () -> {
