Answer open requests before a planned stop ends the process

Cause: at the exit deadline the process halted with requests open. Streams are accepted until 2.5 s after SIGTERM and may last longer than the 5.2 s that are left then, above all while they wait for a stage.

Change: ShutdownSequence, taken out of EntryGateway, refuses requests that no endpoint was sent 1.5 s before the exit (503 with Retry-After and Connection: close), fails those without a response 0.5 s before it (502), and cuts only streams that have begun, at the exit. Each has a line with its id and the reason "stopping"; "stopped" counts cut streams and connections.

By reading, not by a run: requests that arrive between "stopped" and the exit are refused with 503 on open connections, and new connections are not accepted.

Test: PlannedStopTests failed before, a staged request got no answer within 12 s of SIGTERM (SocketTimeoutException: Read timed out). It passes now.

--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -16,7 +16,7 @@
 	STOPPING(Importance.HIGH, "open_requests", "connections"),
 
 	/** The process exits. */
-	STOPPED(Importance.HIGH, "open_requests"),
+	STOPPED(Importance.HIGH, "open_requests", "cut_streams", "connections"),
 
 	/** The process cannot listen on one of its addresses. */
 	LISTEN_FAILED(Importance.HIGH, "reason"),
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -79,8 +79,6 @@
 
 	private static final Duration METRICS_START_DELAY = Duration.ofSeconds(8);
 
-	private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
-
 	private final NodeSettings settings;
 
 	private final NioEventLoopGroup group;
@@ -121,7 +119,9 @@
 
 	private @Nullable Boolean objectsReachable;
 
-	private int openRequests;
+	private final OpenRequests openRequests = new OpenRequests();
+
+	private final ShutdownSequence shutdownSequence;
 
 	private long loopSampleDue;
 
@@ -157,6 +157,8 @@
 		this.memberTable = new MemberTable(this.store, this.timers, this.log, self, this.restorationReport,
 				this.stageCoordinator::setMembers);
 		this.callerServer = new CallerServer(this.timers, this::limits, this::accept, this.log);
+		this.shutdownSequence = new ShutdownSequence(this.timers, this.log, this.gracefulShutdown, this.openRequests,
+				this.callerServer);
 	}
 
 	/**
@@ -285,7 +287,7 @@
 	}
 
 	private void addGauges() {
-		this.metrics.gauge("entry.requests.open", () -> this.openRequests);
+		this.metrics.gauge("entry.requests.open", this.openRequests::count);
 		this.metrics.gauge("entry.connections", this.callerServer::connectionCount);
 		this.metrics.gauge("entry.endpoints", this.directory::size);
 		this.metrics.gauge("entry.endpoints.age.ms", () -> this.directory.ageMillis(this.timers.milliTime()));
@@ -351,8 +353,9 @@
 	}
 
 	private void accept(CallerExchange exchange) {
-		this.openRequests++;
-		new RequestFlow(this.context, this.stageCoordinator, exchange, () -> this.openRequests--).start();
+		RequestFlow flow = new RequestFlow(this.context, this.stageCoordinator, exchange, this.openRequests::remove);
+		this.openRequests.add(flow);
+		flow.start();
 	}
 
 	/**
@@ -405,25 +408,8 @@
 	}
 
 	private void beginStop(CountDownLatch stopped) {
-		this.gracefulShutdown.begin(this.timers.milliTime());
 		this.memberTable.stop();
-		this.log.event(EntryEvent.STOPPING)
-			.field("open_requests", this.openRequests)
-			.field("connections", this.callerServer.connectionCount())
-			.write();
-		this.callerServer.drain();
-		this.timers.schedule(Duration.ofMillis(GracefulShutdown.ROTATION_REMOVAL_MILLIS), this.callerServer::closeIdle);
-		this.timers.schedulePeriodically(Duration.ofMillis(STOP_CHECK_INTERVAL_MILLIS), () -> {
-			long now = this.timers.milliTime();
-			boolean idle = this.openRequests == 0 && this.callerServer.connectionCount() == 0
-					&& this.gracefulShutdown.isOutOfRotation(now);
-			if (stopped.getCount() > 0 && (idle || now >= this.gracefulShutdown.exitDeadline())) {
-				this.callerServer.close();
-				this.log.event(EntryEvent.STOPPED).field("open_requests", this.openRequests).write();
-				this.log.flush();
-				stopped.countDown();
-			}
-		});
+		this.shutdownSequence.begin(stopped::countDown);
 	}
 
 }
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -71,7 +72,7 @@
 
 	private final CallerRequest request;
 
-	private final Runnable endCallback;
+	private final Consumer<RequestFlow> endCallback;
 
 	private final RequestTelemetry telemetry;
 
@@ -105,7 +106,8 @@
 
 	private long firstEventMillis = -1;
 
-	RequestFlow(EntryContext context, StageCoordinator stages, CallerExchange exchange, Runnable endCallback) {
+	RequestFlow(EntryContext context, StageCoordinator stages, CallerExchange exchange,
+			Consumer<RequestFlow> endCallback) {
 		this.context = context;
 		this.stages = stages;
 		this.exchange = exchange;
@@ -371,6 +373,34 @@
 		refuse(UNAVAILABLE, "deadline", RETRY_AFTER_MILLIS);
 	}
 
+	/**
+	 * Returns whether an endpoint may be executing the request, or has executed it.
+	 * @return whether the request must not be refused
+	 */
+	boolean mayHaveExecuted() {
+		return this.possibleExecutions > 0 || this.attempt != null;
+	}
+
+	/**
+	 * Returns whether a part of a stream has been relayed.
+	 * @return whether the request can only be completed or aborted
+	 */
+	boolean hasStreamStarted() {
+		return this.streamPosition != null;
+	}
+
+	/**
+	 * Ends the request before its time, because the gateway cannot complete it. The
+	 * outcome is as for {@link #endUnanswered}.
+	 * @param reason the reason to report
+	 */
+	void endEarly(String reason) {
+		if (this.attempt != null) {
+			this.possibleExecutions++;
+		}
+		endUnanswered(reason);
+	}
+
 	/**
 	 * Refuses a request that was not executed.
 	 * @param status the response status
@@ -484,7 +514,7 @@
 		if (this.stageExecution != null) {
 			this.stageExecution.cancel();
 		}
-		this.endCallback.run();
+		this.endCallback.accept(this);
 	}
 
 	@Override
--- a/src/main/java/org/magnoliahub/serving/GracefulShutdown.java
+++ b/src/main/java/org/magnoliahub/serving/GracefulShutdown.java
@@ -13,8 +13,18 @@
 	/** Time between the exit of the process and the kill by the platform. */
 	private static final long EXIT_MARGIN_MILLIS = 300;
 
-	/** Time reserved for a non-streaming request before the process exits. */
-	private static final long NON_STREAMING_MILLIS = 1_500;
+	/**
+	 * Time before the exit from which requests are no longer accepted, and those that
+	 * have not been sent to an endpoint are refused. It covers the execution of a
+	 * non-streaming request that was sent just before.
+	 */
+	private static final long REFUSAL_MILLIS = 1_500;
+
+	/**
+	 * Time before the exit at which requests with an unknown outcome are failed. The
+	 * responses have this time to reach callers on slow links.
+	 */
+	private static final long FAILURE_MILLIS = 500;
 
 	private final long graceMillis;
 
@@ -57,7 +67,27 @@
 		if (kind == CallKind.STREAMING) {
 			return now - this.startedAt < ROTATION_REMOVAL_MILLIS;
 		}
-		return now < exitDeadline() - NON_STREAMING_MILLIS;
+		return !mustRefuseUnsent(now);
+	}
+
+	/**
+	 * Returns whether requests that no endpoint can have executed must be refused,
+	 * because they cannot be completed before the process exits.
+	 * @param now monotonic time, in milliseconds
+	 * @return whether unsent requests must be refused
+	 */
+	public boolean mustRefuseUnsent(long now) {
+		return now >= exitDeadline() - REFUSAL_MILLIS;
+	}
+
+	/**
+	 * Returns whether requests whose response has not begun must be failed, so that the
+	 * failure reaches their callers before the process exits.
+	 * @param now monotonic time, in milliseconds
+	 * @return whether requests without a response must be failed
+	 */
+	public boolean mustFailUnanswered(long now) {
+		return now >= exitDeadline() - FAILURE_MILLIS;
 	}
 
 	/**
--- /dev/null
+++ b/src/test/java/org/magnoliahub/entry/PlannedStopTests.java
@@ -0,0 +1,96 @@
+package org.magnoliahub.entry;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.magnoliahub.platform.PlatformFormatException;
+import org.magnoliahub.platform.StoreFormat;
+import org.magnoliahub.platform.emulator.CallerAnswer;
+import org.magnoliahub.platform.emulator.EmulatedSettings;
+import org.magnoliahub.platform.emulator.RawServer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against requests that the end of a planned stop leaves without an answer.
+ */
+class PlannedStopTests {
+
+	private static final long GRACE_MILLIS = 8_000;
+
+	private EntryFixture fixture;
+
+	@BeforeEach
+	void start() throws IOException, PlatformFormatException, InterruptedException {
+		this.fixture = EntryFixture.start();
+		// Drafts may take longer than the gateway has to stop.
+		this.fixture.store.put(StoreFormat.CONFIGURATION_TABLE, StoreFormat.CONFIGURATION_KEY,
+				EmulatedSettings.configuration(2, List.of()).replace("\"timeout_ms\":5000", "\"timeout_ms\":20000"));
+	}
+
+	@AfterEach
+	void stop() throws IOException {
+		this.fixture.close();
+	}
+
+	private Socket send(String target, String id, String... headers) throws IOException {
+		Socket socket = this.fixture.connect(0);
+		socket.setSoTimeout(12_000);
+		RawServer.write(socket, EntryFixture.request("POST", target, id, headers));
+		return socket;
+	}
+
+	private static CallerAnswer read(Socket socket) throws IOException {
+		return CallerAnswer.read(new BufferedInputStream(socket.getInputStream()));
+	}
+
+	@Test
+	void requestsOpenAtTheEndOfTheStopAreAnsweredTruthfully() throws Exception {
+		this.fixture.addEndpoint("s-1", "read", (request, socket) -> waitForClose(socket));
+		this.fixture.addEndpoint("s-2", "rank", (request, socket) -> waitForClose(socket));
+		this.fixture.addEndpoint("m-1", "model", (request, socket) -> {
+			if (request.header("Request-Id").equals("r3")) {
+				RawServer.write(socket, EntryFixture.streamHead(request) + EntryFixture.chunk(EntryFixture.event(1)));
+			}
+			waitForClose(socket);
+		});
+		this.fixture.awaitEndpoints();
+		try (Socket staged = send("/staged/1", "r1", "Pieces: 1,1", "Piece-Key: k1");
+				Socket sent = send("/once/1", "r2");
+				Socket streaming = send("/once/1", "r3")) {
+			Thread.sleep(300);
+			Thread stopping = new Thread(() -> this.fixture.gateway(0).stop());
+			stopping.start();
+			CallerAnswer refused = read(staged);
+			assertThat(refused.status()).isEqualTo(503);
+			assertThat(refused.closes()).isTrue();
+			assertThat(refused.headers()).containsKey("retry-after");
+			CallerAnswer unknown = read(sent);
+			assertThat(unknown.status()).isEqualTo(502);
+			assertThat(unknown.closes()).isTrue();
+			CallerAnswer cut = read(streaming);
+			assertThat(cut.status()).isEqualTo(200);
+			assertThat(cut.complete()).isFalse();
+			stopping.join(GRACE_MILLIS);
+			assertThat(stopping.isAlive()).isFalse();
+		}
+		assertThat(this.fixture.log()).contains("\"event\":\"request_refused\",\"id\":\"r1\"")
+			.contains("\"event\":\"request_failed\",\"id\":\"r2\"")
+			.contains("\"event\":\"request_failed\",\"id\":\"r3\"")
+			.contains("\"reason\":\"stopping\"")
+			.contains("\"event\":\"stopped\",\"open_requests\":0,\"cut_streams\":1");
+	}
+
+	private static void waitForClose(Socket socket) throws IOException {
+		while (socket.getInputStream().read() >= 0) {
+			// Bytes after the request are ignored.
+		}
+		socket.close();
+	}
+
+}
--- a/src/test/java/org/magnoliahub/serving/GracefulShutdownTests.java
+++ b/src/test/java/org/magnoliahub/serving/GracefulShutdownTests.java
@@ -40,4 +40,15 @@
 		assertThat(this.shutdown.isOutOfRotation(3_600)).isTrue();
 	}
 
+	@Test
+	void unsentRequestsAreRefusedAndOthersFailedBeforeTheProcessExits() {
+		assertThat(this.shutdown.mustRefuseUnsent(1_000_000)).isFalse();
+		this.shutdown.begin(1_000);
+		assertThat(this.shutdown.mustRefuseUnsent(7_000)).isFalse();
+		assertThat(this.shutdown.mustRefuseUnsent(7_400)).isTrue();
+		assertThat(this.shutdown.mustFailUnanswered(8_000)).isFalse();
+		assertThat(this.shutdown.mustFailUnanswered(8_300)).isTrue();
+		assertThat(this.shutdown.exitDeadline()).isGreaterThan(8_300);
+	}
+
 }
