Split the emulated store into rows, objects and the history of changes

Objects and the changes that a restoration undoes are classes of their own now. No behaviour changes; StoreRollbackTests, AsyncRequestRecorderTests and ConfigurationContactTests pass.

--- a/src/main/java/org/magnoliahub/platform/emulator/StoreEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/StoreEmulator.java
@@ -2,18 +2,14 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Base64;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -33,14 +29,11 @@
 
 	private static final long SLOW_MILLIS = 700;
 
-	/** Changes that a return from a copy can undo. */
-	private static final int MAXIMUM_HISTORY = 20_000;
-
 	private final RawServer server;
 
 	private final Map<String, Map<String, Row>> tables = new HashMap<>();
 
-	private final Map<String, String> objects = new ConcurrentSkipListMap<>();
+	private final EmulatedObjects objects = new EmulatedObjects();
 
 	private long revision;
 
@@ -52,7 +45,7 @@
 
 	private long oldestRevision;
 
-	private final Deque<Change> history = new ArrayDeque<>();
+	private final ChangeHistory history = new ChangeHistory();
 
 	private volatile long era = 1;
 
@@ -97,10 +90,7 @@
 	private void set(String table, String key, Row row) {
 		Map<String, Row> rows = this.tables.computeIfAbsent(table, (name) -> new HashMap<>());
 		Row before = rows.get(key);
-		this.history.addLast(new Change(System.nanoTime(), () -> restore(rows, key, before), this.revision));
-		if (this.history.size() > MAXIMUM_HISTORY) {
-			this.history.removeFirst();
-		}
+		this.history.add(() -> restore(rows, key, before), this.revision);
 		rows.put(key, row);
 		this.revision++;
 	}
@@ -120,12 +110,7 @@
 	 * @param millis age of the copy, in milliseconds
 	 */
 	public synchronized void rollBack(long millis) {
-		long oldest = System.nanoTime() - millis * 1_000_000;
-		while (!this.history.isEmpty() && this.history.peekLast().at() >= oldest) {
-			Change change = this.history.pollLast();
-			change.undo().run();
-			this.revision = change.revisionBefore();
-		}
+		this.revision = this.history.undo(millis, this.revision);
 		this.oldestRevision = Math.min(this.oldestRevision, this.revision);
 		this.era++;
 	}
@@ -237,7 +222,8 @@
 					Long.parseLong(parameter(target, "wait_ms")));
 		}
 		else if (target.startsWith("/api/blob-")) {
-			object(request, socket);
+			EmulatedObjects.Answer answer = answerObjectCall(request);
+			answer(socket, answer.status(), answer.body());
 		}
 		else {
 			boolean done = change(MAPPER.readTree(request.body()));
@@ -249,27 +235,8 @@
 		}
 	}
 
-	private void object(RawServer.Request request, Socket socket) throws IOException {
-		String path = URLDecoder.decode(request.target(), StandardCharsets.UTF_8);
-		if (path.startsWith("/api/blob-put/")) {
-			answer(socket, putObject(path.substring("/api/blob-put/".length()), request.body()) ? 200 : 412, "");
-		}
-		else if (path.startsWith("/api/blob-get/")) {
-			String body = this.objects.get(path.substring("/api/blob-get/".length()));
-			answer(socket, (body != null) ? 200 : 404, (body != null) ? body : "");
-		}
-		else {
-			answer(socket, 200,
-					names(parameter(path, "prefix"), path.contains("&after=") ? parameter(path, "after") : ""));
-		}
-	}
-
-	private synchronized boolean putObject(String name, String body) {
-		boolean absent = this.objects.putIfAbsent(name, body) == null;
-		if (absent) {
-			this.history.addLast(new Change(System.nanoTime(), () -> this.objects.remove(name), this.revision));
-		}
-		return absent;
+	private synchronized EmulatedObjects.Answer answerObjectCall(RawServer.Request request) {
+		return this.objects.answer(request, this.history, this.revision);
 	}
 
 	/**
@@ -277,17 +244,7 @@
 	 * @return number of objects
 	 */
 	public int objectCount() {
-		return this.objects.size();
-	}
-
-	private String names(String prefix, String after) {
-		ObjectNode root = MAPPER.createObjectNode().put("has_more", false);
-		root.putArray("names");
-		this.objects.keySet()
-			.stream()
-			.filter((key) -> key.startsWith(prefix) && key.compareTo(after) > 0)
-			.forEach(root.withArray("names")::add);
-		return root.toString();
+		return this.objects.count();
 	}
 
 	private synchronized boolean change(JsonNode call) {
@@ -363,7 +320,7 @@
 		return root.toString();
 	}
 
-	private static String parameter(String target, String name) {
+	static String parameter(String target, String name) {
 		int at = target.indexOf(name + "=") + name.length() + 1;
 		int end = target.indexOf('&', at);
 		return target.substring(at, (end < 0) ? target.length() : end);
@@ -410,9 +367,6 @@
 
 	}
 
-	private record Change(long at, Runnable undo, long revisionBefore) {
-	}
-
 	private record Row(byte[] value, long revision, boolean removed) {
 	}
 
