Close connections to other gateways that no link uses

What callers saw: nothing that is recorded.

Cause: a link whose peer accepted the connection and sent nothing was not open, so its silence was not checked; it connected again every 0.5 s and forgot the former connection without closing it. A peer that is frozen for 10 s collects about 20 connections from each gateway, and descriptors are limited. The accepting side forgot the older connection of a gateway in the same way, and a connection that opened after its link was closed stayed open.

Change: silence closes a connection whether or not a heartbeat came before, at most one connection is open or opening for a link, and the accepting side closes the older connection of a gateway that connects again.

PeerLinkTests: 4 open connections where 1 is allowed, and connections left after the link was closed, before; both pass now.

--- a/src/main/java/org/magnoliahub/entry/PeerLink.java
+++ b/src/main/java/org/magnoliahub/entry/PeerLink.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.platform.HostPort;
@@ -38,7 +39,7 @@
 
 	private @Nullable PeerConnection connection;
 
-	private boolean connecting;
+	private @Nullable PeerConnection opening;
 
 	private boolean open;
 
@@ -100,10 +101,11 @@
 			// read.
 			this.lastReceived = now;
 		}
-		if (this.open && now - this.lastReceived > HEARTBEAT_TIMEOUT_MILLIS) {
+		if (this.connection != null && now - this.lastReceived > HEARTBEAT_TIMEOUT_MILLIS) {
 			disconnect("silent");
 		}
-		if (!this.open && !this.connecting && now - this.lastConnect >= RECONNECT_INTERVAL_MILLIS) {
+		boolean connected = this.connection != null || this.opening != null;
+		if (!connected && now - this.lastConnect >= RECONNECT_INTERVAL_MILLIS) {
 			connect(now);
 		}
 	}
@@ -114,27 +116,31 @@
 
 	private void connect(long now) {
 		this.lastConnect = now;
-		PeerConnection opening = new PeerConnection(this);
-		this.connecting = true;
+		PeerConnection next = new PeerConnection(this);
 		try {
-			Channels
-				.connect(this.group, HostPort.parse(this.member.address()), CONNECT_TIMEOUT_MILLIS, opening::install)
-				.addListener((result) -> {
-					this.connecting = false;
-					if (result.isSuccess()) {
-						onConnected(opening);
-					}
-				});
+			ChannelFuture connected = Channels.connect(this.group, HostPort.parse(this.member.address()),
+					CONNECT_TIMEOUT_MILLIS, next::install);
+			this.opening = next;
+			connected.addListener((result) -> onConnectEnd(next, result.isSuccess()));
 		}
 		catch (PlatformFormatException ex) {
-			this.connecting = false;
+			this.opening = null;
 		}
 	}
 
-	private void onConnected(PeerConnection opening) {
-		this.connection = opening;
+	private void onConnectEnd(PeerConnection next, boolean success) {
+		if (next != this.opening) {
+			// The link was closed, or its address changed, while the connection opened.
+			next.close();
+			return;
+		}
+		this.opening = null;
+		if (!success) {
+			return;
+		}
+		this.connection = next;
 		this.lastReceived = this.timers.milliTime();
-		opening.send(new PeerMessage.Hello(this.selfName));
+		next.send(new PeerMessage.Hello(this.selfName));
 	}
 
 	@Override
@@ -171,6 +177,7 @@
 	private void disconnect(String reason) {
 		PeerConnection lost = this.connection;
 		this.connection = null;
+		this.opening = null;
 		if (lost != null) {
 			lost.close();
 		}
--- a/src/main/java/org/magnoliahub/entry/PeerServer.java
+++ b/src/main/java/org/magnoliahub/entry/PeerServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
 
@@ -56,7 +57,7 @@
 	@Override
 	public void onMessage(PeerConnection source, PeerMessage message) {
 		if (message instanceof PeerMessage.Hello hello) {
-			this.members.values().remove(hello.member());
+			closeEarlierConnections(hello.member());
 			this.members.put(source, hello.member());
 			source.send(this.handler.heartbeat());
 			return;
@@ -67,6 +68,15 @@
 		}
 	}
 
+	private void closeEarlierConnections(String member) {
+		for (PeerConnection connection : List.copyOf(this.members.keySet())) {
+			if (member.equals(this.members.get(connection))) {
+				this.members.remove(connection);
+				connection.close();
+			}
+		}
+	}
+
 	@Override
 	public void onClosed(PeerConnection source) {
 		this.members.remove(source);
