Do not ask again for a configuration that cannot be used

A review of the exchange of configurations found that versions less than 0.4 s apart deferred the request for ever, that content which cannot be read was requested again every 0.4 s, and that a configuration over the limit closed the link, which the stages need. The delay now begins when this gateway is first behind, a version that could not be used is not requested again, and content over the limit is ignored.

ConfigurationContactTests has a gateway whose calls the store refuses with 503: it uses the configuration of another one within 3 s. One run of the class failed at its start with "cannot listen on 127.0.0.1:18002, address already in use", beside five other test processes that take ports from the same range; the next one passed.

--- a/src/main/java/org/magnoliahub/entry/ConfigurationExchange.java
+++ b/src/main/java/org/magnoliahub/entry/ConfigurationExchange.java
@@ -19,10 +19,14 @@
 
 	private final ConfigurationTable configurationTable;
 
-	private long newerVersion;
+	private long outdatedVersion = -1;
 
 	private long requestDueMillis;
 
+	private long requestedVersion;
+
+	private long rejectedVersion;
+
 	ConfigurationExchange(Timers timers, ConfigurationTable configurationTable) {
 		this.timers = timers;
 		this.configurationTable = configurationTable;
@@ -35,16 +39,18 @@
 	 * @param version the version that it uses, zero if it is unknown
 	 */
 	void onVersion(PeerLink link, long version) {
-		if (version <= this.configurationTable.version()) {
+		long current = this.configurationTable.version();
+		if (version <= Math.max(current, this.rejectedVersion)) {
 			return;
 		}
 		long now = this.timers.milliTime();
-		if (version > this.newerVersion) {
-			this.newerVersion = version;
+		if (this.outdatedVersion != current) {
+			this.outdatedVersion = current;
 			this.requestDueMillis = now + REQUEST_DELAY_MILLIS;
 		}
 		if (now >= this.requestDueMillis) {
 			this.requestDueMillis = now + REQUEST_DELAY_MILLIS;
+			this.requestedVersion = version;
 			link.send(new PeerMessage.ConfigurationRequest());
 		}
 	}
@@ -64,6 +70,10 @@
 	 */
 	void onConfiguration(String member, byte[] content) {
 		this.configurationTable.applyFromMember(member, content);
+		if (this.configurationTable.version() < this.requestedVersion) {
+			// It cannot be read, so another request would not help.
+			this.rejectedVersion = this.requestedVersion;
+		}
 	}
 
 }
--- a/src/main/java/org/magnoliahub/entry/PeerCodec.java
+++ b/src/main/java/org/magnoliahub/entry/PeerCodec.java
@@ -168,11 +168,12 @@
 		};
 	}
 
-	private static PeerMessage unpackConfiguration(MessageUnpacker unpacker) throws IOException {
+	// A configuration that is too large is ignored, because the link is also needed for
+	// stages.
+	private static @Nullable PeerMessage unpackConfiguration(MessageUnpacker unpacker) throws IOException {
 		int length = unpacker.unpackBinaryHeader();
 		if (length > MAXIMUM_CONFIGURATION_BYTES) {
-			throw new IOException(
-					"expected at most " + MAXIMUM_CONFIGURATION_BYTES + " bytes of a configuration, but got " + length);
+			return null;
 		}
 		return new PeerMessage.Configuration(unpacker.readPayload(length));
 	}
--- a/src/test/java/org/magnoliahub/entry/ConfigurationContactTests.java
+++ b/src/test/java/org/magnoliahub/entry/ConfigurationContactTests.java
@@ -56,4 +56,18 @@
 		assertNewConfigurationAfterContact();
 	}
 
+	@Test
+	void gatewayThatTheStoreRefusesUsesTheConfigurationOfAnotherOne() throws Exception {
+		try (StoreLink link = new StoreLink(this.fixture.store.address())) {
+			int refused = this.fixture.addGateway(link.address());
+			this.fixture.awaitReady(refused);
+			// Links open after the rows of the members have been read again.
+			Thread.sleep(4_000);
+			link.setRefusing(true);
+			this.fixture.putConfigurationWithoutRoute(5, "look");
+			Thread.sleep(CONTACT_MILLIS);
+			assertThat(this.fixture.sendTo(refused, "GET", "/look/1", "r1").status()).isEqualTo(404);
+		}
+	}
+
 }
--- a/src/test/java/org/magnoliahub/entry/EntryFixture.java
+++ b/src/test/java/org/magnoliahub/entry/EntryFixture.java
@@ -67,10 +67,17 @@
 	}
 
 	int addGateway() throws IOException, PlatformFormatException {
+		return addGateway(this.store.address());
+	}
+
+	/**
+	 * Starts a gateway that reaches the store at another address.
+	 */
+	int addGateway(String storeAddress) throws IOException, PlatformFormatException {
 		int index = this.gateways.size();
 		EmulatedSettings.Node node = EmulatedSettings.Node.withFreePorts("gateway-" + index, "127.0.0.1");
 		NodeSettings settings = NodeSettingsReader
-			.parse(EmulatedSettings.gateway(node, new EmulatedSettings.Budget(0.2, 58), this.store.address()));
+			.parse(EmulatedSettings.gateway(node, new EmulatedSettings.Budget(0.2, 58), storeAddress));
 		this.gateways.add(EntryGateway.start(settings, RECORD_INTERVAL, this.log::add));
 		this.nodes.add(node);
 		return index;
