Reject responses that contain parts of several heads

An endpoint that writes a part of an earlier refusal before its next response could make a gateway take the response for that refusal: the status or the proof of non-execution of the refusal and the request id of the response were read as one head. Callers got 503 for requests that had run, or the request ran at a second endpoint.

The parser rejects a status line in place of a header name, but not within a reason or a header value ("421 MisdirectedHTTP/1.1 200 OK", "Not-Executed: HTTP/1.1 200 OK"). Such a head and one with the ids of two requests now count as malformed: the connection is closed and the outcome of the request is unknown.

Ruled out by tests: refusals with 421, 429 and 503 that name no request or an empty id are skipped, also without this change.

Before the change RepeatedResponseTests fails with "expected: 1 but was: 2" executions (three parts of refusals, and the own id before another one) and with "expected: 502 but was: 504" (the own id after another one).

--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -164,6 +164,10 @@
 			close();
 			return;
 		}
+		if (PlatformHeaders.hasSeveralHeads(response)) {
+			abort("malformed answer: parts of several heads");
+			return;
+		}
 		if (response.status().code() < 200) {
 			return;
 		}
--- a/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
+++ b/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -61,6 +62,10 @@
 
 	private static final String BEARER = "bearer ";
 
+	private static final String PROTOCOL = "HTTP/1.";
+
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}");
+
 	/** Headers that concern one connection only, in lower case. */
 	private static final Set<String> CONNECTION_HEADERS = Set.of("connection", "keep-alive", "proxy-connection",
 			"transfer-encoding", "te", "trailer", "upgrade", "content-length", "expect", "proxy-authorization",
@@ -183,6 +188,29 @@
 				keepAliveMillis(headers.get("Keep-Alive")), load(headers.get("Server-Load")), notice(status, headers));
 	}
 
+	/**
+	 * Returns whether a head contains parts of several answers: a status line within its
+	 * reason or a header, or the ids of two requests. It arises if an answer follows an
+	 * incomplete one on the same connection.
+	 * @param response the answer
+	 * @return whether nothing in the head can be relied on
+	 */
+	public static boolean hasSeveralHeads(HttpResponse response) {
+		if (containsStatusLine(response.status().reasonPhrase())) {
+			return true;
+		}
+		for (Map.Entry<String, String> header : response.headers()) {
+			if (containsStatusLine(header.getValue())) {
+				return true;
+			}
+		}
+		return new HashSet<>(response.headers().getAll(REQUEST_ID)).size() > 1;
+	}
+
+	private static boolean containsStatusLine(String text) {
+		return text.contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
+	}
+
 	private static EndpointNotice notice(int status, HttpHeaders headers) {
 		boolean leaving = LEAVING_VALUE.equals(text(headers, LEAVING).trim());
 		String pause = (status == UNAVAILABLE) ? headers.get(HttpHeaderNames.RETRY_AFTER) : null;
--- a/src/test/java/org/magnoliahub/entry/RepeatedResponseTests.java
+++ b/src/test/java/org/magnoliahub/entry/RepeatedResponseTests.java
@@ -11,6 +11,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.emulator.CallerAnswer;
@@ -156,4 +159,52 @@
 		assertThat(response.status()).isEqualTo(200);
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 421 Misdirected", "HTTP/1.1 503 X\r\nNot-Executed: ",
+			"HTTP/1.1 503 X\r\nNot-Executed: 1" })
+	void partOfARefusalBeforeTheResponseIsNoProofOfNonExecution(String part) throws Exception {
+		for (String id : List.of("i-1", "i-2")) {
+			this.fixture.addEndpoint(id, "plain", (request, socket) -> {
+				RawServer.write(socket, part);
+				execute(request, socket);
+			});
+		}
+		this.fixture.awaitEndpoints();
+		CallerAnswer response = this.fixture.send("POST", "/order/1", "r1");
+		assertThat(executions("r1")).isEqualTo(1);
+		assertThat(response.status()).isEqualTo(502);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "Request-Id: r1\r\nRequest-Id: r0\r\n", "Request-Id: r0\r\nRequest-Id: r1\r\n" })
+	void refusalThatNamesTwoRequestsIsNoProofOfNonExecution(String ids) throws Exception {
+		for (String id : List.of("i-1", "i-2")) {
+			this.fixture.addEndpoint(id, "plain", (request, socket) -> {
+				recordExecution(request);
+				RawServer.write(socket, "HTTP/1.1 503 X\r\n" + ids + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+			});
+		}
+		this.fixture.awaitEndpoints();
+		CallerAnswer response = this.fixture.send("POST", "/order/1", "r1");
+		assertThat(executions("r1")).isEqualTo(1);
+		assertThat(response.status()).isEqualTo(502);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "503,false", "429,false", "421,false", "503,true", "429,true", "421,true" })
+	void refusalThatNamesNoRequestIsNoProofOfNonExecution(int status, boolean emptyId) throws Exception {
+		String header = emptyId ? "Request-Id: \r\n" : "";
+		for (String id : List.of("i-1", "i-2")) {
+			this.fixture.addEndpoint(id, "plain", (request, socket) -> {
+				RawServer.write(socket,
+						"HTTP/1.1 " + status + " X\r\n" + header + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+				execute(request, socket);
+			});
+		}
+		this.fixture.awaitEndpoints();
+		CallerAnswer response = this.fixture.send("POST", "/order/1", "r1");
+		assertThat(executions("r1")).isEqualTo(1);
+		assertThat(response.status()).isEqualTo(200);
+	}
+
 }
