Close connections that hold bytes behind a response

A caller that sends requests one after another could get 502 for a request that may run once, and a call whose responses name no request could get the previous response, if a peer sent further bytes in the segment that ends a response.

The end of a response returns its connection to the pool, and the listener may send the next request on it at once, while the decoder still holds the rest of the segment. The decoder then read that rest as the next response: a repeated response was taken for it by calls without a request id, and bytes that are no response failed it.

A connection whose decoder holds such bytes is closed instead. Requests with an id skipped a repeated response before, too; HttpClientTests shows that, and interim heads and parts of a response before the next one.

--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -44,6 +44,8 @@
 	private final ResponseOverheadLimit overheadLimit = new ResponseOverheadLimit(
 			() -> abort("bytes without end that are no answer"));
 
+	private final Decoder decoder = new Decoder();
+
 	private final CarriedRequestIds carriedIds = new CarriedRequestIds();
 
 	private @Nullable Channel channel;
@@ -76,7 +78,7 @@
 
 	void install(Channel opened) {
 		this.channel = opened;
-		opened.pipeline().addLast(new HttpRequestEncoder(), this.overheadLimit, new Decoder(), this);
+		opened.pipeline().addLast(new HttpRequestEncoder(), this.overheadLimit, this.decoder, this);
 	}
 
 	boolean isUsable(long now, long maximumIdleMillis) {
@@ -224,7 +226,9 @@
 		this.receivingResponse = false;
 		this.overheadLimit.endResponse();
 		boolean written = this.requestWrite != null && this.requestWrite.isDone();
-		boolean kept = this.reusable && written && !this.carriedIds.isFull();
+		// The next request may be sent before the decoder reads on, so bytes behind the
+		// response would count as part of the next response.
+		boolean kept = this.reusable && written && !this.decoder.hasUndecodedBytes() && !this.carriedIds.isFull();
 		if (kept && this.channel != null && this.channel.isActive() && current.call().maximumIdleMillis() > 0
 				&& !current.isEnded()) {
 			this.idleSinceMillis = this.timers.milliTime();
@@ -262,6 +266,10 @@
 
 	private final class Decoder extends HttpResponseDecoder {
 
+		boolean hasUndecodedBytes() {
+			return actualReadableBytes() > 0;
+		}
+
 		@Override
 		protected boolean isContentAlwaysEmpty(HttpMessage message) {
 			return HttpConnection.this.headRequest || super.isContentAlwaysEmpty(message);
--- /dev/null
+++ b/src/test/java/org/magnoliahub/entry/HttpClientTests.java
@@ -0,0 +1,150 @@
+package org.magnoliahub.entry;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import org.awaitility.Awaitility;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.magnoliahub.platform.emulator.RawServer;
+import org.magnoliahub.serving.ResponseHead;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against bytes that a peer sends in addition to its responses and that are taken
+ * for, or damage, the response to the next call on a kept connection. Each call is sent
+ * while the end of the previous response is being processed.
+ */
+class HttpClientTests {
+
+	private static final String FAILED = "failed";
+
+	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+
+	private final HttpClient client = new HttpClient(this.group, new EventLoopTimers(this.group.next()));
+
+	private final List<String> outcomes = Collections.synchronizedList(new ArrayList<>());
+
+	private @Nullable RawServer server;
+
+	@AfterEach
+	void stop() throws IOException {
+		if (this.server != null) {
+			this.server.close();
+		}
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+	private static String response(int number, String header) {
+		return "HTTP/1.1 200 OK\r\nRequest-Id: r" + number + "\r\n" + header + "Content-Length: 1\r\n\r\n" + number;
+	}
+
+	/**
+	 * Starts a server that answers the calls in order with the texts, and sends the calls
+	 * one after another.
+	 */
+	private List<String> exchange(boolean named, String... responses) throws IOException {
+		AtomicInteger calls = new AtomicInteger();
+		RawServer started = RawServer.start((request, socket) -> {
+			RawServer.write(socket, responses[calls.getAndIncrement()]);
+		});
+		this.server = started;
+		List<String> ids = new ArrayList<>();
+		for (int number = 1; number <= responses.length; number++) {
+			ids.add("r" + number);
+		}
+		Iterator<String> remaining = ids.iterator();
+		this.group.execute(() -> sendNext(started.address(), remaining, named));
+		Awaitility.await().atMost(Duration.ofSeconds(5)).until(() -> this.outcomes.size() == responses.length);
+		return this.outcomes;
+	}
+
+	private void sendNext(String address, Iterator<String> ids, boolean named) {
+		if (!ids.hasNext()) {
+			return;
+		}
+		String id = ids.next();
+		HttpHeaders headers = new DefaultHttpHeaders(false);
+		headers.set("Request-Id", id);
+		HttpCall call = new HttpCall(address, HttpMethod.GET, "/", headers, new byte[0], 1_000, 1_000, 1_000,
+				named ? id : null, EndpointInterceptor.NONE);
+		this.client.send(call, new RecordingListener(() -> sendNext(address, ids, named)));
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void responseInTheSameSegmentIsNotTakenForTheNextOne(boolean named) throws IOException {
+		assertThat(exchange(named, response(1, "") + response(1, ""), response(2, ""), response(3, "")))
+			.containsExactly("1", "2", "3");
+	}
+
+	@Test
+	void bytesInTheSameSegmentDoNotDamageTheNextResponse() throws IOException {
+		assertThat(exchange(true, response(1, "") + "nonsense", response(2, ""))).containsExactly("1", "2");
+	}
+
+	@Test
+	void interimResponsesAroundASkippedResponseAreIgnored() throws IOException {
+		String interim = "HTTP/1.1 102 Processing\r\nRequest-Id: r2\r\n\r\n";
+		assertThat(exchange(true, response(1, ""), interim + response(1, "") + interim + response(2, "")))
+			.containsExactly("1", "2");
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 15, 17, 30, 33, 40, 52, 54 })
+	void responseAfterAPartOfAnEarlierOneIsNotTakenForAnother(int length) throws IOException {
+		String part = response(1, "").substring(0, length);
+		assertThat(exchange(true, response(1, ""), part + response(2, ""))).containsExactly("1", FAILED);
+	}
+
+	private final class RecordingListener implements ResponseListener {
+
+		private final StringBuilder body = new StringBuilder();
+
+		private final Runnable next;
+
+		private RecordingListener(Runnable next) {
+			this.next = next;
+		}
+
+		@Override
+		public void onHead(HttpResponse response, ResponseHead head) {
+		}
+
+		@Override
+		public void onBody(ByteBuf data) {
+			this.body.append(data.toString(StandardCharsets.UTF_8));
+		}
+
+		@Override
+		public void onEnd() {
+			HttpClientTests.this.outcomes.add(this.body.toString());
+			this.next.run();
+		}
+
+		@Override
+		public void onFailure(boolean sent, String reason) {
+			HttpClientTests.this.outcomes.add(FAILED);
+			this.next.run();
+		}
+
+	}
+
+}
