Ignore the connection headers of skipped responses

An earlier response that a peer repeats before the next one could state an idle timeout of the connection that no longer holds. The connection was not used again although the response to the request stated nothing of the kind; each further request opened a new connection.

The timeout and the reusability are now taken from the response to the request only. Notices of endpoints (pause, leaving, rate) were read from it only before, too: EndpointNoticeHandlerTests.

--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -175,15 +175,16 @@
 		}
 		ResponseHead head = PlatformHeaders.answerHead(response);
 		this.skippingResponse = !current.call().isAnsweredBy(head);
+		if (this.skippingResponse) {
+			return;
+		}
+		this.receivingResponse = true;
 		this.reusable = !head.closesConnection() && hasDelimitedBody(response);
 		if (head.keepAliveMillis() >= 0) {
 			this.keepAliveTimeoutMillis = head.keepAliveMillis();
 		}
-		if (!this.skippingResponse) {
-			this.receivingResponse = true;
-			current.call().interceptor().onHead(head);
-			current.listener().onHead(response, head);
-		}
+		current.call().interceptor().onHead(head);
+		current.listener().onHead(response, head);
 	}
 
 	private boolean hasDelimitedBody(HttpResponse response) {
--- a/src/test/java/org/magnoliahub/entry/HttpClientTests.java
+++ b/src/test/java/org/magnoliahub/entry/HttpClientTests.java
@@ -1,12 +1,15 @@
 package org.magnoliahub.entry;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -42,6 +45,8 @@
 
 	private final List<String> outcomes = Collections.synchronizedList(new ArrayList<>());
 
+	private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+
 	private @Nullable RawServer server;
 
 	@AfterEach
@@ -63,6 +68,7 @@
 	private List<String> exchange(boolean named, String... responses) throws IOException {
 		AtomicInteger calls = new AtomicInteger();
 		RawServer started = RawServer.start((request, socket) -> {
+			this.connections.add(socket);
 			RawServer.write(socket, responses[calls.getAndIncrement()]);
 		});
 		this.server = started;
@@ -100,6 +106,14 @@
 		assertThat(exchange(true, response(1, "") + "nonsense", response(2, ""))).containsExactly("1", "2");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "Keep-Alive: timeout=0\r\n", "Connection: close\r\n" })
+	void headersOfASkippedResponseDoNotApplyToTheConnection(String header) throws IOException {
+		assertThat(exchange(true, response(1, ""), response(1, header) + response(2, ""), response(3, "")))
+			.containsExactly("1", "2", "3");
+		assertThat(this.connections).hasSize(1);
+	}
+
 	@Test
 	void interimResponsesAroundASkippedResponseAreIgnored() throws IOException {
 		String interim = "HTTP/1.1 102 Processing\r\nRequest-Id: r2\r\n\r\n";
