Keep responses of the store apart by kind of call

A store that repeats an earlier response on a kept connection could hide a change for good: a repeated response to the feed of endpoints, taken for one to the feed of the configuration, moves the revision of the latter past a version that it never contained. The gateway stays with the older configuration until the next change. A repeated 200 also confirmed a write that was refused.

The store's responses name no request, and all calls shared one pool of connections. Connections are now pooled by kind of call: each feed has its own, and lists, writes and objects get a new connection, as stage calls already do. Releases of results no longer share connections with requests. A response of a feed that does not exceed the known revision is not applied, so that a repeated one does not undo later changes of its rows.

Weighed: a new connection for each call of the store; the feeds are most of the calls and would pay a round trip each. A check of the table that rows name does not help with responses without rows.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -22,6 +22,8 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
+	private static final String CONNECTION_GROUP = "request";
+
 	/** Maximum idle time of a reused connection for a retryable request. */
 	private static final long RETRYABLE_IDLE_MILLIS = 900;
 
@@ -118,9 +120,10 @@
 		this.sentMillis = now;
 		this.lastReceivedMillis = now;
 		this.call = this.choice.beginCall(request.promptSegments(), now);
-		HttpCall httpCall = new HttpCall(this.choice.endpoint().record().address(), caller.method(), caller.target(),
-				requestHeaders, caller.body(), this.retryable ? RETRYABLE_IDLE_MILLIS : NON_RETRYABLE_IDLE_MILLIS,
-				CONNECT_TIMEOUT_MILLIS, Long.MAX_VALUE, request.requestId(),
+		HttpCall httpCall = new HttpCall(this.choice.endpoint().record().address(), CONNECTION_GROUP, caller.method(),
+				caller.target(), requestHeaders, caller.body(),
+				this.retryable ? RETRYABLE_IDLE_MILLIS : NON_RETRYABLE_IDLE_MILLIS, CONNECT_TIMEOUT_MILLIS,
+				Long.MAX_VALUE, request.requestId(),
 				this.context.endpointNotices().interceptor(this.choice.endpoint(), Attempt::isFromEndpoint));
 		this.exchange = this.context.httpClient().send(httpCall, this);
 		if (this.retryable && !this.ended) {
--- a/src/main/java/org/magnoliahub/entry/HttpCall.java
+++ b/src/main/java/org/magnoliahub/entry/HttpCall.java
@@ -9,6 +9,8 @@
  * An HTTP request sent by this gateway.
  *
  * @param address host and port of the peer
+ * @param connectionGroup kind of call; a call reuses only connections that carried calls
+ * of its kind, so that a response to another kind is never taken for its response
  * @param method the HTTP method
  * @param target path and query
  * @param headers the headers; {@code Content-Length} and a missing {@code Host} are added
@@ -22,9 +24,17 @@
  * @param interceptor checks the call before it is sent and receives the head of its
  * response
  */
-record HttpCall(String address, HttpMethod method, String target, HttpHeaders headers, byte[] body,
-		long maximumIdleMillis, int connectTimeoutMillis, long maximumBodyBytes, @Nullable String requestId,
-		EndpointInterceptor interceptor) {
+record HttpCall(String address, String connectionGroup, HttpMethod method, String target, HttpHeaders headers,
+		byte[] body, long maximumIdleMillis, int connectTimeoutMillis, long maximumBodyBytes,
+		@Nullable String requestId, EndpointInterceptor interceptor) {
+
+	/**
+	 * Returns the key of the connections that the call can reuse.
+	 * @return address and kind of call
+	 */
+	ConnectionKey connectionKey() {
+		return new ConnectionKey(this.address, this.connectionGroup);
+	}
 
 	/**
 	 * Returns whether a response belongs to this call.
@@ -35,4 +45,13 @@
 		return this.requestId == null || this.requestId.equals(head.requestId());
 	}
 
+	/**
+	 * Identifies connections that are reused for the same calls.
+	 *
+	 * @param address host and port of the peer
+	 * @param group kind of call
+	 */
+	record ConnectionKey(String address, String group) {
+	}
+
 }
--- a/src/main/java/org/magnoliahub/entry/HttpClient.java
+++ b/src/main/java/org/magnoliahub/entry/HttpClient.java
@@ -25,7 +25,7 @@
 
 	private final Timers timers;
 
-	private final Map<String, Deque<HttpConnection>> idleConnections = new HashMap<>();
+	private final Map<HttpCall.ConnectionKey, Deque<HttpConnection>> idleConnections = new HashMap<>();
 
 	HttpClient(EventLoopGroup group, Timers timers) {
 		this.group = group;
@@ -50,7 +50,7 @@
 	}
 
 	private @Nullable HttpConnection takeIdle(HttpCall call) {
-		Deque<HttpConnection> connections = this.idleConnections.get(call.address());
+		Deque<HttpConnection> connections = this.idleConnections.get(call.connectionKey());
 		if (connections == null) {
 			return null;
 		}
@@ -85,7 +85,7 @@
 			this.group.execute(() -> exchange.fail(false, "bad address " + call.address()));
 			return;
 		}
-		HttpConnection connection = new HttpConnection(this, call.address(), this.timers);
+		HttpConnection connection = new HttpConnection(this, call.connectionKey(), this.timers);
 		ChannelFuture connectFuture = Channels.connect(this.group, address, call.connectTimeoutMillis(),
 				connection::install);
 		connectFuture.addListener((result) -> {
@@ -109,16 +109,16 @@
 		exchange.setConnectingChannel(connectFuture.channel());
 	}
 
-	void returnToPool(String address, HttpConnection connection) {
-		Deque<HttpConnection> connections = this.idleConnections.computeIfAbsent(address, (key) -> new ArrayDeque<>());
+	void returnToPool(HttpCall.ConnectionKey key, HttpConnection connection) {
+		Deque<HttpConnection> connections = this.idleConnections.computeIfAbsent(key, (absent) -> new ArrayDeque<>());
 		if (connections.size() >= MAXIMUM_IDLE_PER_PEER) {
 			connections.pollFirst().close();
 		}
 		connections.addLast(connection);
 	}
 
-	void removeFromPool(String address, HttpConnection connection) {
-		Deque<HttpConnection> connections = this.idleConnections.get(address);
+	void removeFromPool(HttpCall.ConnectionKey key, HttpConnection connection) {
+		Deque<HttpConnection> connections = this.idleConnections.get(key);
 		if (connections != null) {
 			connections.remove(connection);
 		}
@@ -129,10 +129,12 @@
 	 * @param address host and port of the peer
 	 */
 	void closeIdle(String address) {
-		Deque<HttpConnection> connections = this.idleConnections.remove(address);
-		if (connections != null) {
-			connections.forEach(HttpConnection::close);
-		}
+		this.idleConnections.forEach((key, connections) -> {
+			if (key.address().equals(address)) {
+				connections.forEach(HttpConnection::close);
+				connections.clear();
+			}
+		});
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -37,7 +37,7 @@
 
 	private final HttpClient client;
 
-	private final String address;
+	private final HttpCall.ConnectionKey key;
 
 	private final Timers timers;
 
@@ -70,9 +70,9 @@
 
 	private long keepAliveTimeoutMillis = Long.MAX_VALUE;
 
-	HttpConnection(HttpClient client, String address, Timers timers) {
+	HttpConnection(HttpClient client, HttpCall.ConnectionKey key, Timers timers) {
 		this.client = client;
-		this.address = address;
+		this.key = key;
 		this.timers = timers;
 	}
 
@@ -235,7 +235,7 @@
 			this.idleSinceMillis = this.timers.milliTime();
 			this.maximumIdleMillis = current.call().maximumIdleMillis();
 			this.channel.config().setAutoRead(true);
-			this.client.returnToPool(this.address, this);
+			this.client.returnToPool(this.key, this);
 		}
 		else {
 			close();
@@ -261,7 +261,7 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		this.client.removeFromPool(this.address, this);
+		this.client.removeFromPool(this.key, this);
 		abort("connection closed");
 	}
 
--- a/src/main/java/org/magnoliahub/entry/StageEndpointClient.java
+++ b/src/main/java/org/magnoliahub/entry/StageEndpointClient.java
@@ -52,6 +52,10 @@
 
 	private static final int OK = 200;
 
+	private static final String RUN_GROUP = "stage run";
+
+	private static final String RELEASE_GROUP = "stage release";
+
 	private final EntryContext context;
 
 	private final PieceResultListener resultListener;
@@ -87,8 +91,8 @@
 		}
 		// Each batch gets a new connection: responses to batches carry no request id, so
 		// a late duplicate of an earlier response could be mistaken for the right one.
-		HttpCall call = new HttpCall(batch.endpoint().record().address(), HttpMethod.POST, StageCallFormat.RUN_PATH,
-				PlatformHeaders.ownCallHeaders(batch.endpoint().record().id(), budget),
+		HttpCall call = new HttpCall(batch.endpoint().record().address(), RUN_GROUP, HttpMethod.POST,
+				StageCallFormat.RUN_PATH, PlatformHeaders.ownCallHeaders(batch.endpoint().record().id(), budget),
 				this.format.run(batch.tasks(), now), 0, CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, null,
 				this.context.endpointNotices().stageInterceptor(batch.endpoint()));
 		RunResponseListener listener = new RunResponseListener(queue, batch, done, now);
@@ -140,7 +144,7 @@
 			.map((endpoint) -> this.context.endpointNotices().stageInterceptor(endpoint))
 			.orElse(EndpointInterceptor.NONE);
 		String id = producer.map((endpoint) -> endpoint.record().id()).orElse("");
-		HttpCall call = new HttpCall(address, HttpMethod.POST, StageCallFormat.FREE_PATH,
+		HttpCall call = new HttpCall(address, RELEASE_GROUP, HttpMethod.POST, StageCallFormat.FREE_PATH,
 				PlatformHeaders.ownCallHeaders(id, RELEASE_TIMEOUT.toMillis()), this.format.free(handles),
 				RELEASE_IDLE_MILLIS, CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, null, interceptor);
 		ReleaseResponseListener listener = new ReleaseResponseListener(done);
--- a/src/main/java/org/magnoliahub/entry/StoreClient.java
+++ b/src/main/java/org/magnoliahub/entry/StoreClient.java
@@ -15,6 +15,7 @@
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.platform.PlatformHeaders;
+import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.serving.ResponseHead;
 import org.magnoliahub.serving.StoreEra;
 import org.magnoliahub.time.Timers;
@@ -26,6 +27,12 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
+	/**
+	 * Idle time of reused connections of a feed. Responses of the store name no request,
+	 * so each feed has connections of its own, and each other call has a new one: a
+	 * repeated response to a read of another table would hide changes, and one to another
+	 * write would confirm a write that was not done.
+	 */
 	private static final long MAXIMUM_IDLE_MILLIS = 10_000;
 
 	/** Larger than any page of rows with its encoding. */
@@ -90,8 +97,10 @@
 
 	private void call(HttpMethod method, String target, HttpHeaders headers, byte[] body, long timeoutMillis,
 			Handler handler) {
-		HttpCall call = new HttpCall(this.address, method, target, headers, body, MAXIMUM_IDLE_MILLIS,
-				CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, null, EndpointInterceptor.NONE);
+		String feed = StoreFormat.feed(target);
+		HttpCall call = new HttpCall(this.address, feed, method, target, headers, body,
+				feed.isEmpty() ? 0 : MAXIMUM_IDLE_MILLIS, CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, null,
+				EndpointInterceptor.NONE);
 		BodyCollector collector = new BodyCollector(method, handler);
 		HttpExchange exchange = this.httpClient.send(call, collector);
 		collector.timeout = this.timers.schedule(Duration.ofMillis(timeoutMillis), () -> {
--- a/src/main/java/org/magnoliahub/entry/TableWatcher.java
+++ b/src/main/java/org/magnoliahub/entry/TableWatcher.java
@@ -125,8 +125,11 @@
 	}
 
 	private void onFeedResponse(StoredRows rows) {
+		// A response that does not exceed the revision holds nothing new. It repeats an
+		// earlier one if it has rows, and would undo later changes of them.
+		boolean repeated = rows.revision() <= this.revision;
 		this.revision = Math.max(this.revision, rows.revision());
-		this.listener.onChanges(rows.rows());
+		this.listener.onChanges(repeated ? List.of() : rows.rows());
 		scheduleInGeneration(this.pollTiming.get().intervalMillis(), this::readChanges);
 	}
 
--- a/src/main/java/org/magnoliahub/platform/StoreFormat.java
+++ b/src/main/java/org/magnoliahub/platform/StoreFormat.java
@@ -34,6 +34,8 @@
 	/** Status of a feed whose history is no longer there. */
 	public static final int HISTORY_GONE = 410;
 
+	private static final String FEED_START = "/api/rows-feed?table=";
+
 	private static final List<String> CHANGES = List.of("writes", "remove");
 
 	/**
@@ -55,7 +57,17 @@
 	 * @return path and query
 	 */
 	public String feedTarget(String table, long after, long waitMillis) {
-		return "/api/rows-feed?table=" + table + "&after=" + after + "&wait_ms=" + waitMillis;
+		return FEED_START + table + "&after=" + after + "&wait_ms=" + waitMillis;
+	}
+
+	/**
+	 * Returns which feed a call reads.
+	 * @param target path and query of the call
+	 * @return the same text for each call that reads the changes of a table, empty for
+	 * other calls
+	 */
+	public static String feed(String target) {
+		return target.startsWith(FEED_START) ? target.substring(0, target.indexOf('&')) : "";
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/platform/emulator/StoreEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/StoreEmulator.java
@@ -58,6 +58,8 @@
 
 	private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
+	private final Map<Socket, String> previousAnswers = new ConcurrentHashMap<>();
+
 	private final Set<Socket> silentConnections = ConcurrentHashMap.newKeySet();
 
 	/**
@@ -373,8 +375,10 @@
 		if (this.silentConnections.contains(socket)) {
 			return;
 		}
-		RawServer.write(socket, "HTTP/1.1 " + status + " X\r\nStore-Era: " + this.era + "\r\nContent-Length: "
-				+ body.length() + "\r\n\r\n" + body);
+		String text = "HTTP/1.1 " + status + " X\r\nStore-Era: " + this.era + "\r\nContent-Length: " + body.length()
+				+ "\r\n\r\n" + body;
+		String previous = this.previousAnswers.put(socket, text);
+		RawServer.write(socket, (this.mode == Mode.REPEATS_ANSWERS && previous != null) ? previous + text : text);
 	}
 
 	@Override
@@ -406,7 +410,10 @@
 		SLOW,
 
 		/** Does what it is told and resets the connection instead of the answer. */
-		LOSES_ANSWERS
+		LOSES_ANSWERS,
+
+		/** Sends the previous answer of a connection once more before each answer. */
+		REPEATS_ANSWERS
 
 	}
 
--- a/src/test/java/org/magnoliahub/entry/HttpClientTests.java
+++ b/src/test/java/org/magnoliahub/entry/HttpClientTests.java
@@ -89,7 +89,7 @@
 		String id = ids.next();
 		HttpHeaders headers = new DefaultHttpHeaders(false);
 		headers.set("Request-Id", id);
-		HttpCall call = new HttpCall(address, HttpMethod.GET, "/", headers, new byte[0], 1_000, 1_000, 1_000,
+		HttpCall call = new HttpCall(address, "group", HttpMethod.GET, "/", headers, new byte[0], 1_000, 1_000, 1_000,
 				named ? id : null, EndpointInterceptor.NONE);
 		this.client.send(call, new RecordingListener(() -> sendNext(address, ids, named)));
 	}
--- a/src/test/java/org/magnoliahub/entry/TableWatcherTests.java
+++ b/src/test/java/org/magnoliahub/entry/TableWatcherTests.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import org.junit.jupiter.api.BeforeEach;
@@ -165,6 +166,20 @@
 		assertThat(this.notifications).containsExactly("list false", "changes");
 	}
 
+	@Test
+	void repeatedResponseOfTheFeedIsNotAppliedAgain() {
+		String row = "{\"rows\":[{\"table\":\"servers\",\"part\":\"\",\"key\":\"i-1\",\"value\":\"\",\"ver\":%d}],\"ver\":%d}";
+		ScriptedStore.Call feed = respondAndTakeNextCall(5, 200, 40);
+		for (int revision : new int[] { 41, 42, 41, 43 }) {
+			this.store.respond(feed, 5, 200, row.formatted(revision, revision));
+			advance(1_200);
+			feed = this.store.next();
+		}
+		assertThat(feed.target()).contains("after=43");
+		assertThat(this.notifications).containsExactly("list false", "changes i-1", "changes i-1", "changes",
+				"changes i-1");
+	}
+
 	private final class RecordingListener implements TableWatcher.Listener {
 
 		@Override
@@ -174,7 +189,8 @@
 
 		@Override
 		public void onChanges(List<StoredRow> rows) {
-			TableWatcherTests.this.notifications.add("changes");
+			String keys = rows.stream().map((row) -> " " + row.key()).collect(Collectors.joining());
+			TableWatcherTests.this.notifications.add("changes" + keys);
 		}
 
 	}
--- a/src/test/java/org/magnoliahub/platform/StoreFormatTests.java
+++ b/src/test/java/org/magnoliahub/platform/StoreFormatTests.java
@@ -37,6 +37,15 @@
 		assertThatExceptionOfType(PlatformFormatException.class).isThrownBy(() -> read(body));
 	}
 
+	@Test
+	void feedIsTheSameForAllRevisionsOfOneTable() {
+		String feed = StoreFormat.feed(this.format.feedTarget("t", 12, 100));
+		assertThat(StoreFormat.feed(this.format.feedTarget("t", 13, 0))).isEqualTo(feed);
+		assertThat(StoreFormat.feed(this.format.feedTarget("t2", 12, 100))).isNotEqualTo(feed);
+		assertThat(StoreFormat.feed(this.format.readTarget("t", ""))).isEmpty();
+		assertThat(StoreFormat.feed(StoreFormat.WRITE_PATH)).isEmpty();
+	}
+
 	@Test
 	void removalIsConditional() {
 		String body = new String(this.format.remove("t", "k", 12), StandardCharsets.UTF_8);
