Let emulated endpoints repeat refusals on kept connections

In this mode an endpoint now refuses one request in three and repeats each refusal before the next answer of the connection.

Before the change EndpointEmulatorTests fails with "expected: 503 but was: 200". The soak was not run with it.

--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -19,6 +19,9 @@
 
 	private static final int LONG_RUN_MILLIS = 1_100;
 
+	/** One in this number of requests is refused in {@link Mode#ADDS_ANSWERS}. */
+	private static final int REFUSAL_SHARE = 3;
+
 	private static final int SLOW_FACTOR = 6;
 
 	private static final int EVENT_MILLIS = 30;
@@ -124,7 +127,7 @@
 			refuse(arrived, socket, 421);
 			return;
 		}
-		if (this.mode == Mode.FULL || this.mode == Mode.PAUSES) {
+		if (this.mode == Mode.FULL || this.mode == Mode.PAUSES || isRefusedBeforeAddition(arrived)) {
 			refuse(arrived, socket, 503);
 			return;
 		}
@@ -141,6 +144,10 @@
 		}
 	}
 
+	private boolean isRefusedBeforeAddition(EndpointRequest request) {
+		return this.mode == Mode.ADDS_ANSWERS && Math.floorMod(request.requestId().hashCode(), REFUSAL_SHARE) == 0;
+	}
+
 	private static List<String> inputs(String header) {
 		return header.isEmpty() ? List.of() : List.of(header.split(","));
 	}
@@ -150,10 +157,13 @@
 		if (pauses) {
 			this.observer.told(request, PAUSE_MILLIS);
 		}
-		RawServer.write(socket,
-				"HTTP/1.1 " + status + " X\r\nRequest-Id: " + request.requestId() + "\r\nNot-Executed: 1\r\n"
-						+ (pauses ? "Retry-After: " + PAUSE_MILLIS / 1_000.0 + "\r\n" : "") + notice(request)
-						+ "Content-Length: 0\r\n\r\n");
+		String text = "HTTP/1.1 " + status + " X\r\nRequest-Id: " + request.requestId() + "\r\nNot-Executed: 1\r\n"
+				+ (pauses ? "Retry-After: " + PAUSE_MILLIS / 1_000.0 + "\r\n" : "") + notice(request)
+				+ "Content-Length: 0\r\n\r\n";
+		if (this.mode == Mode.ADDS_ANSWERS) {
+			this.extra.put(socket, text);
+		}
+		RawServer.write(socket, text);
 	}
 
 	private String notice(EndpointRequest request) {
@@ -245,8 +255,8 @@
 				socket.close();
 			}
 			case ADDS_ANSWERS -> {
-				RawServer.write(socket, text);
 				this.extra.put(socket, text);
+				RawServer.write(socket, text);
 			}
 			default -> RawServer.write(socket, text);
 		}
@@ -337,7 +347,10 @@
 		 */
 		ENDLESS,
 
-		/** Sends each answer once more, where the next one is expected. */
+		/**
+		 * Refuses some requests, and sends each refusal and each other answer once more,
+		 * where the next one is expected.
+		 */
 		ADDS_ANSWERS
 
 	}
--- /dev/null
+++ b/src/test/java/org/magnoliahub/platform/emulator/EndpointEmulatorTests.java
@@ -0,0 +1,71 @@
+package org.magnoliahub.platform.emulator;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against faults of endpoints that the soak names but does not play.
+ */
+class EndpointEmulatorTests {
+
+	private static final String ENDPOINT = "i-1";
+
+	private static String id(int remainder) {
+		return IntStream.range(0, 1_000)
+			.mapToObj((index) -> "r" + index)
+			.filter((id) -> Math.floorMod(id.hashCode(), 3) == remainder)
+			.findFirst()
+			.orElseThrow();
+	}
+
+	private static void send(Socket socket, String id) throws IOException {
+		RawServer.write(socket, "GET /look/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nTarget-Instance: "
+				+ ENDPOINT + "\r\n\r\n");
+	}
+
+	@Test
+	void refusalIsRepeatedBeforeTheNextAnswerOfItsConnection() throws IOException {
+		try (EndpointEmulator endpoint = EndpointEmulator.start(ENDPOINT, 4, new SilentObserver())) {
+			endpoint.setMode(EndpointEmulator.Mode.ADDS_ANSWERS);
+			int colon = endpoint.address().indexOf(':');
+			int port = Integer.parseInt(endpoint.address().substring(colon + 1));
+			try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+				InputStream input = new BufferedInputStream(socket.getInputStream());
+				send(socket, id(0));
+				assertThat(CallerAnswer.read(input).status()).isEqualTo(503);
+				send(socket, id(1));
+				CallerAnswer repeated = CallerAnswer.read(input);
+				assertThat(repeated.status()).isEqualTo(503);
+				assertThat(repeated.headers()).containsEntry("request-id", id(0)).containsKey("not-executed");
+				CallerAnswer answer = CallerAnswer.read(input);
+				assertThat(answer.status()).isEqualTo(200);
+				assertThat(answer.headers()).containsEntry("request-id", id(1));
+			}
+		}
+	}
+
+	private static final class SilentObserver implements RunObserver {
+
+		@Override
+		public void arrived(EndpointRequest request) {
+		}
+
+		@Override
+		public void started(EndpointRun run) {
+		}
+
+		@Override
+		public void ended(EndpointRun run) {
+		}
+
+	}
+
+}
