Keep connections of calls without a request id only after a success

A refusal to the release of results or to a feed of the store could be repeated on its connection and taken for the response to the next call. As read in the code, not played over a whole gateway: a pause that an endpoint had asked for applies again, and results count as released.

Responses to these calls name no request. Their connections are now closed after any status but 2xx, so that no refusal can follow on them. Requests of callers keep theirs, because the id tells the responses apart.

Before the change HttpClientTests fails with "Expected size: 2 but was: 1" connections.

HttpClientTests also shows that a connection ends with a response that arrives before the request is written in full, and PlatformHeadersTests which headers count as parts of another head; both held before.

--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -179,7 +179,11 @@
 			return;
 		}
 		this.receivingResponse = true;
-		this.reusable = !head.closesConnection() && hasDelimitedBody(response);
+		// A refusal that the peer repeats could be taken for the next response if that
+		// names
+		// no request.
+		boolean distinguishable = current.call().requestId() != null || head.isSuccess();
+		this.reusable = distinguishable && !head.closesConnection() && hasDelimitedBody(response);
 		if (head.keepAliveMillis() >= 0) {
 			this.keepAliveTimeoutMillis = head.keepAliveMillis();
 		}
--- a/src/test/java/org/magnoliahub/entry/HttpClientTests.java
+++ b/src/test/java/org/magnoliahub/entry/HttpClientTests.java
@@ -24,7 +24,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.magnoliahub.platform.emulator.LoopbackListener;
 import org.magnoliahub.platform.emulator.RawServer;
 import org.magnoliahub.serving.ResponseHead;
 
@@ -39,6 +41,9 @@
 
 	private static final String FAILED = "failed";
 
+	/** Larger than the buffers of a connection. */
+	private static final int UNREAD_BODY_BYTES = 64 * 1_048_576;
+
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
 	private final HttpClient client = new HttpClient(this.group, new EventLoopTimers(this.group.next()));
@@ -114,6 +119,14 @@
 		assertThat(this.connections).hasSize(1);
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "true,1", "false,2" })
+	void connectionWithARefusalIsKeptOnlyForNamedRequests(boolean named, int expected) throws IOException {
+		String refusal = "HTTP/1.1 503 X\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n";
+		assertThat(exchange(named, refusal, response(2, ""))).containsExactly("", "2");
+		assertThat(this.connections).hasSize(expected);
+	}
+
 	@Test
 	void interimResponsesAroundASkippedResponseAreIgnored() throws IOException {
 		String interim = "HTTP/1.1 102 Processing\r\nRequest-Id: r2\r\n\r\n";
@@ -128,6 +141,41 @@
 		assertThat(exchange(true, response(1, ""), part + response(2, ""))).containsExactly("1", FAILED);
 	}
 
+	@Test
+	void responseBeforeTheEndOfTheRequestEndsItsConnection() throws IOException {
+		AtomicInteger number = new AtomicInteger();
+		try (LoopbackListener listener = LoopbackListener.start((socket) -> {
+			this.connections.add(socket);
+			respondToStartOfRequest(socket, response(number.incrementAndGet(), ""));
+		})) {
+			String address = listener.address();
+			byte[] longBody = new byte[UNREAD_BODY_BYTES];
+			this.group.execute(() -> send(address, "r1", longBody, () -> send(address, "r2", new byte[0], () -> {
+			})));
+			Awaitility.await().atMost(Duration.ofSeconds(5)).until(() -> this.outcomes.size() == 2);
+			assertThat(this.outcomes).containsExactly("1", "2");
+			assertThat(this.connections).hasSize(2);
+		}
+	}
+
+	private static void respondToStartOfRequest(Socket socket, String response) {
+		try {
+			socket.getInputStream().read();
+			RawServer.write(socket, response);
+			Thread.sleep(2_000);
+			socket.close();
+		}
+		catch (IOException | InterruptedException ex) {
+			// The client has closed the connection, or the test has ended.
+		}
+	}
+
+	private void send(String address, String id, byte[] body, Runnable next) {
+		HttpCall call = new HttpCall(address, "group", HttpMethod.POST, "/", new DefaultHttpHeaders(false), body, 1_000,
+				1_000, 1_000, id, EndpointInterceptor.NONE);
+		this.client.send(call, new RecordingListener(next));
+	}
+
 	private final class RecordingListener implements ResponseListener {
 
 		private final StringBuilder body = new StringBuilder();
--- a/src/test/java/org/magnoliahub/platform/PlatformHeadersTests.java
+++ b/src/test/java/org/magnoliahub/platform/PlatformHeadersTests.java
@@ -156,6 +156,13 @@
 		}
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "Not-Executed,HTTP/1.1 200 OK,true", "Server,a HTTP/1.0 503,true", "Via,HTTP/1.1 gateway,false",
+			"Via,1.1 10.0.0.1,false", "Upgrade,HTTP/2.0,false", "Request-Id,r1,false" })
+	void statusLineInAHeaderIsPartOfAnotherHead(String header, String value, boolean several) {
+		assertThat(PlatformHeaders.hasSeveralHeads(answer(HttpResponseStatus.OK, header, value))).isEqualTo(several);
+	}
+
 	@Test
 	void readsTheEraOfTheStore() throws PlatformFormatException {
 		assertThat(PlatformHeaders.storeEra(answer(HttpResponseStatus.OK, "Store-Era", "7"))).hasValue(7);
