Close idle connections to a back end after a refusal

Responses of back ends name no request, and OkHttp reuses a connection although unread bytes wait on it. After a response other than 2xx the client now closes its idle connections, among them the one that carried the refusal. A call that takes that connection in the same instant is not covered, nor is a repeated success; both need an id in the responses, which back ends do not promise.

Weighed: a new connection for each call; connectionIsReused guards against that. A comparison of the Request-Id of the response: back ends may set such a header themselves.

Before the change HttpEndpointClientTests fails with "Not completed (errors = 1, completions = 0)" in both cases of the new test.

--- a/src/main/java/org/magnoliahub/enginehttp/EndpointExchange.java
+++ b/src/main/java/org/magnoliahub/enginehttp/EndpointExchange.java
@@ -21,11 +21,14 @@
 
 	private static final int SERVICE_UNAVAILABLE = 503;
 
+	private final OkHttpClient client;
+
 	private final Call call;
 
 	private volatile boolean transmissionStarted;
 
 	private EndpointExchange(OkHttpClient client, Request.Builder request, Duration timeout) {
+		this.client = client;
 		this.call = client.newCall(request.tag(EndpointExchange.class, this).build());
 		this.call.timeout().timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
 	}
@@ -55,6 +58,9 @@
 		if (!response.isSuccessful()) {
 			int status = response.code();
 			response.close();
+			// Responses name no request, so a refusal that the back end repeats on a kept
+			// connection would count as proof that the next call did not run.
+			this.client.connectionPool().evictAll();
 			boolean rejected = status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE;
 			throw new EndpointException("back end answered with status " + status, !rejected);
 		}
--- a/src/test/java/org/magnoliahub/enginehttp/HttpEndpointClientTests.java
+++ b/src/test/java/org/magnoliahub/enginehttp/HttpEndpointClientTests.java
@@ -2,6 +2,7 @@
 
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -29,6 +30,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliahub.agent.EndpointEvent;
 import org.magnoliahub.agent.EndpointException;
 import org.magnoliahub.model.AttemptId;
@@ -36,6 +38,7 @@
 import org.magnoliahub.model.StageCall;
 import org.magnoliahub.model.StageOutput;
 import org.magnoliahub.model.StageType;
+import org.magnoliahub.platform.emulator.RawServer;
 import org.magnoliahub.protocol.Message;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -203,6 +206,35 @@
 		}
 	}
 
+	// Guards against a refusal that the back end repeats before the response to the next
+	// call, which has run.
+	@ParameterizedTest
+	@ValueSource(strings = { "", "Request-Id: r0\r\n" })
+	void repeatedRefusalIsNotTakenForTheNextResponse(String header) throws Exception {
+		String refusal = "HTTP/1.1 503 X\r\n" + header + "Content-Length: 0\r\n\r\n";
+		Set<Socket> refused = ConcurrentHashMap.newKeySet();
+		try (RawServer backEnd = RawServer.start((request, socket) -> {
+			if (request.header("Request-Id").equals("r0")) {
+				refused.add(socket);
+				RawServer.write(socket, refusal);
+				return;
+			}
+			RawServer.write(socket, refused.contains(socket) ? refusal : "");
+			RawServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+		})) {
+			HttpEndpointClient client = HttpEndpointClient.create("http://" + backEnd.address(), "m", this.eventLoop);
+			for (String id : List.of("r0", "r1")) {
+				StageCall next = call(StageType.SERVICE, List.of()).withAttempt(new AttemptId(new RequestId(id), 1, 2));
+				TestSubscriber<EndpointEvent> subscriber = client.call(next, Duration.ofSeconds(5), 0)
+					.test()
+					.awaitDone(10, TimeUnit.SECONDS);
+				if (id.equals("r1")) {
+					subscriber.assertComplete();
+				}
+			}
+		}
+	}
+
 	// Guards against events that are delivered before a slow subscriber requests them,
 	// are lost while it requests none, or arrive on another thread.
 	@Test
