--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -37,13 +37,15 @@
 
 	private final HttpClient client;
 
-	private final String address;
+	private final HttpCall.ConnectionKey key;
 
 	private final Timers timers;
 
 	private final ResponseOverheadLimit overheadLimit = new ResponseOverheadLimit(
 			() -> abort("bytes without end that are no answer"));
 
+	private final Decoder decoder = new Decoder();
+
 	private final CarriedRequestIds carriedIds = new CarriedRequestIds();
 
 	private @Nullable Channel channel;
@@ -68,15 +70,15 @@
 
 	private long keepAliveTimeoutMillis = Long.MAX_VALUE;
 
-	HttpConnection(HttpClient client, String address, Timers timers) {
+	HttpConnection(HttpClient client, HttpCall.ConnectionKey key, Timers timers) {
 		this.client = client;
-		this.address = address;
+		this.key = key;
 		this.timers = timers;
 	}
 
 	void install(Channel opened) {
 		this.channel = opened;
-		opened.pipeline().addLast(new HttpRequestEncoder(), this.overheadLimit, new Decoder(), this);
+		opened.pipeline().addLast(new HttpRequestEncoder(), this.overheadLimit, this.decoder, this);
 	}
 
 	boolean isUsable(long now, long maximumIdleMillis) {
@@ -164,20 +166,29 @@
 			close();
 			return;
 		}
+		if (PlatformHeaders.hasSeveralHeads(response)) {
+			abort("malformed answer: parts of several heads");
+			return;
+		}
 		if (response.status().code() < 200) {
 			return;
 		}
 		ResponseHead head = PlatformHeaders.answerHead(response);
 		this.skippingResponse = !current.call().isAnsweredBy(head);
-		this.reusable = !head.closesConnection() && hasDelimitedBody(response);
+		if (this.skippingResponse) {
+			return;
+		}
+		this.receivingResponse = true;
+		// A refusal that the peer repeats could be taken for the next response if that
+		// names
+		// no request.
+		boolean distinguishable = current.call().requestId() != null || head.isSuccess();
+		this.reusable = distinguishable && !head.closesConnection() && hasDelimitedBody(response);
 		if (head.keepAliveMillis() >= 0) {
 			this.keepAliveTimeoutMillis = head.keepAliveMillis();
 		}
-		if (!this.skippingResponse) {
-			this.receivingResponse = true;
-			current.call().interceptor().onHead(head);
-			current.listener().onHead(response, head);
-		}
+		current.call().interceptor().onHead(head);
+		current.listener().onHead(response, head);
 	}
 
 	private boolean hasDelimitedBody(HttpResponse response) {
@@ -220,13 +231,15 @@
 		this.receivingResponse = false;
 		this.overheadLimit.endResponse();
 		boolean written = this.requestWrite != null && this.requestWrite.isDone();
-		boolean kept = this.reusable && written && !this.carriedIds.isFull();
+		// The next request may be sent before the decoder reads on, so bytes behind the
+		// response would count as part of the next response.
+		boolean kept = this.reusable && written && !this.decoder.hasUndecodedBytes() && !this.carriedIds.isFull();
 		if (kept && this.channel != null && this.channel.isActive() && current.call().maximumIdleMillis() > 0
 				&& !current.isEnded()) {
 			this.idleSinceMillis = this.timers.milliTime();
 			this.maximumIdleMillis = current.call().maximumIdleMillis();
 			this.channel.config().setAutoRead(true);
-			this.client.returnToPool(this.address, this);
+			this.client.returnToPool(this.key, this);
 		}
 		else {
 			close();
@@ -252,12 +265,16 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		this.client.removeFromPool(this.address, this);
+		this.client.removeFromPool(this.key, this);
 		abort("connection closed");
 	}
 
 	private final class Decoder extends HttpResponseDecoder {
 
+		boolean hasUndecodedBytes() {
+			return actualReadableBytes() > 0;
+		}
+
 		@Override
 		protected boolean isContentAlwaysEmpty(HttpMessage message) {
 			return HttpConnection.this.headRequest || super.isContentAlwaysEmpty(message);
