Check the ids of all events that a resumed run begins with

Cause: of the first events of a resumed run, the first id found was compared, to whichever event it belonged. Comments or retry fields before the first event counted as events that do not continue the stream. A stream whose last relayed event had no number as its id was run again, in vain.

Change: StreamEvent finds the events and their ids; StreamPosition knows the number of the last event and whether it can be resumed behind it. Gaps in ids are not judged. The search for the first and last id in EventSplitter is replaced; its test states the same ids, of each event, for StreamEvent.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -231,13 +231,20 @@
 		if (this.call != null) {
 			this.call.recordFirstResponse(this.lastReceivedMillis);
 		}
-		StreamPosition position = this.flow.streamPosition();
-		if (this.resuming && !this.continued && position != null && !position.isContinuedBy(events)) {
-			rejectResponse("stream does not go on where it stood");
-			return;
+		byte[] relayed = events;
+		if (this.resuming && !this.continued) {
+			relayed = StreamPosition.withoutPreamble(events);
+			if (relayed.length == 0) {
+				return;
+			}
+			StreamPosition position = this.flow.streamPosition();
+			if (position != null && !position.isContinuedBy(relayed)) {
+				rejectResponse("stream does not go on where it stood");
+				return;
+			}
+			this.continued = true;
 		}
-		this.continued = this.resuming;
-		if (!this.flow.onEvents(responseHead.status(), endpointHeaders, events) && this.exchange != null) {
+		if (!this.flow.onEvents(responseHead.status(), endpointHeaders, relayed) && this.exchange != null) {
 			this.readingSuspended = true;
 			this.exchange.setReading(false);
 		}
--- a/src/main/java/org/magnoliahub/entry/EventSplitter.java
+++ b/src/main/java/org/magnoliahub/entry/EventSplitter.java
@@ -1,11 +1,9 @@
 package org.magnoliahub.entry;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
 import io.netty.buffer.ByteBuf;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Extracts complete events from a server-sent event stream. As only complete events are
@@ -13,8 +11,6 @@
  */
 final class EventSplitter {
 
-	private static final String ID_FIELD = "id:";
-
 	private final ByteArrayOutputStream incompleteEvent = new ByteArrayOutputStream();
 
 	private boolean lineEmpty = true;
@@ -52,39 +48,6 @@
 		return Arrays.copyOf(all, completeLength);
 	}
 
-	/**
-	 * Returns the last event id.
-	 * @param events complete events
-	 * @return the id, or {@code null} if no event has one
-	 */
-	static @Nullable String lastId(byte[] events) {
-		String text = new String(events, StandardCharsets.UTF_8);
-		int at = text.lastIndexOf(ID_FIELD);
-		while (at > 0 && text.charAt(at - 1) != '\n') {
-			at = text.lastIndexOf(ID_FIELD, at - 1);
-		}
-		if (at < 0) {
-			return null;
-		}
-		int end = text.indexOf('\n', at);
-		return text.substring(at + ID_FIELD.length(), (end < 0) ? text.length() : end).trim();
-	}
-
-	/**
-	 * Returns the first event id.
-	 * @param events complete events
-	 * @return the id, or {@code null} if no event has one
-	 */
-	static @Nullable String firstId(byte[] events) {
-		String text = new String(events, StandardCharsets.UTF_8);
-		for (String line : text.split("\n")) {
-			if (line.startsWith(ID_FIELD)) {
-				return line.substring(ID_FIELD.length()).trim();
-			}
-		}
-		return null;
-	}
-
 	/**
 	 * Returns the size of the incomplete event.
 	 * @return the number of bytes after the last complete event
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -247,7 +247,8 @@
 	}
 
 	private boolean isRetryable() {
-		return this.route != null && this.route.isRetryable();
+		return this.route != null && this.route.isRetryable()
+				&& (this.streamPosition == null || this.streamPosition.isResumable());
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/StreamPosition.java
+++ b/src/main/java/org/magnoliahub/entry/StreamPosition.java
@@ -1,5 +1,7 @@
 package org.magnoliahub.entry;
 
+import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 
 import org.jspecify.annotations.Nullable;
@@ -13,6 +15,8 @@
 
 	private @Nullable String lastEventId;
 
+	private long lastNumber = -1;
+
 	/**
 	 * Creates the position before the first event.
 	 * @param contentType content type of the response whose head was relayed, or
@@ -41,17 +45,20 @@
 
 	/**
 	 * Advances the position past relayed events.
-	 * @param events complete events
+	 * @param bytes complete events
 	 */
-	void advance(byte[] events) {
-		String last = EventSplitter.lastId(events);
-		if (last != null) {
-			this.lastEventId = last;
+	void advance(byte[] bytes) {
+		List<StreamEvent> events = StreamEvent.parse(bytes);
+		for (StreamEvent event : events) {
+			this.lastNumber = event.number();
+			if (event.id() != null) {
+				this.lastEventId = event.id();
+			}
 		}
 	}
 
 	/**
-	 * Returns the id of the last relayed event.
+	 * Returns the id of the last relayed event that has one.
 	 * @return the id, or {@code null} if the events have none
 	 */
 	@Nullable String lastEventId() {
@@ -59,21 +66,48 @@
 	}
 
 	/**
-	 * Returns whether events of another attempt continue the stream at this position.
-	 * @param events complete events
-	 * @return whether the first event id is greater than the id of the last relayed event
+	 * Returns whether another attempt can continue the stream. Behind an event whose id
+	 * is missing or no number it would repeat events or could not be checked.
+	 * @return whether the last relayed event has a number as its id
+	 */
+	boolean isResumable() {
+		return this.lastNumber >= 0;
+	}
+
+	/**
+	 * Returns whether events of another attempt continue the stream at this position. Ids
+	 * may skip numbers, because they are only known to increase.
+	 * @param bytes complete events
+	 * @return whether the first event has an id, and all ids are numbers that increase
+	 * from the id of the last relayed event
 	 */
-	boolean isContinuedBy(byte[] events) {
-		String first = EventSplitter.firstId(events);
-		if (first == null || this.lastEventId == null) {
+	boolean isContinuedBy(byte[] bytes) {
+		List<StreamEvent> events = StreamEvent.parse(bytes);
+		if (!isResumable() || events.isEmpty() || events.get(0).id() == null) {
 			return false;
 		}
-		try {
-			return Long.parseLong(first) > Long.parseLong(this.lastEventId);
-		}
-		catch (NumberFormatException ex) {
-			return false;
+		long previous = this.lastNumber;
+		for (StreamEvent event : events) {
+			if (event.id() == null) {
+				continue;
+			}
+			if (event.number() <= previous) {
+				return false;
+			}
+			previous = event.number();
 		}
+		return true;
+	}
+
+	/**
+	 * Removes what precedes the first event of another attempt: a byte order mark, which
+	 * is valid only at the start of a stream, comments and retry fields.
+	 * @param bytes complete events
+	 * @return the bytes from the first event, empty if they hold none
+	 */
+	static byte[] withoutPreamble(byte[] bytes) {
+		List<StreamEvent> events = StreamEvent.parse(bytes);
+		return events.isEmpty() ? new byte[0] : Arrays.copyOfRange(bytes, events.get(0).start(), bytes.length);
 	}
 
 }
--- a/src/test/java/org/magnoliahub/entry/EventSplitterTests.java
+++ b/src/test/java/org/magnoliahub/entry/EventSplitterTests.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 import io.netty.buffer.Unpooled;
 import net.jqwik.api.ForAll;
@@ -31,11 +32,11 @@
 	}
 
 	@Test
-	void findsFirstAndLastId() {
-		byte[] events = STREAM.getBytes(StandardCharsets.UTF_8);
-		assertThat(EventSplitter.firstId(events)).isEqualTo("1");
-		assertThat(EventSplitter.lastId(events)).isEqualTo("3");
-		assertThat(EventSplitter.lastId("data: id: 9\n\n".getBytes(StandardCharsets.UTF_8))).isNull();
+	void findsIdsOfEvents() {
+		List<StreamEvent> events = StreamEvent.parse(STREAM.getBytes(StandardCharsets.UTF_8));
+		assertThat(events).extracting(StreamEvent::id).containsExactly("1", "2", "3");
+		assertThat(StreamEvent.parse("data: id: 9\n\n".getBytes(StandardCharsets.UTF_8)))
+			.containsExactly(new StreamEvent(0, null));
 	}
 
 	@Test
--- a/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
+++ b/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
@@ -60,8 +60,8 @@
 	private void addEndpoints(String firstEvents, RawServer.Handler resumed) throws IOException, InterruptedException {
 		RawServer.Handler handler = (request, socket) -> {
 			if (request.header("Last-Event-Id").isEmpty()) {
-				RawServer.write(socket, EntryFixture.streamHead(request) + EntryFixture.chunk(firstEvents)
-						+ EntryFixture.chunk("id: 3\nda"));
+				RawServer.write(socket,
+						EntryFixture.streamHead(request) + bytesChunk(firstEvents) + EntryFixture.chunk("id: 3\nda"));
 				socket.close();
 				return;
 			}
@@ -216,6 +216,57 @@
 		assertThat(answer.body()).isEqualTo(RELAYED + "id: 3\ndata: x");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", "id: 2\ndata: b\n\n",
+			"id: x\ndata: c\n\n", "data: c\n\nid: 3\ndata: d\n\n", "id: 3\ndata: c\n\nid: 3\ndata: d\n\n",
+			"id: 4\ndata: c\n\nid: 3\ndata: d\n\n", "id: 99999999999999999999\ndata: c\n\n" })
+	void eventsThatDoNotFollowLastRelayedEventAreNotWrittenIntoStream(String events) throws Exception {
+		addEndpoints((request, socket) -> RawServer.write(socket, stream(request, events)));
+		assertIncomplete(received());
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "retry: 1000\n\n", ": resumed\n\n", "\r\n", "\uFEFF", "\uFEFF: resumed\n\n" })
+	void fieldsBeforeFirstEventOfResumedRunDoNotBreakStream(String fields) throws Exception {
+		String event = "id: 3\r\ndata: piece\r\n\r\n";
+		addEndpoints((request, socket) -> RawServer.write(socket, EntryFixture.streamHead(request) + bytesChunk(fields)
+				+ EntryFixture.chunk(event + EntryFixture.event(4)) + LAST_CHUNK));
+		CallerAnswer answer = answer();
+		assertThat(answer.complete()).isTrue();
+		assertThat(answer.body()).isEqualTo(RELAYED + event + EntryFixture.event(4));
+	}
+
+	private static String bytesChunk(String text) {
+		return Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n";
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "data: a\n\ndata: b\n\n", "id: x\ndata: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n" })
+	void streamWithoutIdOfLastEventIsNotRunAgain(String events) throws Exception {
+		List<String> runs = new CopyOnWriteArrayList<>();
+		RawServer.Handler handler = (request, socket) -> {
+			runs.add(request.header("Last-Event-Id"));
+			RawServer.write(socket, EntryFixture.streamHead(request) + EntryFixture.chunk(events));
+			socket.close();
+		};
+		this.fixture.addEndpoint("m-1", "model", handler);
+		this.fixture.addEndpoint("m-2", "model", handler);
+		this.fixture.awaitEndpoints();
+		CallerAnswer answer = answer();
+		assertThat(answer.complete()).isFalse();
+		assertThat(answer.body()).isEqualTo(events);
+		assertThat(runs).containsExactly("");
+	}
+
+	@Test
+	void streamWithByteOrderMarkIsResumed() throws Exception {
+		addEndpoints("\uFEFFid: 1\ndata: a\n\n",
+				(request, socket) -> RawServer.write(socket, stream(request, EntryFixture.event(2))));
+		CallerAnswer answer = answer();
+		assertThat(answer.complete()).isTrue();
+		assertThat(this.resumedAt).containsExactly("1");
+	}
+
 	@Test
 	void errorBeforeFirstEventIsRelayedAsResponse() throws Exception {
 		this.fixture.addEndpoint("m-1", "model", (request, socket) -> RawServer.write(socket,
