Reset an aborted stream of a caller that does not use chunks

Cause: the stream of an HTTP/1.0 caller has neither length nor chunks and ends with its connection. An aborted one was closed in the same way.

Change: the connection of such a stream is reset. A gateway that is killed still ends it properly; only the kernel could change that.

--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -373,6 +374,12 @@
 		public void abort() {
 			this.ended = true;
 			this.observer = null;
+			if (this.streamStarted && !this.chunked) {
+				// The end of the connection would complete a stream without chunks, so
+				// the
+				// connection is reset.
+				CallerConnection.this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+			}
 			CallerConnection.this.channel.close();
 		}
 
--- a/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
+++ b/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
@@ -278,6 +278,19 @@
 		assertThat(answer.body()).isEqualTo("no such model");
 	}
 
+	@Test
+	void abortedStreamOfOlderProtocolVersionIsReset() throws Exception {
+		addEndpoints((request, socket) -> RawServer.write(socket, response(request, "404 Not Found", "", "no")));
+		String received = received("HTTP/1.0");
+		assertThat(received).endsWith("<reset>").doesNotContain("404");
+	}
+
+	@Test
+	void streamOfOlderProtocolVersionIsCompleted() throws Exception {
+		addEndpoints((request, socket) -> RawServer.write(socket, stream(request, EntryFixture.event(3))));
+		assertThat(received("HTTP/1.0")).endsWith("\r\n\r\n" + RELAYED + EntryFixture.event(3));
+	}
+
 	@Test
 	void streamThatCallerResumesIsResumedBehindLastRelayedEvent() throws Exception {
 		RawServer.Handler handler = (request, socket) -> {
