Do not give up a silent endpoint without another one for the request

Cause: an attempt whose endpoint had been silent for the response timeout (0.25 s, 0.6 s before the first event, 1 s between events) was cancelled if attempts and budget were left. Only then was another endpoint looked for; if there was none, the request was answered 502 and a stream aborted.

Change: an attempt is given up for silence only if there is time and an endpoint that has not had the request, neither ejected nor unresponsive. A silent attempt that cannot be replaced is checked every 50 ms instead of 20 ms, because each check now selects an endpoint. Weighed: a longer timeout; it would delay the resumption behind a frozen endpoint, while callers leave after 2 s.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -47,6 +47,9 @@
 	/** Response timeout between the events of a stream. */
 	private static final long EVENT_TIMEOUT_MILLIS = 1_000;
 
+	/** Interval at which a silent attempt is checked that cannot be replaced yet. */
+	private static final long MINIMUM_CHECK_INTERVAL_MILLIS = 50;
+
 	/**
 	 * Ejection time of an endpoint that is not the addressed one, until the directory has
 	 * its current record.
@@ -143,7 +146,8 @@
 
 	private void scheduleTimeoutCheck() {
 		long timeoutMillis = responseTimeoutMillis();
-		long wait = Math.max(20, this.lastReceivedMillis + timeoutMillis - this.context.now());
+		long wait = Math.max(MINIMUM_CHECK_INTERVAL_MILLIS,
+				this.lastReceivedMillis + timeoutMillis - this.context.now());
 		this.timeoutCheck = this.context.timers().schedule(Duration.ofMillis(wait), this::checkTimeout);
 	}
 
@@ -160,7 +164,7 @@
 			return;
 		}
 		boolean timedOut = this.context.now() - this.lastReceivedMillis >= responseTimeoutMillis();
-		if (timedOut && !this.readingSuspended && this.flow.mayRetryUnknownOutcome()) {
+		if (timedOut && !this.readingSuspended && this.flow.mayReplaceSilentAttempt()) {
 			this.choice.endpoint().recordFailure(this.context.now(), true);
 			cancel();
 			this.flow.onOutcomeUnknown("silent");
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -206,12 +206,7 @@
 			return;
 		}
 		long now = this.context.now();
-		Map<String, Long> inputBytesByZone = (this.stageExecution != null) ? this.stageExecution.inputBytesByZone()
-				: Map.of();
-		Optional<EndpointChoice> choice = this.engineService
-				? this.context.selector()
-					.selectEngine(this.serviceName, this.request, inputBytesByZone, this.triedEndpoints, now)
-				: this.context.selector().selectEndpoint(this.serviceName, this.triedEndpoints, now);
+		Optional<EndpointChoice> choice = selectEndpoint(now);
 		if (choice.isEmpty()) {
 			endUnanswered((this.context.directory().pausedMillis(this.serviceName, now) > 0) ? PAUSED : "no_endpoint");
 			return;
@@ -223,6 +218,16 @@
 		send(choice.get(), now);
 	}
 
+	private Optional<EndpointChoice> selectEndpoint(long now) {
+		if (!this.engineService) {
+			return this.context.selector().selectEndpoint(this.serviceName, this.triedEndpoints, now);
+		}
+		Map<String, Long> inputBytesByZone = (this.stageExecution != null) ? this.stageExecution.inputBytesByZone()
+				: Map.of();
+		return this.context.selector()
+			.selectEngine(this.serviceName, this.request, inputBytesByZone, this.triedEndpoints, now);
+	}
+
 	private void send(EndpointChoice choice, long now) {
 		String id = choice.endpoint().record().id();
 		this.triedEndpoints.add(id);
@@ -262,6 +267,16 @@
 				&& this.context.retryBudget().availableRetries(this.serviceName, this.context.now()) >= 1;
 	}
 
+	/**
+	 * Returns whether a silent attempt can be replaced. An endpoint that is only slow is
+	 * better than one that is ejected or unresponsive, and than none.
+	 * @return whether a retry is permitted and a healthy endpoint is available for it
+	 */
+	boolean mayReplaceSilentAttempt() {
+		return mayRetryUnknownOutcome() && hasTimeForAttempt()
+				&& selectEndpoint(this.context.now()).filter((choice) -> !choice.isLastResort()).isPresent();
+	}
+
 	/**
 	 * Called when an attempt ended and the request was not executed.
 	 * @param reason the reason to report
