Keep a silent attempt until another endpoint responds

Cause: a silent attempt was cancelled before the request was sent to another endpoint. If that one refused, nothing was left.

Change: SilentAttempt keeps the attempt for at most 250 ms while the request is sent to another endpoint. It goes on if it responds first, or if the other one refuses or fails. It is cancelled when something of the other one is relayed. The platform forbids that two servers work on one stream for 400 ms. If stages have to run again first, the silent attempt is cancelled at once, as before. What remains: a refusal that takes longer than 250 ms.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -166,15 +166,27 @@
 		boolean timedOut = this.context.now() - this.lastReceivedMillis >= responseTimeoutMillis();
 		if (timedOut && !this.readingSuspended && this.flow.mayReplaceSilentAttempt()) {
 			this.choice.endpoint().recordFailure(this.context.now(), true);
-			cancel();
-			this.flow.onOutcomeUnknown("silent");
+			this.flow.replaceSilentAttempt();
 			return;
 		}
 		scheduleTimeoutCheck();
 	}
 
+	/**
+	 * Waits for the response again after the request was sent to another endpoint.
+	 */
+	void continueWaiting() {
+		this.timeoutCheck.dispose();
+		scheduleTimeoutCheck();
+	}
+
 	@Override
 	public void onHead(HttpResponse response, ResponseHead responseHead) {
+		this.flow.silentAttempt()
+			.onResponding(this, responseHead.isSuccess() && responseHead.signed() && !responseHead.contentEncoded());
+		if (this.ended) {
+			return;
+		}
 		long now = this.context.now();
 		this.lastReceivedMillis = now;
 		this.head = responseHead;
@@ -221,6 +233,7 @@
 			return;
 		}
 		this.lastReceivedMillis = this.context.now();
+		this.flow.silentAttempt().onResponding(this, true);
 		byte[] events = this.splitter.add(data);
 		if (this.splitter.incompleteBytes() > MAXIMUM_EVENT_BYTES) {
 			rejectResponse("event too large");
@@ -269,6 +282,7 @@
 		if (this.ended || responseHead == null || endpointHeaders == null) {
 			return;
 		}
+		this.flow.silentAttempt().onResponding(this, responseHead.isSuccess());
 		finish();
 		long now = this.context.now();
 		if (responseHead.notExecuted()) {
@@ -337,6 +351,9 @@
 		if (sent || this.choice.endpoint().isAvailable(this.context.now())) {
 			this.choice.endpoint().recordFailure(this.context.now(), true);
 		}
+		if (this.flow.silentAttempt().forget(this)) {
+			return;
+		}
 		if (sent) {
 			this.flow.onOutcomeUnknown(reason);
 			return;
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -89,6 +89,8 @@
 
 	private @Nullable Attempt attempt;
 
+	private final SilentAttempt silentAttempt;
+
 	private final Set<String> triedEndpoints = new HashSet<>();
 
 	private int sendCount;
@@ -112,6 +114,7 @@
 		this.request = PlatformHeaders.callerRequest(exchange.headers());
 		this.endCallback = endCallback;
 		this.telemetry = new RequestTelemetry(context, this.request, exchange.arrivedMillis());
+		this.silentAttempt = new SilentAttempt(context.timers(), this::resume);
 	}
 
 	void start() {
@@ -277,6 +280,51 @@
 				&& selectEndpoint(this.context.now()).filter((choice) -> !choice.isLastResort()).isPresent();
 	}
 
+	/**
+	 * Sends the request to another endpoint because the current attempt is silent. The
+	 * silent attempt continues if it responds first or the other endpoints refuse.
+	 */
+	void replaceSilentAttempt() {
+		Attempt silent = this.attempt;
+		if (silent == null) {
+			return;
+		}
+		if (this.stageExecution != null && this.stageExecution.areRequestInputsReleased()) {
+			// The stages take longer than both attempts may overlap.
+			silent.cancel();
+		}
+		else {
+			this.silentAttempt.keep(silent);
+		}
+		onOutcomeUnknown("silent");
+	}
+
+	/**
+	 * Returns the attempt that was replaced because it is silent.
+	 * @return keeps the attempt, if there is one
+	 */
+	SilentAttempt silentAttempt() {
+		return this.silentAttempt;
+	}
+
+	private boolean resumeSilentAttempt() {
+		Attempt silent = this.silentAttempt.take();
+		if (silent == null) {
+			return false;
+		}
+		this.possibleExecutions--;
+		resume(silent);
+		return true;
+	}
+
+	private void resume(Attempt silent) {
+		if (this.attempt != null) {
+			this.attempt.cancel();
+		}
+		this.attempt = silent;
+		silent.continueWaiting();
+	}
+
 	/**
 	 * Called when an attempt ended and the request was not executed.
 	 * @param reason the reason to report
@@ -300,6 +348,9 @@
 	void onInputsLost() {
 		reportFailedAttempt("inputs_gone", false, this.stagesRetried ? "give up" : "repeat stages");
 		this.attempt = null;
+		if (resumeSilentAttempt()) {
+			return;
+		}
 		Route matched = this.route;
 		if (this.stagesRetried || matched == null || this.stageExecution == null || !hasTimeForAttempt()) {
 			endUnanswered("inputs_gone");
@@ -346,12 +397,13 @@
 	}
 
 	/**
-	 * Ends the request without a response from an endpoint: aborts a started stream,
-	 * fails with 502 if the request may have been executed, and refuses it otherwise.
+	 * Ends the request without a response from an endpoint, unless a silent endpoint may
+	 * still respond: aborts a started stream, fails with 502 if the request may have been
+	 * executed, and refuses it otherwise.
 	 * @param reason the reason to report
 	 */
 	private void endUnanswered(String reason) {
-		if (this.ended) {
+		if (this.ended || resumeSilentAttempt()) {
 			return;
 		}
 		if (this.streamPosition != null) {
@@ -449,6 +501,7 @@
 				this.stageExecution.releaseRequestInputs();
 			}
 		}
+		this.silentAttempt.release();
 		position.advance(events);
 		this.telemetry.eventsRelayed();
 		return this.exchange.write(events);
@@ -493,6 +546,7 @@
 		this.ended = true;
 		this.deadlineTimer.dispose();
 		this.exchange.setObserver(null);
+		this.silentAttempt.release();
 		if (this.attempt != null) {
 			this.attempt.cancel();
 			this.attempt = null;
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/SilentAttempt.java
@@ -0,0 +1,105 @@
+package org.magnoliahub.entry;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+
+import io.reactivex.rxjava3.disposables.Disposable;
+import org.jspecify.annotations.Nullable;
+import org.magnoliahub.time.Timers;
+
+/**
+ * Keeps the silent attempt of a request while the request is sent to another endpoint, so
+ * that the silent one can continue if the other one refuses.
+ */
+final class SilentAttempt {
+
+	/**
+	 * Maximum time for which two endpoints may work on one request. A server that works
+	 * on a stream 400 ms after another one has continued it breaks a rule of the
+	 * platform.
+	 */
+	private static final long MAXIMUM_OVERLAP_MILLIS = 250;
+
+	private final Timers timers;
+
+	private final Consumer<Attempt> resumption;
+
+	private @Nullable Attempt attempt;
+
+	private Disposable timer = Disposable.disposed();
+
+	/**
+	 * Creates an object that keeps no attempt.
+	 * @param timers limits the time for which an attempt is kept
+	 * @param resumption called with a kept attempt that responds, instead of the attempt
+	 * that replaced it
+	 */
+	SilentAttempt(Timers timers, Consumer<Attempt> resumption) {
+		this.timers = timers;
+		this.resumption = resumption;
+	}
+
+	/**
+	 * Keeps an attempt until it is taken or released, at most for the permitted overlap.
+	 * An attempt that was kept before is cancelled.
+	 * @param silent the attempt
+	 */
+	void keep(Attempt silent) {
+		release();
+		this.attempt = silent;
+		this.timer = this.timers.schedule(Duration.ofMillis(MAXIMUM_OVERLAP_MILLIS), this::release);
+	}
+
+	/**
+	 * Called when an attempt receives a part of its response. Resumes it if it is kept
+	 * and the response is usable, and cancels it if it is kept and is not.
+	 * @param responding the attempt
+	 * @param usable whether the response is a signed success
+	 */
+	void onResponding(Attempt responding, boolean usable) {
+		if (this.attempt != responding) {
+			return;
+		}
+		if (!usable) {
+			release();
+			return;
+		}
+		take();
+		this.resumption.accept(responding);
+	}
+
+	/**
+	 * Called when an attempt has failed.
+	 * @param failed the attempt
+	 * @return whether it was kept, so that its failure does not affect the request
+	 */
+	boolean forget(Attempt failed) {
+		if (this.attempt != failed) {
+			return false;
+		}
+		take();
+		return true;
+	}
+
+	/**
+	 * Hands over the kept attempt, which is still in progress.
+	 * @return the attempt, or {@code null} if none is kept
+	 */
+	@Nullable Attempt take() {
+		Attempt kept = this.attempt;
+		this.attempt = null;
+		this.timer.dispose();
+		return kept;
+	}
+
+	/**
+	 * Cancels the kept attempt, if there is one.
+	 */
+	void release() {
+		Attempt kept = take();
+		if (kept != null) {
+			kept.cancel();
+		}
+	}
+
+}
