--- a/src/test/java/org/magnoliahub/entry/SilentEndpointTests.java
+++ b/src/test/java/org/magnoliahub/entry/SilentEndpointTests.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.platform.emulator.CallerAnswer;
 import org.magnoliahub.platform.emulator.RawServer;
@@ -147,6 +149,22 @@
 		assertResponseIsRelayed();
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "404 Not Found", "500 Internal Error", "200 OK" })
+	void slowStreamIsNotAbortedIfOtherEndpointDoesNotContinueIt(String statusLine) throws Exception {
+		RawServer.Handler handler = (request, socket) -> {
+			if (request.header("Last-Event-Id").isEmpty()) {
+				streamWithPause(request, socket);
+				return;
+			}
+			RawServer.write(socket, EntryFixture.signedResponse(request, "{}").replace("200 OK", statusLine));
+		};
+		this.fixture.addEndpoint("e-1", "model", handler);
+		this.fixture.addEndpoint("e-2", "model", handler);
+		this.fixture.awaitEndpoints();
+		assertStreamIsComplete(EntryFixture.event(1) + EntryFixture.event(2));
+	}
+
 	@Test
 	void silentAttemptIsCancelledOnceOtherEndpointContinuesStream() throws Exception {
 		CountDownLatch silentClosed = new CountDownLatch(1);
