Emulate endpoints that do not continue resumed streams

EndpointEmulator.Mode.REJECTS_RESUMED ends streams early and answers resumed runs with one of seven signed answers (UnresumedAnswer), chosen by the request id: errors, a success of another type, part of an event, no event, a stream that begins anew. A resumed run meets it only if the endpoint that broke off and the next one fail at the same time, so a fault needs it at more than one endpoint.

Test: emulatedAnswerThatDoesNotContinueIsNotWrittenIntoStream, seven cases.

--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -259,12 +259,16 @@
 		if (!work(socket, millis(requestId) / 2)) {
 			return;
 		}
+		if (this.mode == Mode.REJECTS_RESUMED && !from.isEmpty()) {
+			RawServer.write(socket, UnresumedAnswer.of(requestId).text(requestId, run.signature()));
+			return;
+		}
 		RawServer.write(socket,
 				"HTTP/1.1 200 OK\r\n" + notice(run.request()) + "Request-Id: " + requestId + "\r\nResponse-Signature: "
 						+ run.signature()
 						+ "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
 		for (int number = next; number <= eventCount(requestId); number++) {
-			if (this.mode == Mode.TRUNCATES && number > eventCount(requestId) / 2) {
+			if (breaksOffStreams() && number > eventCount(requestId) / 2) {
 				RawServer.write(socket, "40\r\n" + event(requestId, number).substring(0, 5));
 				socket.close();
 				return;
@@ -278,6 +282,10 @@
 		RawServer.write(socket, "0\r\n\r\n");
 	}
 
+	private boolean breaksOffStreams() {
+		return this.mode == Mode.TRUNCATES || this.mode == Mode.REJECTS_RESUMED;
+	}
+
 	/**
 	 * Waits like a request that is worked on.
 	 * @param socket its connection
@@ -329,6 +337,12 @@
 		/** Ends answers early. */
 		TRUNCATES,
 
+		/**
+		 * Ends streams early, and answers resumed ones with signed answers that do not
+		 * continue them. Other answers are sound.
+		 */
+		REJECTS_RESUMED,
+
 		/** Sends bytes that are no answer. */
 		GARBLES,
 
--- a/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
+++ b/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
@@ -8,6 +8,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -15,10 +17,16 @@
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.platform.emulator.CallerAnswer;
+import org.magnoliahub.platform.emulator.EndpointEmulator;
+import org.magnoliahub.platform.emulator.EndpointRequest;
+import org.magnoliahub.platform.emulator.EndpointRun;
 import org.magnoliahub.platform.emulator.RawServer;
+import org.magnoliahub.platform.emulator.RunObserver;
+import org.magnoliahub.platform.emulator.UnresumedAnswer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -313,4 +321,44 @@
 		assertThat(this.resumedAt).containsExactly("4", "5");
 	}
 
+	@ParameterizedTest
+	@EnumSource(UnresumedAnswer.class)
+	void emulatedAnswerThatDoesNotContinueIsNotWrittenIntoStream(UnresumedAnswer kind) throws Exception {
+		String id = IntStream.range(0, 1_000)
+			.mapToObj((number) -> "r" + number)
+			.filter((candidate) -> UnresumedAnswer.of(candidate) == kind && EndpointEmulator.eventCount(candidate) > 3)
+			.findFirst()
+			.orElseThrow();
+		int half = EndpointEmulator.eventCount(id) / 2;
+		try (EndpointEmulator first = EndpointEmulator.start("m-1", 8, new RunIgnorer());
+				EndpointEmulator second = EndpointEmulator.start("m-2", 8, new RunIgnorer())) {
+			first.setMode(EndpointEmulator.Mode.REJECTS_RESUMED);
+			second.setMode(EndpointEmulator.Mode.REJECTS_RESUMED);
+			this.fixture.listEndpoint("m-1", "model", first.address(), "ready");
+			this.fixture.listEndpoint("m-2", "model", second.address(), "ready");
+			this.fixture.awaitEndpoints();
+			CallerAnswer answer = this.fixture.send("POST", "/draft/1", id);
+			assertThat(answer.complete()).isFalse();
+			assertThat(answer.body()).isEqualTo(IntStream.rangeClosed(1, half)
+				.mapToObj((number) -> EndpointEmulator.event(id, number))
+				.collect(Collectors.joining()));
+		}
+	}
+
+	private static final class RunIgnorer implements RunObserver {
+
+		@Override
+		public void arrived(EndpointRequest request) {
+		}
+
+		@Override
+		public void started(EndpointRun run) {
+		}
+
+		@Override
+		public void ended(EndpointRun run) {
+		}
+
+	}
+
 }
