--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -49,6 +49,9 @@
 	/** Response timeout between the events of a stream. */
 	private static final long EVENT_TIMEOUT_MILLIS = 1_000;
 
+	/** Interval at which a silent attempt is checked that cannot be replaced yet. */
+	private static final long MINIMUM_CHECK_INTERVAL_MILLIS = 50;
+
 	/**
 	 * Ejection time of an endpoint that is not the addressed one, until the directory has
 	 * its current record.
@@ -145,7 +148,8 @@
 
 	private void scheduleTimeoutCheck() {
 		long timeoutMillis = responseTimeoutMillis();
-		long wait = Math.max(20, this.lastReceivedMillis + timeoutMillis - this.context.now());
+		long wait = Math.max(MINIMUM_CHECK_INTERVAL_MILLIS,
+				this.lastReceivedMillis + timeoutMillis - this.context.now());
 		this.timeoutCheck = this.context.timers().schedule(Duration.ofMillis(wait), this::checkTimeout);
 	}
 
@@ -162,17 +166,29 @@
 			return;
 		}
 		boolean timedOut = this.context.now() - this.lastReceivedMillis >= responseTimeoutMillis();
-		if (timedOut && !this.readingSuspended && this.flow.mayRetryUnknownOutcome()) {
+		if (timedOut && !this.readingSuspended && this.flow.mayReplaceSilentAttempt()) {
 			this.choice.endpoint().recordFailure(this.context.now(), true);
-			cancel();
-			this.flow.onOutcomeUnknown("silent");
+			this.flow.replaceSilentAttempt();
 			return;
 		}
 		scheduleTimeoutCheck();
 	}
 
+	/**
+	 * Waits for the response again after the request was sent to another endpoint.
+	 */
+	void continueWaiting() {
+		this.timeoutCheck.dispose();
+		scheduleTimeoutCheck();
+	}
+
 	@Override
 	public void onHead(HttpResponse response, ResponseHead responseHead) {
+		this.flow.silentAttempt()
+			.onResponding(this, responseHead.isSuccess() && responseHead.signed() && !responseHead.contentEncoded());
+		if (this.ended) {
+			return;
+		}
 		long now = this.context.now();
 		this.lastReceivedMillis = now;
 		this.head = responseHead;
@@ -219,6 +235,7 @@
 			return;
 		}
 		this.lastReceivedMillis = this.context.now();
+		this.flow.silentAttempt().onResponding(this, true);
 		byte[] events = this.splitter.add(data);
 		if (this.splitter.incompleteBytes() > MAXIMUM_EVENT_BYTES) {
 			rejectResponse("event too large");
@@ -233,13 +250,20 @@
 		if (this.call != null) {
 			this.call.recordFirstResponse(this.lastReceivedMillis);
 		}
-		StreamPosition position = this.flow.streamPosition();
-		if (this.resuming && !this.continued && position != null && !position.isContinuedBy(events)) {
-			rejectResponse("stream does not go on where it stood");
-			return;
+		byte[] relayed = events;
+		if (this.resuming && !this.continued) {
+			relayed = StreamPosition.withoutPreamble(events);
+			if (relayed.length == 0) {
+				return;
+			}
+			StreamPosition position = this.flow.streamPosition();
+			if (position != null && !position.isContinuedBy(relayed)) {
+				rejectResponse("stream does not go on where it stood");
+				return;
+			}
+			this.continued = true;
 		}
-		this.continued = this.resuming;
-		if (!this.flow.onEvents(responseHead.status(), endpointHeaders, events) && this.exchange != null) {
+		if (!this.flow.onEvents(responseHead.status(), endpointHeaders, relayed) && this.exchange != null) {
 			this.readingSuspended = true;
 			this.exchange.setReading(false);
 		}
@@ -260,6 +284,7 @@
 		if (this.ended || responseHead == null || endpointHeaders == null) {
 			return;
 		}
+		this.flow.silentAttempt().onResponding(this, responseHead.isSuccess());
 		finish();
 		long now = this.context.now();
 		if (responseHead.notExecuted()) {
@@ -328,6 +353,9 @@
 		if (sent || this.choice.endpoint().isAvailable(this.context.now())) {
 			this.choice.endpoint().recordFailure(this.context.now(), true);
 		}
+		if (this.flow.silentAttempt().forget(this)) {
+			return;
+		}
 		if (sent) {
 			this.flow.onOutcomeUnknown(reason);
 			return;
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -90,6 +90,8 @@
 
 	private @Nullable Attempt attempt;
 
+	private final SilentAttempt silentAttempt;
+
 	private final Set<String> triedEndpoints = new HashSet<>();
 
 	private int sendCount;
@@ -114,6 +116,7 @@
 		this.request = PlatformHeaders.callerRequest(exchange.headers());
 		this.endCallback = endCallback;
 		this.telemetry = new RequestTelemetry(context, this.request, exchange.arrivedMillis());
+		this.silentAttempt = new SilentAttempt(context.timers(), this::resume);
 	}
 
 	void start() {
@@ -208,12 +211,7 @@
 			return;
 		}
 		long now = this.context.now();
-		Map<String, Long> inputBytesByZone = (this.stageExecution != null) ? this.stageExecution.inputBytesByZone()
-				: Map.of();
-		Optional<EndpointChoice> choice = this.engineService
-				? this.context.selector()
-					.selectEngine(this.serviceName, this.request, inputBytesByZone, this.triedEndpoints, now)
-				: this.context.selector().selectEndpoint(this.serviceName, this.triedEndpoints, now);
+		Optional<EndpointChoice> choice = selectEndpoint(now);
 		if (choice.isEmpty()) {
 			endUnanswered((this.context.directory().pausedMillis(this.serviceName, now) > 0) ? PAUSED : "no_endpoint");
 			return;
@@ -225,6 +223,16 @@
 		send(choice.get(), now);
 	}
 
+	private Optional<EndpointChoice> selectEndpoint(long now) {
+		if (!this.engineService) {
+			return this.context.selector().selectEndpoint(this.serviceName, this.triedEndpoints, now);
+		}
+		Map<String, Long> inputBytesByZone = (this.stageExecution != null) ? this.stageExecution.inputBytesByZone()
+				: Map.of();
+		return this.context.selector()
+			.selectEngine(this.serviceName, this.request, inputBytesByZone, this.triedEndpoints, now);
+	}
+
 	private void send(EndpointChoice choice, long now) {
 		String id = choice.endpoint().record().id();
 		this.triedEndpoints.add(id);
@@ -249,7 +257,8 @@
 	}
 
 	private boolean isRetryable() {
-		return this.route != null && this.route.isRetryable();
+		return this.route != null && this.route.isRetryable()
+				&& (this.streamPosition == null || this.streamPosition.isResumable());
 	}
 
 	/**
@@ -263,6 +272,61 @@
 				&& this.context.retryBudget().availableRetries(this.serviceName, this.context.now()) >= 1;
 	}
 
+	/**
+	 * Returns whether a silent attempt can be replaced. An endpoint that is only slow is
+	 * better than one that is ejected or unresponsive, and than none.
+	 * @return whether a retry is permitted and a healthy endpoint is available for it
+	 */
+	boolean mayReplaceSilentAttempt() {
+		return mayRetryUnknownOutcome() && hasTimeForAttempt()
+				&& selectEndpoint(this.context.now()).filter((choice) -> !choice.isLastResort()).isPresent();
+	}
+
+	/**
+	 * Sends the request to another endpoint because the current attempt is silent. The
+	 * silent attempt continues if it responds first or the other endpoints refuse.
+	 */
+	void replaceSilentAttempt() {
+		Attempt silent = this.attempt;
+		if (silent == null) {
+			return;
+		}
+		if (this.stageExecution != null && this.stageExecution.areRequestInputsReleased()) {
+			// The stages take longer than both attempts may overlap.
+			silent.cancel();
+		}
+		else {
+			this.silentAttempt.keep(silent);
+		}
+		onOutcomeUnknown("silent");
+	}
+
+	/**
+	 * Returns the attempt that was replaced because it is silent.
+	 * @return keeps the attempt, if there is one
+	 */
+	SilentAttempt silentAttempt() {
+		return this.silentAttempt;
+	}
+
+	private boolean resumeSilentAttempt() {
+		Attempt silent = this.silentAttempt.take();
+		if (silent == null) {
+			return false;
+		}
+		this.possibleExecutions--;
+		resume(silent);
+		return true;
+	}
+
+	private void resume(Attempt silent) {
+		if (this.attempt != null) {
+			this.attempt.cancel();
+		}
+		this.attempt = silent;
+		silent.continueWaiting();
+	}
+
 	/**
 	 * Called when an attempt ended and the request was not executed.
 	 * @param reason the reason to report
@@ -286,6 +350,9 @@
 	void onInputsLost() {
 		reportFailedAttempt("inputs_gone", false, this.stagesRetried ? "give up" : "repeat stages");
 		this.attempt = null;
+		if (resumeSilentAttempt()) {
+			return;
+		}
 		Route matched = this.route;
 		if (this.stagesRetried || matched == null || this.stageExecution == null || !hasTimeForAttempt()) {
 			endUnanswered("inputs_gone");
@@ -332,12 +399,13 @@
 	}
 
 	/**
-	 * Ends the request without a response from an endpoint: aborts a started stream,
-	 * fails with 502 if the request may have been executed, and refuses it otherwise.
+	 * Ends the request without a response from an endpoint, unless a silent endpoint may
+	 * still respond: aborts a started stream, fails with 502 if the request may have been
+	 * executed, and refuses it otherwise.
 	 * @param reason the reason to report
 	 */
 	private void endUnanswered(String reason) {
-		if (this.ended) {
+		if (this.ended || resumeSilentAttempt()) {
 			return;
 		}
 		if (this.streamPosition != null) {
@@ -463,6 +531,7 @@
 				this.stageExecution.releaseRequestInputs();
 			}
 		}
+		this.silentAttempt.release();
 		position.advance(events);
 		this.telemetry.eventsRelayed();
 		return this.exchange.write(events);
@@ -507,6 +576,7 @@
 		this.ended = true;
 		this.deadlineTimer.dispose();
 		this.exchange.setObserver(null);
+		this.silentAttempt.release();
 		if (this.attempt != null) {
 			this.attempt.cancel();
 			this.attempt = null;
--- a/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
+++ b/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
@@ -8,6 +8,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -15,10 +17,16 @@
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.platform.emulator.CallerAnswer;
+import org.magnoliahub.platform.emulator.EndpointEmulator;
+import org.magnoliahub.platform.emulator.EndpointRequest;
+import org.magnoliahub.platform.emulator.EndpointRun;
 import org.magnoliahub.platform.emulator.RawServer;
+import org.magnoliahub.platform.emulator.RunObserver;
+import org.magnoliahub.platform.emulator.UnresumedAnswer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -60,8 +68,8 @@
 	private void addEndpoints(String firstEvents, RawServer.Handler resumed) throws IOException, InterruptedException {
 		RawServer.Handler handler = (request, socket) -> {
 			if (request.header("Last-Event-Id").isEmpty()) {
-				RawServer.write(socket, EntryFixture.streamHead(request) + EntryFixture.chunk(firstEvents)
-						+ EntryFixture.chunk("id: 3\nda"));
+				RawServer.write(socket,
+						EntryFixture.streamHead(request) + bytesChunk(firstEvents) + EntryFixture.chunk("id: 3\nda"));
 				socket.close();
 				return;
 			}
@@ -216,6 +224,57 @@
 		assertThat(answer.body()).isEqualTo(RELAYED + "id: 3\ndata: x");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", "id: 2\ndata: b\n\n",
+			"id: x\ndata: c\n\n", "data: c\n\nid: 3\ndata: d\n\n", "id: 3\ndata: c\n\nid: 3\ndata: d\n\n",
+			"id: 4\ndata: c\n\nid: 3\ndata: d\n\n", "id: 99999999999999999999\ndata: c\n\n" })
+	void eventsThatDoNotFollowLastRelayedEventAreNotWrittenIntoStream(String events) throws Exception {
+		addEndpoints((request, socket) -> RawServer.write(socket, stream(request, events)));
+		assertIncomplete(received());
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "retry: 1000\n\n", ": resumed\n\n", "\r\n", "\uFEFF", "\uFEFF: resumed\n\n" })
+	void fieldsBeforeFirstEventOfResumedRunDoNotBreakStream(String fields) throws Exception {
+		String event = "id: 3\r\ndata: piece\r\n\r\n";
+		addEndpoints((request, socket) -> RawServer.write(socket, EntryFixture.streamHead(request) + bytesChunk(fields)
+				+ EntryFixture.chunk(event + EntryFixture.event(4)) + LAST_CHUNK));
+		CallerAnswer answer = answer();
+		assertThat(answer.complete()).isTrue();
+		assertThat(answer.body()).isEqualTo(RELAYED + event + EntryFixture.event(4));
+	}
+
+	private static String bytesChunk(String text) {
+		return Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n";
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "data: a\n\ndata: b\n\n", "id: x\ndata: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n" })
+	void streamWithoutIdOfLastEventIsNotRunAgain(String events) throws Exception {
+		List<String> runs = new CopyOnWriteArrayList<>();
+		RawServer.Handler handler = (request, socket) -> {
+			runs.add(request.header("Last-Event-Id"));
+			RawServer.write(socket, EntryFixture.streamHead(request) + EntryFixture.chunk(events));
+			socket.close();
+		};
+		this.fixture.addEndpoint("m-1", "model", handler);
+		this.fixture.addEndpoint("m-2", "model", handler);
+		this.fixture.awaitEndpoints();
+		CallerAnswer answer = answer();
+		assertThat(answer.complete()).isFalse();
+		assertThat(answer.body()).isEqualTo(events);
+		assertThat(runs).containsExactly("");
+	}
+
+	@Test
+	void streamWithByteOrderMarkIsResumed() throws Exception {
+		addEndpoints("\uFEFFid: 1\ndata: a\n\n",
+				(request, socket) -> RawServer.write(socket, stream(request, EntryFixture.event(2))));
+		CallerAnswer answer = answer();
+		assertThat(answer.complete()).isTrue();
+		assertThat(this.resumedAt).containsExactly("1");
+	}
+
 	@Test
 	void errorBeforeFirstEventIsRelayedAsResponse() throws Exception {
 		this.fixture.addEndpoint("m-1", "model", (request, socket) -> RawServer.write(socket,
@@ -227,6 +286,19 @@
 		assertThat(answer.body()).isEqualTo("no such model");
 	}
 
+	@Test
+	void abortedStreamOfOlderProtocolVersionIsReset() throws Exception {
+		addEndpoints((request, socket) -> RawServer.write(socket, response(request, "404 Not Found", "", "no")));
+		String received = received("HTTP/1.0");
+		assertThat(received).endsWith("<reset>").doesNotContain("404");
+	}
+
+	@Test
+	void streamOfOlderProtocolVersionIsCompleted() throws Exception {
+		addEndpoints((request, socket) -> RawServer.write(socket, stream(request, EntryFixture.event(3))));
+		assertThat(received("HTTP/1.0")).endsWith("\r\n\r\n" + RELAYED + EntryFixture.event(3));
+	}
+
 	@Test
 	void streamThatCallerResumesIsResumedBehindLastRelayedEvent() throws Exception {
 		RawServer.Handler handler = (request, socket) -> {
@@ -249,4 +321,44 @@
 		assertThat(this.resumedAt).containsExactly("4", "5");
 	}
 
+	@ParameterizedTest
+	@EnumSource(UnresumedAnswer.class)
+	void emulatedAnswerThatDoesNotContinueIsNotWrittenIntoStream(UnresumedAnswer kind) throws Exception {
+		String id = IntStream.range(0, 1_000)
+			.mapToObj((number) -> "r" + number)
+			.filter((candidate) -> UnresumedAnswer.of(candidate) == kind && EndpointEmulator.eventCount(candidate) > 3)
+			.findFirst()
+			.orElseThrow();
+		int half = EndpointEmulator.eventCount(id) / 2;
+		try (EndpointEmulator first = EndpointEmulator.start("m-1", 8, new RunIgnorer());
+				EndpointEmulator second = EndpointEmulator.start("m-2", 8, new RunIgnorer())) {
+			first.setMode(EndpointEmulator.Mode.REJECTS_RESUMED);
+			second.setMode(EndpointEmulator.Mode.REJECTS_RESUMED);
+			this.fixture.listEndpoint("m-1", "model", first.address(), "ready");
+			this.fixture.listEndpoint("m-2", "model", second.address(), "ready");
+			this.fixture.awaitEndpoints();
+			CallerAnswer answer = this.fixture.send("POST", "/draft/1", id);
+			assertThat(answer.complete()).isFalse();
+			assertThat(answer.body()).isEqualTo(IntStream.rangeClosed(1, half)
+				.mapToObj((number) -> EndpointEmulator.event(id, number))
+				.collect(Collectors.joining()));
+		}
+	}
+
+	private static final class RunIgnorer implements RunObserver {
+
+		@Override
+		public void arrived(EndpointRequest request) {
+		}
+
+		@Override
+		public void started(EndpointRun run) {
+		}
+
+		@Override
+		public void ended(EndpointRun run) {
+		}
+
+	}
+
 }
