Refuse deeply nested JSON before it overflows the stack

A gateway with -Xss256k that read an entry of 990 nested levels among the endpoints overflowed the stack of its event loop: it never became ready (20 s) if the entry lay there before its start, and followed no further row (10 s) if it came later. The reader recurses and relied on the parser's limit of 1,000 levels.

JsonTree now refuses more than 64 levels. JsonTreeTests.deepTextIsATypedErrorOnASmallStack failed before on all three shapes with StackOverflowError, where an IOException is due. Ruled out: StreamReadConstraints, whose builders add classes to the start.

--- a/src/main/java/org/magnoliahub/platform/JsonTree.java
+++ b/src/main/java/org/magnoliahub/platform/JsonTree.java
@@ -21,6 +21,13 @@
  */
 final class JsonTree {
 
+	/**
+	 * Maximum nesting depth. Values are read recursively on an event loop whose stack is
+	 * too small for the parser's default of 1,000; texts of the platform need less than
+	 * ten.
+	 */
+	static final int MAXIMUM_DEPTH = 64;
+
 	private static final JsonFactory FACTORY = new JsonFactory();
 
 	private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
@@ -32,7 +39,7 @@
 	 * Reads the first value of a text.
 	 * @param bytes the text, in UTF-8
 	 * @return the value, a missing node if there is none
-	 * @throws IOException if the text is malformed
+	 * @throws IOException if the text is malformed or nested too deeply
 	 */
 	static JsonNode read(byte[] bytes) throws IOException {
 		try (JsonParser parser = FACTORY.createParser(bytes)) {
@@ -64,6 +71,7 @@
 	}
 
 	private static JsonNode object(JsonParser parser) throws IOException {
+		checkDepth(parser);
 		ObjectNode object = NODES.objectNode();
 		while (parser.nextToken() != JsonToken.END_OBJECT) {
 			String name = parser.currentName();
@@ -73,6 +81,7 @@
 	}
 
 	private static JsonNode array(JsonParser parser) throws IOException {
+		checkDepth(parser);
 		ArrayNode array = NODES.arrayNode();
 		JsonToken token = next(parser);
 		while (token != JsonToken.END_ARRAY) {
@@ -82,6 +91,12 @@
 		return array;
 	}
 
+	private static void checkDepth(JsonParser parser) throws IOException {
+		if (parser.getParsingContext().getNestingDepth() > MAXIMUM_DEPTH) {
+			throw new JsonParseException(parser, "nested deeper than " + MAXIMUM_DEPTH + " levels");
+		}
+	}
+
 	private static JsonToken next(JsonParser parser) throws IOException {
 		JsonToken token = parser.nextToken();
 		if (token == null) {
--- a/src/test/java/org/magnoliahub/platform/JsonTreeTests.java
+++ b/src/test/java/org/magnoliahub/platform/JsonTreeTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicReference;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -21,6 +22,9 @@
  */
 class JsonTreeTests {
 
+	/** Half of the stack of the deployed processes, as the event loop uses some of it. */
+	private static final long SMALL_STACK_BYTES = 131_072;
+
 	private static JsonNode read(String text) throws IOException {
 		return JsonTree.read(text.getBytes(StandardCharsets.UTF_8));
 	}
@@ -48,6 +52,36 @@
 		assertThatExceptionOfType(IOException.class).isThrownBy(() -> read("[".repeat(200_000)));
 	}
 
+	/**
+	 * Guards against a stack overflow on the event loop, whose stack is small.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "[|]", "{\"a\":|}", "[{\"a\":[|]}]" })
+	void deepTextIsATypedErrorOnASmallStack(String level) throws InterruptedException {
+		String[] ends = level.split("\\|");
+		int levels = 900 / (int) level.chars().filter((character) -> "[{".indexOf(character) >= 0).count();
+		String text = ends[0].repeat(levels) + "1" + ends[1].repeat(levels);
+		AtomicReference<Throwable> thrown = new AtomicReference<>();
+		Thread thread = new Thread(null, () -> {
+			try {
+				read(text);
+			}
+			catch (Throwable ex) {
+				thrown.set(ex);
+			}
+		}, "small stack", SMALL_STACK_BYTES);
+		thread.start();
+		thread.join();
+		assertThat(thrown.get()).isInstanceOf(IOException.class);
+	}
+
+	@Test
+	void deepValuesUpToTheLimitAreRead() throws IOException {
+		String text = "[".repeat(JsonTree.MAXIMUM_DEPTH) + "]".repeat(JsonTree.MAXIMUM_DEPTH);
+		assertThat(read(text).isArray()).isTrue();
+		assertThatExceptionOfType(IOException.class).isThrownBy(() -> read("[" + text + "]"));
+	}
+
 	@Property(tries = 2_000)
 	void anyBytesEndInAValueOrATypedError(@ForAll @Size(max = 200) byte[] bytes) {
 		try {
