--- a/src/main/java/org/magnoliahub/platform/PlatformFormatException.java
+++ b/src/main/java/org/magnoliahub/platform/PlatformFormatException.java
@@ -1,5 +1,7 @@
 package org.magnoliahub.platform;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Thrown when something that the platform sent cannot be read.
  */
@@ -16,9 +18,9 @@
 	/**
 	 * Creates the exception.
 	 * @param message what was expected and what came
-	 * @param cause the parser's failure
+	 * @param cause the parser's failure, or {@code null} if there is none
 	 */
-	public PlatformFormatException(String message, Throwable cause) {
+	public PlatformFormatException(String message, @Nullable Throwable cause) {
 		super(message, cause);
 	}
 
