Accept only entries of endpoints whose numbers and id can be used

Numbers beyond a long were cut: seq was read as 1, born as a negative start. Negative or no slots, a start that is no whole number, and ids that are no header value were accepted. A request to an endpoint listed as 'i-1\r\nSmuggled: yes' ended with 502, as the header cannot be written.

--- a/src/main/java/org/magnoliahub/platform/EndpointRecordReader.java
+++ b/src/main/java/org/magnoliahub/platform/EndpointRecordReader.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.magnoliahub.serving.EndpointRecord;
@@ -12,6 +13,10 @@
  */
 public final class EndpointRecordReader {
 
+	private static final String DRAINING = "draining";
+
+	private static final Set<String> STATES = Set.of("ready", DRAINING);
+
 	/**
 	 * Reads an entry.
 	 * @param id key of the entry
@@ -26,19 +31,24 @@
 		catch (IOException ex) {
 			return Optional.empty();
 		}
-		if (!isText(root, "service") || !isText(root, "address") || !isText(root, "zone") || !root.path("slots").isInt()
-				|| !root.path("seq").isIntegralNumber()) {
-			return Optional.empty();
-		}
-		String state = root.path("state").asText();
-		String address = root.path("address").asText();
-		if (!root.path("state").isTextual() || !(state.equals("ready") || state.equals("draining"))
-				|| !isAddress(address)) {
+		if (!HeaderText.isVisible(id) || !isEndpoint(root)) {
 			return Optional.empty();
 		}
-		return Optional.of(new EndpointRecord(id, root.path("service").asText(), address, root.path("zone").asText(),
-				root.path("slots").asInt(), state.equals("draining"), root.path("born").asLong(0),
-				root.path("seq").asLong()));
+		return Optional.of(new EndpointRecord(id, root.path("service").asText(), root.path("address").asText(),
+				root.path("zone").asText(), root.path("slots").asInt(), root.path("state").asText().equals(DRAINING),
+				root.path("born").asLong(0), root.path("seq").asLong()));
+	}
+
+	private static boolean isEndpoint(JsonNode root) {
+		return isText(root, "service") && isText(root, "zone") && isText(root, "state") && isText(root, "address")
+				&& STATES.contains(root.path("state").asText()) && isAddress(root.path("address").asText())
+				&& root.path("slots").isInt() && root.path("slots").asInt() > 0 && isCount(root.path("seq"))
+				&& (root.path("born").isMissingNode() || isCount(root.path("born")));
+	}
+
+	// A number beyond a long would be cut to any other one.
+	private static boolean isCount(JsonNode node) {
+		return node.isIntegralNumber() && node.canConvertToLong() && node.asLong() >= 0;
 	}
 
 	private static boolean isText(JsonNode root, String field) {
--- a/src/test/java/org/magnoliahub/platform/EndpointRecordReaderTests.java
+++ b/src/test/java/org/magnoliahub/platform/EndpointRecordReaderTests.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliahub.serving.EndpointRecord;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -38,4 +39,41 @@
 		assertThat(read(ENTRY.replace(part, replacement))).isEmpty();
 	}
 
+	/**
+	 * Guards against numbers that are cut to a long, which would make an entry of another
+	 * writer older or newer than all others.
+	 */
+	@ParameterizedTest
+	@CsvSource(delimiter = '|',
+			value = { "\"seq\":3|\"seq\":18446744073709551617", "\"seq\":3|\"seq\":-1", "\"seq\":3|\"seq\":3.5",
+					"\"seq\":3|\"seq\":1e400", "\"slots\":4|\"slots\":-4", "\"slots\":4|\"slots\":0",
+					"\"slots\":4|\"slots\":4.0", "\"slots\":4|\"slots\":99999999999999999999",
+					"1700000000000|17000000000000000000000", "1700000000000|-1", "1700000000000|1.5",
+					"1700000000000|\"1700000000000\"", "1700000000000|[]" })
+	void numbersOutOfRangeNameNoEndpoint(String part, String replacement) {
+		assertThat(read(ENTRY.replace(part, replacement))).isEmpty();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "0", "65536", "-80", "+80", "8080808080", "" })
+	void portsOutOfRangeNameNoEndpoint(String port) {
+		assertThat(read(ENTRY.replace("10.1.0.9:80", "10.1.0.9:" + port))).isEmpty();
+	}
+
+	@Test
+	void entryWithoutStartTimeNamesAnEndpoint() {
+		assertThat(read(ENTRY.replace(",\"born\":1700000000000", "")).orElseThrow().processStartMillis()).isZero();
+	}
+
+	/**
+	 * Guards against ids that cannot be sent in a header, or that add headers to a
+	 * request.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "", " ", "i 1", "i-1\r\nX: y", "i-1\n", "\u0000", "i-\u00e4", "i-\ud800" })
+	void idsThatAreNoHeaderValueNameNoEndpoint(String id) {
+		byte[] stored = ENTRY.getBytes(StandardCharsets.UTF_8);
+		assertThat(new EndpointRecordReader().read(id, stored)).isEmpty();
+	}
+
 }
