Keep the other rows of an answer of the store if one cannot be read

A row whose value is no base64 made the whole answer unreadable ('Illegal base64 character 25'), so that a watcher read it again and again and applied nothing. Rows without a key were taken as rows with an empty one, and revisions beyond a long were cut. A row without a readable value now has an empty one, and one without a key is skipped.

--- a/src/main/java/org/magnoliahub/platform/StoreFormat.java
+++ b/src/main/java/org/magnoliahub/platform/StoreFormat.java
@@ -34,6 +34,8 @@
 	/** Status of a feed whose history is no longer there. */
 	public static final int HISTORY_GONE = 410;
 
+	private static final byte[] NO_VALUE = new byte[0];
+
 	private static final List<String> CHANGES = List.of("writes", "remove");
 
 	/**
@@ -59,7 +61,8 @@
 	}
 
 	/**
-	 * Reads rows or changes.
+	 * Reads rows or changes. A row whose value cannot be read has an empty one, and a row
+	 * without a key is skipped, so that it does not lose the others.
 	 * @param body body of the answer
 	 * @return the rows
 	 * @throws PlatformFormatException if the body is not such an answer
@@ -68,21 +71,46 @@
 		try {
 			JsonNode root = JsonTree.read(body);
 			List<StoredRow> rows = new ArrayList<>();
-			for (JsonNode row : root.path("rows")) {
-				boolean removed = row.path("tombstone").asBoolean(false);
-				byte[] value = removed ? new byte[0] : Base64.getDecoder().decode(row.path("value").asText(""));
-				rows.add(new StoredRow(row.path("key").asText(), value, row.path("ver").asLong(), removed));
-			}
-			if (!root.path("ver").isIntegralNumber()) {
+			if (!isRevision(root.path("ver"))) {
 				throw new PlatformFormatException("the answer of the store lacks its revision");
 			}
+			if (!root.path("rows").isArray() && !root.path("rows").isMissingNode()) {
+				throw new PlatformFormatException("the answer of the store has no list of rows");
+			}
+			for (JsonNode row : root.path("rows")) {
+				if (row.path("key").isTextual() && !row.path("key").asText().isEmpty()) {
+					rows.add(row(row));
+				}
+			}
 			return new StoredRows(rows, root.path("ver").asLong(), root.path("has_more").asBoolean(false));
 		}
-		catch (IOException | IllegalArgumentException ex) {
+		catch (IOException ex) {
 			throw new PlatformFormatException("the answer of the store cannot be read: " + ex.getMessage(), ex);
 		}
 	}
 
+	private static StoredRow row(JsonNode row) {
+		String key = row.path("key").asText();
+		boolean removed = row.path("tombstone").asBoolean(false);
+		if (!isRevision(row.path("ver"))) {
+			return new StoredRow(key, NO_VALUE, 0, removed);
+		}
+		return new StoredRow(key, removed ? NO_VALUE : value(row.path("value")), row.path("ver").asLong(), removed);
+	}
+
+	private static byte[] value(JsonNode value) {
+		try {
+			return value.isTextual() ? Base64.getDecoder().decode(value.asText()) : NO_VALUE;
+		}
+		catch (IllegalArgumentException ex) {
+			return NO_VALUE;
+		}
+	}
+
+	private static boolean isRevision(JsonNode node) {
+		return node.isIntegralNumber() && node.canConvertToLong();
+	}
+
 	/**
 	 * Writes the call that sets a row.
 	 * @param table the table
