--- a/src/main/java/org/magnoliahub/platform/MemberRecord.java
+++ b/src/main/java/org/magnoliahub/platform/MemberRecord.java
@@ -35,13 +35,17 @@
 	public static Optional<MemberRecord> decode(StoredRow row) {
 		try {
 			JsonNode root = JsonTree.read(row.value());
-			if (!root.path("address").isTextual()) {
+			JsonNode incarnation = root.path("incarnation");
+			if (row.key().isBlank() || !incarnation.isIntegralNumber() || !incarnation.canConvertToLong()) {
 				return Optional.empty();
 			}
-			return Optional
-				.of(new MemberRecord(row.key(), root.path("address").asText(), root.path("incarnation").asLong()));
+			String address = root.path("address").asText();
+			if (HostPort.parse(address).getPort() == 0) {
+				return Optional.empty();
+			}
+			return Optional.of(new MemberRecord(row.key(), address, incarnation.asLong()));
 		}
-		catch (IOException ex) {
+		catch (IOException | PlatformFormatException ex) {
 			return Optional.empty();
 		}
 	}
