--- a/src/main/java/org/magnoliahub/platform/StageCallFormat.java
+++ b/src/main/java/org/magnoliahub/platform/StageCallFormat.java
@@ -22,6 +22,9 @@
 	/** Path of the call that gives results up. */
 	public static final String FREE_PATH = "/api/stage-free";
 
+	/** Handles are an address and a short id; endpoints bound the size of a head. */
+	private static final int MAXIMUM_HANDLE_CHARACTERS = 1_024;
+
 	/**
 	 * Writes a call.
 	 * @param tasks its pieces
@@ -87,9 +90,8 @@
 	}
 
 	private static PieceResult result(JsonNode item, String availabilityZone) {
-		String handle = item.path("handle").asText("");
-		if (!handle.isBlank()) {
-			return new PieceResult(handle, availabilityZone, null);
+		if (isHandle(item.path("handle"))) {
+			return new PieceResult(item.path("handle").asText(), availabilityZone, null);
 		}
 		return PieceResult.failed(switch (item.path("reason").asText()) {
 			case "late" -> PieceFailure.LATE;
@@ -99,6 +101,14 @@
 		});
 	}
 
+	// Handles are sent on in a header, separated by commas.
+	private static boolean isHandle(JsonNode node) {
+		if (!node.isTextual() || node.asText().length() > MAXIMUM_HANDLE_CHARACTERS) {
+			return false;
+		}
+		return HeaderText.isVisible(node.asText()) && node.asText().indexOf(',') < 0;
+	}
+
 	/**
 	 * Writes the call that gives results up.
 	 * @param handles their handles
--- a/src/test/java/org/magnoliahub/platform/StageCallFormatTests.java
+++ b/src/test/java/org/magnoliahub/platform/StageCallFormatTests.java
@@ -58,4 +58,26 @@
 			.isThrownBy(() -> this.format.results(bytes(body), 1, "z"));
 	}
 
+	/**
+	 * Guards against handles that cannot be sent on in a header, or that add headers or
+	 * further handles to a request.
+	 */
+	@ParameterizedTest
+	@ValueSource(
+			strings = { "7", "null", "[]", "\"\"", "\" \"", "\"10.0.0.1:80/a\\r\\nX: y\"", "\"10.0.0.1:80/a\\u0000\"",
+					"\"10.0.0.1:80/a,10.0.0.1:80/b\"", "\"10.0.0.1:80/\\u00e4\"", "\"10.0.0.1:80/a b\"" })
+	void otherHandlesAreFailedPieces(String handle) throws PlatformFormatException {
+		List<PieceResult> results = this.format
+			.results(bytes("{\"items\":[{\"handle\":" + handle + "},{\"handle\":\"10.0.0.1:80/z\"}]}"), 2, "z");
+		assertThat(results).extracting(PieceResult::failure).containsExactly(PieceFailure.FAILED, null);
+	}
+
+	@Test
+	void handlesTooLongForAHeaderAreFailedPieces() throws PlatformFormatException {
+		String handle = "10.0.0.1:80/" + "a".repeat(100_000);
+		assertThat(this.format.results(bytes("{\"items\":[{\"handle\":\"" + handle + "\"}]}"), 1, "z"))
+			.extracting(PieceResult::failure)
+			.containsExactly(PieceFailure.FAILED);
+	}
+
 }
