Do not cut numbers of a configuration that are out of range

Numbers now become the nearest possible one, times a year at most, and a version beyond a long or below zero refuses the configuration.

--- a/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
+++ b/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
@@ -25,6 +25,14 @@
 
 	private static final double BYTES_PER_MEGABYTE = 1e6;
 
+	/** A year, so that sums of times do not overflow. */
+	private static final long MAXIMUM_MILLIS = 31_536_000_000L;
+
+	/** A terabyte, so that the size of a full batch does not overflow. */
+	private static final long MAXIMUM_RESULT_BYTES = 1_000_000_000_000L;
+
+	private static final int MAXIMUM_SHOWN_CHARACTERS = 100;
+
 	/**
 	 * Reads a configuration.
 	 * @param stored the bytes that lie in the store
@@ -39,7 +47,9 @@
 		catch (IOException ex) {
 			throw new PlatformFormatException("the configuration is not JSON: " + ex.getMessage(), ex);
 		}
-		if (!root.path("version").isIntegralNumber() || !root.path("routes").isArray()) {
+		JsonNode version = root.path("version");
+		if (!version.isIntegralNumber() || !version.canConvertToLong() || version.asLong() < 0
+				|| !root.path("routes").isArray()) {
 			throw new PlatformFormatException("the configuration lacks its version or its routes");
 		}
 		List<Route> routes = new ArrayList<>();
@@ -50,7 +60,7 @@
 		for (JsonNode service : root.path("services")) {
 			services.add(service(service));
 		}
-		return ServingConfiguration.of(root.path("version").asLong(), routes, services, limits(root.path("limits")),
+		return ServingConfiguration.of(version.asLong(), routes, services, limits(root.path("limits")),
 				root.path("tenants").isArray(), keys(root.path("tenants")));
 	}
 
@@ -67,11 +77,12 @@
 		for (JsonNode stage : node.path("stages")) {
 			stages.add(stage(stage));
 		}
-		long timeout = node.path("timeout_ms").asLong(30_000);
+		long timeout = millis(node.path("timeout_ms"), 30_000);
 		return new Route(name, node.path("host").asText(), node.path("prefix").asText(), kind(name, node.path("kind")),
-				timeout, node.path("target_latency_ms").asLong(timeout), node.path("priority").asInt(0), shares,
-				Math.max(1, node.path("max_attempts").asInt(1)), stages, node.path("allow_anonymous").asBoolean(false),
-				node.path("resume_streams").asBoolean(false), node.path("gap_target_ms").asLong(0));
+				timeout, millis(node.path("target_latency_ms"), timeout), integer(node.path("priority"), 0), shares,
+				Math.max(1, integer(node.path("max_attempts"), 1)), stages,
+				node.path("allow_anonymous").asBoolean(false), node.path("resume_streams").asBoolean(false),
+				millis(node.path("gap_target_ms"), 0));
 	}
 
 	private static CallKind kind(String route, JsonNode kind) throws PlatformFormatException {
@@ -79,16 +90,42 @@
 			case "idempotent" -> CallKind.IDEMPOTENT;
 			case "non_idempotent" -> CallKind.NON_IDEMPOTENT;
 			case "streaming" -> CallKind.STREAMING;
-			default -> throw new PlatformFormatException("route " + route + " is of the unknown kind " + kind);
+			default -> throw new PlatformFormatException(
+					"route " + shown(route) + " is of the unknown kind " + shown(kind.asText()));
 		};
 	}
 
+	private static String shown(String text) {
+		return text.substring(0, Math.min(MAXIMUM_SHOWN_CHARACTERS, text.length()));
+	}
+
+	// Numbers out of range become the nearest possible one instead of being cut to any
+	// other one.
+	private static int integer(JsonNode node, int fallback) {
+		if (!node.isNumber() || node.canConvertToInt()) {
+			return Math.max(0, node.asInt(fallback));
+		}
+		return (node.asDouble() > 0) ? Integer.MAX_VALUE : 0;
+	}
+
+	private static long millis(JsonNode node, long fallback) {
+		return whole(node, fallback, MAXIMUM_MILLIS);
+	}
+
+	private static long whole(JsonNode node, long fallback, long maximum) {
+		if (!node.isNumber() || node.canConvertToLong()) {
+			return Math.min(maximum, Math.max(0, node.asLong(fallback)));
+		}
+		return (node.asDouble() > 0) ? maximum : 0;
+	}
+
 	private static RouteStage stage(JsonNode node) {
 		List<Integer> inputs = new ArrayList<>();
 		for (JsonNode input : node.path("after")) {
-			inputs.add(input.asInt());
+			inputs.add(integer(input, 0));
 		}
-		return new RouteStage(node.path("service").asText(), inputs, node.path("size_bytes").asLong(0));
+		return new RouteStage(node.path("service").asText(), inputs,
+				whole(node.path("size_bytes"), 0, MAXIMUM_RESULT_BYTES));
 	}
 
 	private static ServiceDefinition service(JsonNode node) {
@@ -102,17 +139,17 @@
 		}
 		// "headroom_mb" is the whole room for results at one endpoint, not a reserve.
 		long room = (long) (node.path("headroom_mb").asDouble(1) * BYTES_PER_MEGABYTE);
-		return new StageLimits(Math.max(1, node.path("slots").asInt(1)), Math.max(1, node.path("batch").asInt(1)),
+		return new StageLimits(Math.max(1, integer(node.path("slots"), 1)), Math.max(1, integer(node.path("batch"), 1)),
 				node.path("call_ms").asDouble(100), node.path("item_ms").asDouble(1), room,
 				(long) (1_000 * node.path("handle_s").asDouble(1)));
 	}
 
 	private static CallerLimits limits(JsonNode node) {
 		CallerLimits fallback = CallerLimits.DEFAULT;
-		return new CallerLimits(node.path("max_header_bytes").asInt(fallback.maximumHeaderBytes()),
-				node.path("max_body_bytes").asInt(fallback.maximumBodyBytes()),
-				node.path("header_timeout_ms").asLong(fallback.headerTimeoutMillis()),
-				node.path("idle_timeout_ms").asLong(fallback.idleTimeoutMillis()));
+		return new CallerLimits(integer(node.path("max_header_bytes"), fallback.maximumHeaderBytes()),
+				integer(node.path("max_body_bytes"), fallback.maximumBodyBytes()),
+				millis(node.path("header_timeout_ms"), fallback.headerTimeoutMillis()),
+				millis(node.path("idle_timeout_ms"), fallback.idleTimeoutMillis()));
 	}
 
 	private static Map<String, WorkspaceKey> keys(JsonNode tenants) {
--- a/src/test/java/org/magnoliahub/platform/ConfigurationReaderTests.java
+++ b/src/test/java/org/magnoliahub/platform/ConfigurationReaderTests.java
@@ -73,9 +73,28 @@
 
 	@ParameterizedTest
 	@ValueSource(strings = { "", "[]", "{", "{\"version\":1}", "{\"routes\":[]}",
-			"{\"version\":1,\"routes\":[{\"kind\":\"other\"}]}" })
+			"{\"version\":1,\"routes\":[{\"kind\":\"other\"}]}", "{\"version\":18446744073709551617,\"routes\":[]}",
+			"{\"version\":-1,\"routes\":[]}", "{\"version\":1,\"routes\":[{\"kind\":[[[[]]]]}]}" })
 	void otherBytesAreRejected(String stored) {
 		assertThatExceptionOfType(PlatformFormatException.class).isThrownBy(() -> read(stored));
 	}
 
+	/**
+	 * Guards against limits that are cut to an integer, so that every request is too
+	 * large.
+	 */
+	@Test
+	void numbersOutOfRangeAreTheLargestPossible() throws PlatformFormatException {
+		String large = STORED.replace("\"max_body_bytes\":2000", "\"max_body_bytes\":4294967296")
+			.replace("\"max_header_bytes\":1000", "\"max_header_bytes\":99999999999999999999")
+			.replace("\"timeout_ms\":15000", "\"timeout_ms\":99999999999999999999")
+			.replace("\"batch\":12", "\"batch\":4294967296");
+		ServingConfiguration configuration = read(large);
+		assertThat(configuration.limits().maximumBodyBytes()).isEqualTo(Integer.MAX_VALUE);
+		assertThat(configuration.limits().maximumHeaderBytes()).isEqualTo(Integer.MAX_VALUE);
+		assertThat(configuration.route("a.example", "/p/x").orElseThrow().timeoutMillis()).isPositive();
+		assertThat(configuration.service("o").orElseThrow().stageLimits())
+			.isEqualTo(new StageLimits(1, Integer.MAX_VALUE, 240, 17.5, 14_500_000, 4_000));
+	}
+
 }
