Follow a table of the store after any exception while it is read

What callers saw: a gateway that met an exception while it applied rows never followed that table again, without a log line.

Cause: the client of the store had already ended the call when its handler threw, so that neither a failure nor a next call followed.

Change: each row is read by itself; one that cannot be read is logged (row_rejected) and counts as absent. Any other RuntimeException or StackOverflowError in a listener is logged (table_failed) and leads to a reread of all rows after 0.3 s, 0.6 s, 1.2 s, then 2.4 s, since changes may have been applied in part. A list that fails after a restoration of the store counts as restored when it is read again. Ruled out: going on with the feed, which would leave a table half applied.

--- a/src/main/java/org/magnoliahub/entry/ConfigurationTable.java
+++ b/src/main/java/org/magnoliahub/entry/ConfigurationTable.java
@@ -99,18 +99,30 @@
 			if (!row.key().equals(StoreFormat.CONFIGURATION_KEY) || row.removed()) {
 				continue;
 			}
-			try {
-				ServingConfiguration configuration = this.reader.read(row.value());
-				newestVersion = Math.max(newestVersion, configuration.version());
-				adopt(configuration);
-			}
-			catch (PlatformFormatException ex) {
-				this.log.event(EntryEvent.CONFIGURATION_REJECTED).field("reason", ex.getMessage()).write();
+			Optional<ServingConfiguration> configuration = read(row);
+			if (configuration.isPresent()) {
+				newestVersion = Math.max(newestVersion, configuration.get().version());
+				adopt(configuration.get());
 			}
 		}
 		return newestVersion;
 	}
 
+	private Optional<ServingConfiguration> read(StoredRow row) {
+		String reason;
+		try {
+			return Optional.of(this.reader.read(row.value()));
+		}
+		catch (PlatformFormatException ex) {
+			reason = ex.getMessage();
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			reason = FailureText.of(ex);
+		}
+		this.log.event(EntryEvent.CONFIGURATION_REJECTED).field("reason", reason).write();
+		return Optional.empty();
+	}
+
 	private void adopt(ServingConfiguration candidate) {
 		long previous = version();
 		if (this.current != null && candidate.version() <= previous) {
--- a/src/main/java/org/magnoliahub/entry/EndpointTable.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointTable.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import org.magnoliahub.platform.EndpointRecordReader;
+import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.StoredRow;
 import org.magnoliahub.serving.EndpointDirectory;
 import org.magnoliahub.serving.EndpointRecord;
@@ -26,6 +27,8 @@
 
 	private final EndpointRecordReader reader = new EndpointRecordReader();
 
+	private final RejectedRows rejectedRows;
+
 	private final StoreRestorationReport restorationReport;
 
 	private final Set<String> draining = new HashSet<>();
@@ -34,6 +37,7 @@
 		this.directory = directory;
 		this.timers = timers;
 		this.log = log;
+		this.rejectedRows = new RejectedRows(log, StoreFormat.ENDPOINT_TABLE);
 		this.restorationReport = restorationReport;
 	}
 
@@ -43,7 +47,7 @@
 		this.directory.recordStoreContact(now);
 		Map<String, EndpointRecord> records = new HashMap<>();
 		for (StoredRow row : rows) {
-			this.reader.read(row.key(), row.value()).ifPresent((record) -> records.put(record.id(), record));
+			read(row).ifPresent((record) -> records.put(record.id(), record));
 		}
 		if (restored) {
 			this.restorationReport.recordEndpoints(this.directory.replaceAllAfterRestore(records.values(), now));
@@ -57,8 +61,7 @@
 		long now = this.timers.milliTime();
 		this.directory.recordStoreContact(now);
 		for (StoredRow row : rows) {
-			Optional<EndpointRecord> record = row.removed() ? Optional.empty()
-					: this.reader.read(row.key(), row.value());
+			Optional<EndpointRecord> record = row.removed() ? Optional.empty() : read(row);
 			if (record.isEmpty()) {
 				this.draining.remove(row.key());
 				logChange(row, "", "gone");
@@ -72,6 +75,20 @@
 		}
 	}
 
+	private Optional<EndpointRecord> read(StoredRow row) {
+		try {
+			Optional<EndpointRecord> record = this.reader.read(row.key(), row.value());
+			if (record.isEmpty()) {
+				this.rejectedRows.addOtherForm(row);
+			}
+			return record;
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.rejectedRows.add(row, FailureText.of(ex));
+			return Optional.empty();
+		}
+	}
+
 	private void logChange(StoredRow row, String service, String state) {
 		this.log.event(EntryEvent.ENDPOINT_CHANGED)
 			.field("endpoint", row.key())
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -33,6 +33,12 @@
 	/** The connection to a table of the store was lost or regained. */
 	STORE_CONTACT(Importance.HIGH, "table", "outcome", "reason"),
 
+	/** A row of a table of the store cannot be read and counts as absent. */
+	ROW_REJECTED(Importance.HIGH, "table", "key", "revision", "reason"),
+
+	/** The rows of a table could not be applied; the table is read again. */
+	TABLE_FAILED(Importance.HIGH, "table", "reason"),
+
 	/** An endpoint was listed, is draining, or entered its grace period. */
 	ENDPOINT_CHANGED(Importance.HIGH, "endpoint", "service", "state", "revision"),
 
--- a/src/main/java/org/magnoliahub/entry/MemberTable.java
+++ b/src/main/java/org/magnoliahub/entry/MemberTable.java
@@ -50,6 +50,8 @@
 
 	private final StoreFormat format = new StoreFormat();
 
+	private final RejectedRows rejectedRows;
+
 	private final StoreRestorationReport restorationReport;
 
 	private final MembershipTracker membershipTracker;
@@ -79,6 +81,7 @@
 		this.store = store;
 		this.timers = timers;
 		this.log = log;
+		this.rejectedRows = new RejectedRows(log, StoreFormat.MEMBER_TABLE);
 		this.self = self;
 		this.restorationReport = restorationReport;
 		this.listener = listener;
@@ -146,7 +149,7 @@
 		int staleRowCount = 0;
 		boolean selfListed = false;
 		for (StoredRow row : rows) {
-			Optional<MemberRecord> member = MemberRecord.decode(row);
+			Optional<MemberRecord> member = read(row);
 			if (member.isEmpty()) {
 				continue;
 			}
@@ -194,7 +197,7 @@
 	}
 
 	private void apply(StoredRow row) {
-		Optional<MemberRecord> member = row.removed() ? Optional.empty() : MemberRecord.decode(row);
+		Optional<MemberRecord> member = row.removed() ? Optional.empty() : read(row);
 		this.unconfirmed.remove(row.key());
 		if (member.isPresent()) {
 			this.membershipTracker.recordRow(row.key(), member.get().incarnation(), row.revision(),
@@ -210,6 +213,20 @@
 		}
 	}
 
+	private Optional<MemberRecord> read(StoredRow row) {
+		try {
+			Optional<MemberRecord> record = MemberRecord.decode(row);
+			if (record.isEmpty()) {
+				this.rejectedRows.addOtherForm(row);
+			}
+			return record;
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.rejectedRows.add(row, FailureText.of(ex));
+			return Optional.empty();
+		}
+	}
+
 	private void logState(String member, String state) {
 		this.log.event(EntryEvent.MEMBER_CHANGED).field("member", member).field("state", state).write();
 	}
--- a/src/main/java/org/magnoliahub/entry/TableWatcher.java
+++ b/src/main/java/org/magnoliahub/entry/TableWatcher.java
@@ -24,6 +24,9 @@
 
 	private static final long RETRY_DELAY_MILLIS = 300;
 
+	/** The delay after failures in a row doubles this often, up to 2.4 s. */
+	private static final int MAXIMUM_DELAY_DOUBLINGS = 3;
+
 	private static final int OK = 200;
 
 	private static final long NO_REVISION = -1;
@@ -52,6 +55,8 @@
 
 	private long generation;
 
+	private int failuresInARow;
+
 	private boolean listComplete;
 
 	private boolean restoredSinceList;
@@ -112,9 +117,18 @@
 		this.revision = this.listRevision;
 		boolean firstListOfEra = this.restoredSinceList;
 		this.restoredSinceList = false;
-		this.listComplete = true;
-		this.listener.onList(this.pendingRows, firstListOfEra);
+		List<StoredRow> list = this.pendingRows;
 		this.pendingRows = new ArrayList<>();
+		try {
+			this.listener.onList(list, firstListOfEra);
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.restoredSinceList = firstListOfEra;
+			rereadAfterFailure(ex);
+			return;
+		}
+		this.failuresInARow = 0;
+		this.listComplete = true;
 		scheduleInGeneration(this.pollTiming.get().intervalMillis(), this::readChanges);
 	}
 
@@ -126,10 +140,28 @@
 
 	private void onFeedResponse(StoredRows rows) {
 		this.revision = Math.max(this.revision, rows.revision());
-		this.listener.onChanges(rows.rows());
+		try {
+			this.listener.onChanges(rows.rows());
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			rereadAfterFailure(ex);
+			return;
+		}
+		this.failuresInARow = 0;
 		scheduleInGeneration(this.pollTiming.get().intervalMillis(), this::readChanges);
 	}
 
+	// Without a further call the table would not be followed any more.
+	private void rereadAfterFailure(Throwable failure) {
+		this.log.event(EntryEvent.TABLE_FAILED)
+			.field("table", this.table)
+			.field("reason", FailureText.of(failure))
+			.write();
+		long delay = RETRY_DELAY_MILLIS << Math.min(MAXIMUM_DELAY_DOUBLINGS, this.failuresInARow);
+		this.failuresInARow++;
+		scheduleInGeneration(delay, this::start);
+	}
+
 	private void scheduleInGeneration(long millis, Runnable task) {
 		if (millis == 0) {
 			task.run();
@@ -227,6 +259,10 @@
 				onFailure(ex.getMessage());
 				return;
 			}
+			catch (RuntimeException | StackOverflowError ex) {
+				onFailure(FailureText.of(ex));
+				return;
+			}
 			setAvailable(true, "");
 			this.handler.accept(rows);
 		}
--- a/src/test/java/org/magnoliahub/entry/TableWatcherTests.java
+++ b/src/test/java/org/magnoliahub/entry/TableWatcherTests.java
@@ -5,8 +5,10 @@
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.reactivex.rxjava3.schedulers.TestScheduler;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.magnoliahub.platform.StoredRow;
@@ -15,8 +17,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against polls that send a revision of another era to the store, and against
- * responses of an earlier era that are applied.
+ * Guards against polls that send a revision of another era to the store, against
+ * responses of an earlier era that are applied, and against a watcher that ends.
  */
 class TableWatcherTests {
 
@@ -28,13 +30,19 @@
 
 	private final List<String> notifications = new ArrayList<>();
 
+	private final List<String> log = new ArrayList<>();
+
+	private @Nullable Supplier<Throwable> failure;
+
 	private TableWatcher watcher;
 
 	@BeforeEach
 	void start() {
 		SchedulerTimerService timers = SchedulerTimerService.virtual(this.scheduler);
-		this.watcher = new TableWatcher(this.store, timers, new SplittableRandom(1), new EntryLog(timers, (line) -> {
-		}), "servers", () -> new TableWatcher.PollTiming(1_000, 0), new RecordingListener());
+		EntryLog entryLog = new EntryLog(timers, this.log::add);
+		entryLog.start();
+		this.watcher = new TableWatcher(this.store, timers, new SplittableRandom(1), entryLog, "servers",
+				() -> new TableWatcher.PollTiming(1_000, 0), new RecordingListener());
 		this.store.era.subscribe((previous, current) -> this.watcher.onNewEra());
 		this.watcher.start();
 	}
@@ -165,16 +173,101 @@
 		assertThat(this.notifications).containsExactly("list false", "changes");
 	}
 
+	/**
+	 * Guards against a watcher that makes no further call after an exception of its
+	 * listener.
+	 */
+	@Test
+	void exceptionInTheListDoesNotEndTheWatcher() {
+		this.failure = () -> new IllegalStateException("list failed");
+		this.store.respond(this.store.next(), 5, 200, rows(40));
+		assertThat(this.store.calls).isEmpty();
+		this.failure = null;
+		advance(500);
+		ScriptedStore.Call again = this.store.next();
+		assertThat(again.target()).contains("rows-get");
+		this.store.respond(again, 5, 200, rows(41));
+		advance(1_200);
+		assertThat(this.store.next().target()).contains("after=41");
+		assertThat(this.notifications).containsExactly("list false", "list false");
+		assertThat(this.log).anyMatch((line) -> line.contains("list failed"));
+	}
+
+	@Test
+	void stackOverflowInTheListDoesNotEndTheWatcher() {
+		this.failure = StackOverflowError::new;
+		this.store.respond(this.store.next(), 5, 200, rows(40));
+		advance(500);
+		assertThat(this.store.next().target()).contains("rows-get");
+	}
+
+	@Test
+	void exceptionInChangesDoesNotEndTheWatcher() {
+		ScriptedStore.Call feed = respondAndTakeNextCall(5, 200, 40);
+		this.failure = () -> new IllegalStateException("change failed");
+		this.store.respond(feed, 5, 200, rows(44));
+		this.failure = null;
+		advance(500);
+		// Changes may have been applied in part, so the whole table is read again.
+		ScriptedStore.Call list = this.store.next();
+		assertThat(list.target()).contains("rows-get");
+		this.store.respond(list, 5, 200, rows(45));
+		assertThat(this.notifications).containsExactly("list false", "changes", "list false");
+	}
+
+	@Test
+	void listThatFailsAfterARestorationIsRestoredAgain() {
+		ScriptedStore.Call feed = respondAndTakeNextCall(5, 200, 40);
+		this.store.respond(feed, 6, 200, rows(90));
+		this.failure = () -> new IllegalStateException("list failed");
+		this.store.respond(this.store.next(), 6, 200, rows(31));
+		this.failure = null;
+		advance(500);
+		this.store.respond(this.store.next(), 6, 200, rows(32));
+		assertThat(this.notifications).containsExactly("list false", "list true", "list true");
+	}
+
+	/**
+	 * Guards against calls in a tight loop while every list fails.
+	 */
+	@Test
+	void listsThatKeepFailingAreReadLessOften() {
+		this.failure = () -> new IllegalStateException("list failed");
+		int calls = 0;
+		for (int step = 0; step < 600; step++) {
+			while (!this.store.calls.isEmpty()) {
+				calls++;
+				this.store.respond(this.store.next(), 5, 200, rows(40));
+			}
+			advance(100);
+		}
+		assertThat(calls).isBetween(20, 40);
+	}
+
 	private final class RecordingListener implements TableWatcher.Listener {
 
 		@Override
 		public void onList(List<StoredRow> rows, boolean restored) {
 			TableWatcherTests.this.notifications.add("list " + restored);
+			fail();
 		}
 
 		@Override
 		public void onChanges(List<StoredRow> rows) {
 			TableWatcherTests.this.notifications.add("changes");
+			fail();
+		}
+
+		private void fail() {
+			Supplier<Throwable> current = TableWatcherTests.this.failure;
+			if (current == null) {
+				return;
+			}
+			Throwable thrown = current.get();
+			if (thrown instanceof Error error) {
+				throw error;
+			}
+			throw (RuntimeException) thrown;
 		}
 
 	}
--- a/src/test/java/org/magnoliahub/process/EntryProcessIT.java
+++ b/src/test/java/org/magnoliahub/process/EntryProcessIT.java
@@ -43,6 +43,9 @@
 	/** Classes loaded until the first answer, those of the Java runtime included. */
 	private static final long MOST_CLASSES = 2_300;
 
+	/** Just below the default limit of the parser. */
+	private static final int NESTED_LEVELS = 990;
+
 	private StoreEmulator store;
 
 	private EmulatedSettings.Node node;
@@ -215,4 +218,24 @@
 		assertThat(answered).isGreaterThan(1_000);
 	}
 
+	/**
+	 * Guards against a gateway that never becomes ready, or follows no further rows,
+	 * because a deeply nested entry overflows the small stack of its event loop.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void deeplyNestedEntryDoesNotStopTheGateway(boolean beforeStart) throws IOException {
+		String nested = "{\"a\":".repeat(NESTED_LEVELS) + "1" + "}".repeat(NESTED_LEVELS);
+		if (beforeStart) {
+			this.store.put(StoreFormat.ENDPOINT_TABLE, "other-1", nested);
+		}
+		start();
+		awaitReady();
+		this.store.put(StoreFormat.ENDPOINT_TABLE, "other-1", nested);
+		awaitLogged("row_rejected");
+		this.store.put(StoreFormat.ENDPOINT_TABLE, "i-1",
+				EmulatedSettings.endpoint("plain", "127.0.0.1:9", 4, "draining"));
+		awaitLogged("\"endpoint\":\"i-1\"");
+	}
+
 }
