Log exceptions of timer tasks that run once

The event loop kept such an exception in a future that nobody reads, so that a chain of tasks that schedule each other could end without a trace. Periodic ones were printed to the standard error before, which blocks the event loop if nobody reads it.

--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -39,6 +39,9 @@
 	/** The rows of a table could not be applied; the table is read again. */
 	TABLE_FAILED(Importance.HIGH, "table", "reason"),
 
+	/** A timer task ended with an unexpected exception. */
+	TASK_FAILED(Importance.HIGH, "reason"),
+
 	/** An endpoint was listed, is draining, or entered its grace period. */
 	ENDPOINT_CHANGED(Importance.HIGH, "endpoint", "service", "state", "revision"),
 
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -130,7 +130,7 @@
 	private EntryGateway(NodeSettings settings, Duration recordInterval, Consumer<String> output) {
 		this.settings = settings;
 		this.group = new NioEventLoopGroup(1);
-		this.timers = new EventLoopTimers(this.group.next());
+		this.timers = new EventLoopTimers(this.group.next(), this::onFailedTask);
 		this.log = new EntryLog(this.timers, output);
 		this.gracefulShutdown = new GracefulShutdown(settings.bounds().graceMillis());
 		HttpClient httpClient = new HttpClient(this.group, this.timers);
@@ -329,6 +329,10 @@
 		this.watchers.forEach(TableWatcher::onNewEra);
 	}
 
+	private void onFailedTask(Throwable failure) {
+		this.log.event(EntryEvent.TASK_FAILED).field("reason", FailureText.of(failure)).write();
+	}
+
 	private void onRejectedEra(String reason) {
 		this.log.event(EntryEvent.STORE_ERA_REJECTED).field("reason", reason).write();
 	}
--- a/src/main/java/org/magnoliahub/entry/EventLoopTimers.java
+++ b/src/main/java/org/magnoliahub/entry/EventLoopTimers.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -16,12 +17,17 @@
 
 	private final EventLoop loop;
 
+	private final Consumer<Throwable> failureListener;
+
 	/**
 	 * Creates timers on an event loop.
 	 * @param loop runs the tasks
+	 * @param failureListener receives unexpected exceptions of the tasks on the event
+	 * loop, must not block
 	 */
-	EventLoopTimers(EventLoop loop) {
+	EventLoopTimers(EventLoop loop, Consumer<Throwable> failureListener) {
 		this.loop = loop;
+		this.failureListener = failureListener;
 	}
 
 	@Override
@@ -31,7 +37,8 @@
 
 	@Override
 	public Disposable schedule(Duration delay, Runnable task) {
-		return new ScheduledTask(this.loop.schedule(task, Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS));
+		return new ScheduledTask(
+				this.loop.schedule(reportingFailure(task), Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS));
 	}
 
 	@Override
@@ -41,18 +48,19 @@
 		}
 		long nanos = period.toNanos();
 		return new ScheduledTask(
-				this.loop.scheduleWithFixedDelay(() -> runAndReportFailure(task), nanos, nanos, TimeUnit.NANOSECONDS));
+				this.loop.scheduleWithFixedDelay(reportingFailure(task), nanos, nanos, TimeUnit.NANOSECONDS));
 	}
 
-	// An exception would silently cancel the periodic task.
-	private static void runAndReportFailure(Runnable task) {
-		try {
-			task.run();
-		}
-		catch (RuntimeException ex) {
-			System.err.println("magnoliahub: error: a periodic task failed: " + ex);
-			ex.printStackTrace(System.err);
-		}
+	// The event loop would drop an exception silently, and cancel a periodic task.
+	private Runnable reportingFailure(Runnable task) {
+		return () -> {
+			try {
+				task.run();
+			}
+			catch (RuntimeException | StackOverflowError ex) {
+				this.failureListener.accept(ex);
+			}
+		};
 	}
 
 	private record ScheduledTask(Future<?> future) implements Disposable {
--- a/src/main/java/org/magnoliahub/entry/PlatformObjectStore.java
+++ b/src/main/java/org/magnoliahub/entry/PlatformObjectStore.java
@@ -68,7 +68,8 @@
 	 */
 	public static PlatformObjectStore open(InetSocketAddress store) {
 		NioEventLoopGroup group = new NioEventLoopGroup(1);
-		EventLoopTimers timers = new EventLoopTimers(group.next());
+		EventLoopTimers timers = new EventLoopTimers(group.next(),
+				(failure) -> System.err.println("magnoliahub: error: a timer task failed: " + FailureText.of(failure)));
 		StoreClient client = new StoreClient(new HttpClient(group, timers), timers, new EntryMetrics(),
 				store.getHostString() + ":" + store.getPort(), new StoreEra(), (fault) -> {
 				});
