--- a/src/main/java/org/magnoliahub/entry/ConfigurationTable.java
+++ b/src/main/java/org/magnoliahub/entry/ConfigurationTable.java
@@ -129,17 +129,29 @@
 
 	// Returns the version of the configuration, zero if it cannot be read.
 	private long adopt(byte[] content, String source) {
+		Optional<ServingConfiguration> candidate = read(content);
+		if (candidate.isEmpty()) {
+			return 0;
+		}
+		if (this.current == null || candidate.get().version() > version()) {
+			use(candidate.get(), content, source);
+		}
+		return candidate.get().version();
+	}
+
+	private Optional<ServingConfiguration> read(byte[] content) {
+		String reason;
 		try {
-			ServingConfiguration candidate = this.reader.read(content);
-			if (this.current == null || candidate.version() > version()) {
-				use(candidate, content, source);
-			}
-			return candidate.version();
+			return Optional.of(this.reader.read(content));
 		}
 		catch (PlatformFormatException ex) {
-			this.log.event(EntryEvent.CONFIGURATION_REJECTED).field("reason", ex.getMessage()).write();
-			return 0;
+			reason = ex.getMessage();
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			reason = FailureText.of(ex);
 		}
+		this.log.event(EntryEvent.CONFIGURATION_REJECTED).field("reason", reason).write();
+		return Optional.empty();
 	}
 
 	private void use(ServingConfiguration candidate, byte[] content, String source) {
--- a/src/test/java/org/magnoliahub/entry/HttpClientTests.java
+++ b/src/test/java/org/magnoliahub/entry/HttpClientTests.java
@@ -46,7 +46,8 @@
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
-	private final HttpClient client = new HttpClient(this.group, new EventLoopTimers(this.group.next()));
+	private final HttpClient client = new HttpClient(this.group, new EventLoopTimers(this.group.next(), (failure) -> {
+	}));
 
 	private final List<String> outcomes = Collections.synchronizedList(new ArrayList<>());
 
--- a/src/test/java/org/magnoliahub/entry/PeerLinkTests.java
+++ b/src/test/java/org/magnoliahub/entry/PeerLinkTests.java
@@ -30,7 +30,8 @@
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
-	private final EventLoopTimers timers = new EventLoopTimers(this.group.next());
+	private final EventLoopTimers timers = new EventLoopTimers(this.group.next(), (failure) -> {
+	});
 
 	private final List<Socket> accepted = new CopyOnWriteArrayList<>();
 
--- a/src/test/java/org/magnoliahub/entry/RepeatedStoreResponseTests.java
+++ b/src/test/java/org/magnoliahub/entry/RepeatedStoreResponseTests.java
@@ -37,7 +37,8 @@
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
-	private final EventLoopTimers timers = new EventLoopTimers(this.group.next());
+	private final EventLoopTimers timers = new EventLoopTimers(this.group.next(), (failure) -> {
+	});
 
 	private final Map<String, String> rows = new ConcurrentHashMap<>();
 
