--- a/src/test/java/org/magnoliahub/platform/NodeSettingsReaderTests.java
+++ b/src/test/java/org/magnoliahub/platform/NodeSettingsReaderTests.java
@@ -1,5 +1,7 @@
 package org.magnoliahub.platform;
 
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
@@ -79,4 +81,12 @@
 			.withMessageContaining(NodeSettingsReader.PATH_VARIABLE);
 	}
 
+	@Test
+	void settingsOfTheWarmUpAreValid() throws Exception {
+		try (InputStream settings = NodeSettingsReader.class.getResourceAsStream("/entry/warm-up.json")) {
+			String text = new String(settings.readAllBytes(), StandardCharsets.UTF_8).replaceAll("[A-Z]+_PORT", "8625");
+			assertThat(NodeSettingsReader.parse(text).bounds().contactMillis()).isPositive();
+		}
+	}
+
 }
