Count the grace of a planned stop from the signal

Cause: the stop began when the event loop ran its task, so its end moved behind the kill by as long as the loop had been blocked.

Change: the time is taken in the signal handler.

Test: blockedEventLoopDoesNotPostponeTheEndOfTheStop failed before: with the loop blocked for 1.5 s, stop() gave up after 8 s without "stopped" in the log and with its request unanswered. It passes now.

--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -365,7 +365,8 @@
 	 */
 	public void stop() {
 		CountDownLatch stopped = new CountDownLatch(1);
-		this.group.next().execute(() -> beginStop(stopped));
+		long requestedMillis = this.timers.milliTime();
+		this.group.next().execute(() -> beginStop(requestedMillis, stopped));
 		try {
 			stopped.await(this.settings.bounds().graceMillis(), TimeUnit.MILLISECONDS);
 		}
@@ -407,9 +408,9 @@
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
-	private void beginStop(CountDownLatch stopped) {
+	private void beginStop(long requestedMillis, CountDownLatch stopped) {
 		this.memberTable.stop();
-		this.shutdownSequence.begin(stopped::countDown);
+		this.shutdownSequence.begin(requestedMillis, stopped::countDown);
 	}
 
 }
--- a/src/main/java/org/magnoliahub/entry/ShutdownSequence.java
+++ b/src/main/java/org/magnoliahub/entry/ShutdownSequence.java
@@ -42,14 +42,16 @@
 
 	/**
 	 * Begins to stop. Further invocations have no effect.
+	 * @param requestedMillis monotonic time of the signal, in milliseconds; the platform
+	 * counts the grace period from it, and the event loop may have been busy since
 	 * @param onStopped called when the process may exit
 	 */
-	void begin(Runnable onStopped) {
+	void begin(long requestedMillis, Runnable onStopped) {
 		if (this.begun) {
 			return;
 		}
 		this.begun = true;
-		this.state.begin(this.timers.milliTime());
+		this.state.begin(requestedMillis);
 		this.log.event(EntryEvent.STOPPING)
 			.field("open_requests", this.openRequests.count())
 			.field("connections", this.callerServer.connectionCount())
--- a/src/test/java/org/magnoliahub/entry/EntryFixture.java
+++ b/src/test/java/org/magnoliahub/entry/EntryFixture.java
@@ -9,6 +9,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 
 import org.awaitility.Awaitility;
 import org.magnoliahub.platform.NodeSettings;
@@ -38,6 +40,8 @@
 
 	private final List<String> log = Collections.synchronizedList(new ArrayList<>());
 
+	private final AtomicLong loopPauseMillis = new AtomicLong();
+
 	private final List<EmulatedSettings.Node> nodes = new ArrayList<>();
 
 	private final List<EntryGateway> gateways = new ArrayList<>();
@@ -71,11 +75,29 @@
 		EmulatedSettings.Node node = EmulatedSettings.Node.withFreePorts("gateway-" + index, "127.0.0.1");
 		NodeSettings settings = NodeSettingsReader
 			.parse(EmulatedSettings.gateway(node, new EmulatedSettings.Budget(0.2, 58), this.store.address()));
-		this.gateways.add(EntryGateway.start(settings, RECORD_INTERVAL, this.log::add));
+		this.gateways.add(EntryGateway.start(settings, RECORD_INTERVAL, this::onOutput));
 		this.nodes.add(node);
 		return index;
 	}
 
+	// Called on the event loop.
+	private void onOutput(String lines) {
+		this.log.add(lines);
+		long pause = this.loopPauseMillis.getAndSet(0);
+		if (pause > 0) {
+			LockSupport.parkNanos(Duration.ofMillis(pause).toNanos());
+		}
+	}
+
+	/**
+	 * Blocks the event loop of a gateway when it next writes to its log, and waits until
+	 * that begins.
+	 */
+	void pauseLoop(Duration duration) {
+		this.loopPauseMillis.set(duration.toMillis());
+		Awaitility.await().pollInterval(Duration.ofMillis(5)).until(() -> this.loopPauseMillis.get() == 0);
+	}
+
 	EntryGateway gateway(int index) {
 		return this.gateways.get(index);
 	}
--- a/src/test/java/org/magnoliahub/entry/PlannedStopTests.java
+++ b/src/test/java/org/magnoliahub/entry/PlannedStopTests.java
@@ -3,7 +3,9 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -86,6 +88,23 @@
 			.contains("\"event\":\"stopped\",\"open_requests\":0,\"cut_streams\":1");
 	}
 
+	@Test
+	void blockedEventLoopDoesNotPostponeTheEndOfTheStop() throws Exception {
+		this.fixture.addEndpoint("m-1", "model", (request, socket) -> waitForClose(socket));
+		this.fixture.awaitEndpoints();
+		try (Socket sent = send("/once/1", "r1")) {
+			Thread.sleep(300);
+			this.fixture.send("GET", "/none/1", "r2");
+			this.fixture.pauseLoop(Duration.ofMillis(1_500));
+			long began = System.nanoTime();
+			this.fixture.gateway(0).stop();
+			long millis = Duration.ofNanos(System.nanoTime() - began).toMillis();
+			assertThat(this.fixture.log()).contains("\"event\":\"stopped\"");
+			assertThat(millis).isLessThan(GRACE_MILLIS);
+			assertThat(read(sent).status()).isEqualTo(502);
+		}
+	}
+
 	private static void waitForClose(Socket socket) throws IOException {
 		while (socket.getInputStream().read() >= 0) {
 			// Bytes after the request are ignored.
