Answer a request behind a stream that did not announce the close

Cause: the connection was closed behind the last chunk although the head of the stream had not announced it. A request that had been read by then was dropped without an answer and without a line.

Change: only a stream whose head said Connection: close closes its connection. Otherwise the next answer announces the close, or the connection is closed as an idle one.

Test: requestBehindAStreamThatDidNotAnnounceTheCloseIsAnswered failed before (expected 503, but was 0: connection closed). It passes now.

--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -256,6 +256,8 @@
 
 		private boolean chunked;
 
+		private boolean closeAnnounced;
+
 		private boolean ended;
 
 		private Exchange(HttpRequest request, byte[] body, long arrivedMillis) {
@@ -317,7 +319,8 @@
 			if (this.chunked) {
 				response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 			}
-			if (!isKeepAlive() || !this.chunked) {
+			this.closeAnnounced = !isKeepAlive() || !this.chunked;
+			if (this.closeAnnounced) {
 				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 			}
 			CallerConnection.this.channel.write(response);
@@ -334,7 +337,9 @@
 		@Override
 		public void endStream() {
 			if (!this.ended) {
-				end(LastHttpContent.EMPTY_LAST_CONTENT, isKeepAlive() && this.chunked);
+				// The caller may send its next request behind a stream whose head did not
+				// announce the close.
+				end(LastHttpContent.EMPTY_LAST_CONTENT, !this.closeAnnounced);
 			}
 		}
 
--- a/src/test/java/org/magnoliahub/entry/PlannedStopTests.java
+++ b/src/test/java/org/magnoliahub/entry/PlannedStopTests.java
@@ -105,6 +105,35 @@
 		}
 	}
 
+	@Test
+	void requestBehindAStreamThatDidNotAnnounceTheCloseIsAnswered() throws Exception {
+		this.fixture.addEndpoint("m-1", "model", (request, socket) -> {
+			RawServer.write(socket, EntryFixture.streamHead(request) + EntryFixture.chunk(EntryFixture.event(1)));
+			pause(800);
+			RawServer.write(socket, EntryFixture.chunk(EntryFixture.event(2)) + "0\r\n\r\n");
+		});
+		this.fixture.awaitEndpoints();
+		try (Socket socket = send("/once/1", "r1")) {
+			Thread.sleep(300);
+			Thread stopping = new Thread(() -> this.fixture.gateway(0).stop());
+			stopping.start();
+			BufferedInputStream input = new BufferedInputStream(socket.getInputStream());
+			CallerAnswer stream = CallerAnswer.read(input);
+			assertThat(stream.complete()).isTrue();
+			assertThat(stream.closes()).isFalse();
+			RawServer.write(socket, EntryFixture.request("GET", "/look/1", "r2"));
+			CallerAnswer next = CallerAnswer.read(input);
+			assertThat(next.status()).isEqualTo(503);
+			assertThat(next.closes()).isTrue();
+			stopping.join(GRACE_MILLIS);
+			assertThat(stopping.isAlive()).isFalse();
+		}
+	}
+
+	private static void pause(long millis) {
+		LockSupport.parkNanos(Duration.ofMillis(millis).toNanos());
+	}
+
 	private static void waitForClose(Socket socket) throws IOException {
 		while (socket.getInputStream().read() >= 0) {
 			// Bytes after the request are ignored.
