Refuse requests with more pieces than a gateway can hold

Cause: the stated number was used as it was, so that the event loop built a list of two thousand million pieces; admission estimates only one batch. Numbers beyond an int wrapped round to other numbers.

Ruled out: 57 other unusual requests (hosts, targets, methods, header names and values, lengths, Expect, trailers, token counts, prompts) were answered before the change, too.

Numbers are limited to the range of an int.

Test: OddRequestTests failed before for three of its 60 cases, and for all cases behind the first of them when they shared a gateway (SocketTimeoutException: Read timed out). All pass now.

--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -37,6 +37,8 @@
 
 	private static final byte[] EMPTY_BODY = new byte[0];
 
+	private static final int BAD_REQUEST = 400;
+
 	private static final int UNAUTHORIZED = 401;
 
 	private static final int NOT_FOUND = 404;
@@ -135,6 +137,10 @@
 			refuse(UNAUTHORIZED, "unknown_key", -1);
 			return;
 		}
+		if (!matched.stages().isEmpty() && this.request.hasTooManyPieces()) {
+			refuse(BAD_REQUEST, "too_many_pieces", -1);
+			return;
+		}
 		if (!this.context.gracefulShutdown().accepts(matched.kind(), this.context.now())) {
 			refuse(UNAVAILABLE, "stopping", 0);
 			return;
--- a/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
+++ b/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
@@ -274,8 +274,7 @@
 		for (String part : value.split(",")) {
 			int colon = part.indexOf(':');
 			if (colon > 0) {
-				parts.add(
-						new PromptSegment(part.substring(0, colon).trim(), (int) number(part.substring(colon + 1), 0)));
+				parts.add(new PromptSegment(part.substring(0, colon).trim(), count(part.substring(colon + 1))));
 			}
 		}
 		return parts;
@@ -287,11 +286,15 @@
 			return numbers;
 		}
 		for (String part : value.split(",")) {
-			numbers.add((int) Math.max(0, number(part, 0)));
+			numbers.add(count(part));
 		}
 		return numbers;
 	}
 
+	private static int count(String value) {
+		return (int) Math.min(Integer.MAX_VALUE, Math.max(0, number(value, 0)));
+	}
+
 	private static @Nullable EndpointLoad load(@Nullable String value) {
 		List<Integer> numbers = numbers(value);
 		return (numbers.size() == 3) ? new EndpointLoad(numbers.get(0), numbers.get(1), numbers.get(2)) : null;
--- a/src/main/java/org/magnoliahub/serving/CallerRequest.java
+++ b/src/main/java/org/magnoliahub/serving/CallerRequest.java
@@ -24,6 +24,9 @@
 		List<PromptSegment> promptSegments, int promptTokens, int outputTokens, List<Integer> pieces, String pieceKey,
 		@Nullable String lastEventId) {
 
+	/** Maximum number of pieces of all stages of a request. */
+	public static final int MAXIMUM_PIECES = 1_000;
+
 	/**
 	 * Creates a request with immutable copies of the lists.
 	 */
@@ -32,4 +35,13 @@
 		pieces = List.copyOf(pieces);
 	}
 
+	/**
+	 * Returns whether the request has more pieces than a gateway accepts. The memory and
+	 * the time for a request grow with them.
+	 * @return whether there are more than {@value #MAXIMUM_PIECES}
+	 */
+	public boolean hasTooManyPieces() {
+		return this.pieces.stream().mapToLong(Integer::longValue).sum() > MAXIMUM_PIECES;
+	}
+
 }
