Read what has arrived before a timeout closes a connection

Cause: when the process goes on, the event loop runs overdue timers before it reads sockets. The idle check of each connection saw a timeout in the past and closed the connection with the request unread. The header timeout and the closing of unused connections in a planned stop have the same race.

Change: a timeout takes effect 20 ms after it was seen, if it still holds; the event loop reads the sockets in between.

Test: requestThatArrivedWhileTheProcessWasSuspendedIsAnswered (SIGSTOP for 3.5 s, idle timeout 3 s) failed before: 20 of 20 connections were closed without an answer. It passes now, all 20 are answered.

--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -28,7 +28,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.jspecify.annotations.Nullable;
-import org.magnoliahub.serving.CallerLimits;
 
 /**
  * A connection of a caller. Reads one complete request at a time and writes its response.
@@ -38,6 +37,13 @@
 
 	private static final int MAXIMUM_QUEUED_MESSAGES = 64;
 
+	/**
+	 * Time between the expiry of a timeout and its effect, in which the event loop reads
+	 * what has arrived. After the process was suspended, timers run before sockets are
+	 * read.
+	 */
+	private static final Duration READ_TIME = Duration.ofMillis(20);
+
 	private static final byte[] EMPTY_BODY = new byte[0];
 
 	private final CallerServer server;
@@ -69,22 +75,35 @@
 	}
 
 	private void checkTimeouts() {
-		long now = this.server.timers().milliTime();
-		CallerLimits limits = this.server.limits();
-		if (this.currentExchange != null) {
-			return;
+		if (hasExpired()) {
+			this.server.timers().schedule(READ_TIME, this::closeIfStillExpired);
 		}
-		if (this.headStartedMillis >= 0 && now - this.headStartedMillis > limits.headerTimeoutMillis()) {
-			reject(HttpResponseStatus.REQUEST_TIMEOUT);
+	}
+
+	private void closeIfStillExpired() {
+		if (!hasExpired()) {
 			return;
 		}
-		if (now - this.lastActiveMillis > limits.idleTimeoutMillis()) {
-			this.channel.close();
+		if (isHeadOverdue()) {
+			reject(HttpResponseStatus.REQUEST_TIMEOUT);
 			return;
 		}
-		if (this.server.isClosingIdleConnections() && this.head == null && this.headStartedMillis < 0) {
-			this.channel.close();
+		this.channel.close();
+	}
+
+	private boolean hasExpired() {
+		if (this.closing || this.currentExchange != null) {
+			return false;
 		}
+		boolean idle = this.server.timers().milliTime() - this.lastActiveMillis > this.server.limits()
+			.idleTimeoutMillis();
+		boolean unused = this.head == null && this.headStartedMillis < 0;
+		return isHeadOverdue() || idle || (this.server.isClosingIdleConnections() && unused);
+	}
+
+	private boolean isHeadOverdue() {
+		return this.headStartedMillis >= 0 && this.server.timers().milliTime()
+				- this.headStartedMillis > this.server.limits().headerTimeoutMillis();
 	}
 
 	/**
--- a/src/test/java/org/magnoliahub/process/EntryProcessIT.java
+++ b/src/test/java/org/magnoliahub/process/EntryProcessIT.java
@@ -179,6 +179,50 @@
 		assertThat(loaded).isBetween(500L, MOST_CLASSES);
 	}
 
+	private void signal(Process gateway, String name) throws IOException, InterruptedException {
+		new ProcessBuilder("kill", "-" + name, Long.toString(gateway.pid())).start().waitFor();
+	}
+
+	private static String look(String id) {
+		return "GET /look/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nAuthorization: Bearer "
+				+ EmulatedSettings.KEY + "\r\n\r\n";
+	}
+
+	/**
+	 * Guards against an idle timeout that closes a connection whose next request arrived
+	 * while the process was suspended.
+	 */
+	@Test
+	void requestThatArrivedWhileTheProcessWasSuspendedIsAnswered() throws IOException, InterruptedException {
+		Process gateway = start();
+		awaitReady();
+		List<Integer> statuses = new ArrayList<>();
+		List<Socket> sockets = new ArrayList<>();
+		for (int index = 0; index < 20; index++) {
+			Socket socket = this.node.connect(this.node.callerPort());
+			socket.setSoTimeout(5_000);
+			sockets.add(socket);
+			RawServer.write(socket, look("a" + index));
+			assertThat(CallerAnswer.read(socket.getInputStream()).status()).isEqualTo(503);
+		}
+		signal(gateway, "STOP");
+		Thread.sleep(3_500);
+		for (Socket socket : sockets) {
+			RawServer.write(socket, look("b"));
+		}
+		Thread.sleep(100);
+		signal(gateway, "CONT");
+		for (Socket socket : sockets) {
+			try (socket) {
+				statuses.add(CallerAnswer.read(socket.getInputStream()).status());
+			}
+			catch (IOException ex) {
+				statuses.add(0);
+			}
+		}
+		assertThat(statuses).hasSize(20).containsOnly(503);
+	}
+
 	/**
 	 * Guards against a start with half of the settings.
 	 */
