Answer a request whose handling raises an unexpected exception

Cause: CallerConnection closed the connection on every exception, and RequestFlow had nothing between its steps and the event loop. An exception in the report of a request's end came before its answer.

Change: RequestFaultBarrier runs each step of a request (start, deadline, answers of endpoints, results of pieces, events of the caller). An exception ends that request only: 503 if no endpoint was sent it, otherwise 502, and a begun stream is cut. The event internal_error names the request, the exception and its place, and entry_request_faults_total counts. Exceptions of a connection itself are logged without an id. An answer that cannot be written closes its connection.

No input that raises an exception was found: OddRequestTests. The tests raise it in the recorder of requests and in the writing of the answer.

Test: RequestFaultTests, all three failed before ("Expecting code not to raise a throwable but caught ..."), and pass now. EntryGatewayTests and UnboundedResponseTests pass, too.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -123,7 +123,8 @@
 				CONNECT_TIMEOUT_MILLIS, Long.MAX_VALUE,
 				(responseHead) -> request.requestId().equals(responseHead.requestId()),
 				this.context.endpointNotices().interceptor(this.choice.endpoint(), Attempt::isFromEndpoint));
-		this.exchange = this.context.httpClient().send(httpCall, this);
+		this.exchange = this.context.httpClient()
+			.send(httpCall, new GuardedResponseListener(this, this.flow.faultBarrier()));
 		if (this.retryable && !this.ended) {
 			scheduleTimeoutCheck();
 		}
@@ -138,7 +139,8 @@
 	private void scheduleTimeoutCheck() {
 		long timeoutMillis = responseTimeoutMillis();
 		long wait = Math.max(20, this.lastReceivedMillis + timeoutMillis - this.context.now());
-		this.timeoutCheck = this.context.timers().schedule(Duration.ofMillis(wait), this::checkTimeout);
+		this.timeoutCheck = this.context.timers()
+			.schedule(Duration.ofMillis(wait), () -> this.flow.faultBarrier().run(this::checkTimeout));
 	}
 
 	private long responseTimeoutMillis() {
--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.magnoliahub.entry;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -204,7 +206,13 @@
 		this.body = Unpooled.EMPTY_BUFFER;
 		Exchange exchange = new Exchange(request, bytes, this.server.timers().milliTime());
 		this.currentExchange = exchange;
-		this.server.accept(exchange);
+		try {
+			this.server.accept(exchange);
+		}
+		catch (RuntimeException ex) {
+			this.server.logFault(ex);
+			exchange.respond(HttpResponseStatus.BAD_GATEWAY.code(), new DefaultHttpHeaders(), EMPTY_BODY);
+		}
 	}
 
 	private void reject(HttpResponseStatus status) {
@@ -260,6 +268,9 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		if (!(cause instanceof IOException)) {
+			this.server.logFault(cause);
+		}
 		this.channel.close();
 	}
 
@@ -369,7 +380,9 @@
 				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 			}
 			if (keep) {
-				CallerConnection.this.channel.writeAndFlush(last);
+				if (CallerConnection.this.channel.writeAndFlush(last).cause() != null) {
+					CallerConnection.this.channel.close();
+				}
 			}
 			else {
 				CallerConnection.this.channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
@@ -381,6 +394,9 @@
 
 		@Override
 		public void abort() {
+			if (this.ended) {
+				return;
+			}
 			this.ended = true;
 			this.observer = null;
 			CallerConnection.this.channel.close();
--- a/src/main/java/org/magnoliahub/entry/CallerServer.java
+++ b/src/main/java/org/magnoliahub/entry/CallerServer.java
@@ -39,6 +39,8 @@
 
 	private final EntryLog log;
 
+	private final EntryMetrics metrics;
+
 	private final Set<CallerConnection> connections = new HashSet<>();
 
 	private @Nullable Channel listener;
@@ -47,11 +49,13 @@
 
 	private boolean closingIdle;
 
-	CallerServer(Timers timers, Supplier<CallerLimits> limits, Consumer<CallerExchange> handler, EntryLog log) {
+	CallerServer(Timers timers, Supplier<CallerLimits> limits, Consumer<CallerExchange> handler, EntryLog log,
+			EntryMetrics metrics) {
 		this.timers = timers;
 		this.limits = limits;
 		this.handler = handler;
 		this.log = log;
+		this.metrics = metrics;
 	}
 
 	/**
@@ -127,6 +131,10 @@
 		this.connections.remove(connection);
 	}
 
+	void logFault(Throwable cause) {
+		RequestFaultBarrier.report(this.log, this.metrics, "", cause);
+	}
+
 	void logMalformedRequest(int status) {
 		this.log.event(EntryEvent.REQUEST_MALFORMED).field("status", status).write();
 	}
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -97,6 +97,9 @@
 	REQUEST_FAILED(Importance.HIGH, "id", "route", "status", "reason", "age_ms", "objective_ms", "queue_ms", "call_ms",
 			"hand_ms", "lost_ms", "engine_ms", "pause_ms"),
 
+	/** An unexpected exception was raised while a request or a connection was handled. */
+	INTERNAL_ERROR(Importance.HIGH, "id", "error", "at"),
+
 	/** A caller closed its connection before the response ended. */
 	REQUEST_CANCELLED(Importance.HIGH, "id", "age_ms", "state"),
 
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -121,7 +121,7 @@
 
 	private final OpenRequests openRequests = new OpenRequests();
 
-	private final ShutdownSequence shutdownSequence;
+	private @Nullable ShutdownSequence shutdownSequence;
 
 	private long loopSampleDue;
 
@@ -156,9 +156,7 @@
 				incarnation);
 		this.memberTable = new MemberTable(this.store, this.timers, this.log, self, this.restorationReport,
 				this.stageCoordinator::setMembers);
-		this.callerServer = new CallerServer(this.timers, this::limits, this::accept, this.log);
-		this.shutdownSequence = new ShutdownSequence(this.timers, this.log, this.gracefulShutdown, this.openRequests,
-				this.callerServer);
+		this.callerServer = new CallerServer(this.timers, this::limits, this::accept, this.log, this.metrics);
 	}
 
 	/**
@@ -410,7 +408,13 @@
 
 	private void beginStop(long requestedMillis, CountDownLatch stopped) {
 		this.memberTable.stop();
-		this.shutdownSequence.begin(requestedMillis, stopped::countDown);
+		if (this.shutdownSequence != null) {
+			return;
+		}
+		ShutdownSequence sequence = new ShutdownSequence(this.timers, this.log, this.gracefulShutdown,
+				this.openRequests, this.callerServer);
+		this.shutdownSequence = sequence;
+		sequence.begin(requestedMillis, stopped::countDown);
 	}
 
 }
--- a/src/main/java/org/magnoliahub/entry/EntryMetrics.java
+++ b/src/main/java/org/magnoliahub/entry/EntryMetrics.java
@@ -99,6 +99,13 @@
 		record((meters) -> meters.counter("entry.attempts.failed", "may_have_run", run, "next", next).increment());
 	}
 
+	/**
+	 * Counts an unexpected exception while a request was handled.
+	 */
+	void requestFault() {
+		record((meters) -> meters.counter("entry.request.faults").increment());
+	}
+
 	/**
 	 * Records a call with a batch of stage pieces.
 	 * @param pieces number of pieces
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -78,6 +78,8 @@
 
 	private final RequestTelemetry telemetry;
 
+	private final RequestFaultBarrier faultBarrier;
+
 	private @Nullable Route route;
 
 	private @Nullable String workspace;
@@ -116,9 +118,22 @@
 		this.request = PlatformHeaders.callerRequest(exchange.headers());
 		this.endCallback = endCallback;
 		this.telemetry = new RequestTelemetry(context, this.request, exchange.arrivedMillis());
+		this.faultBarrier = new RequestFaultBarrier(context.log(), context.metrics(), this.request.requestId(), this);
+	}
+
+	/**
+	 * Returns what runs each step of the request that is caused by an event.
+	 * @return the barrier against unexpected exceptions
+	 */
+	RequestFaultBarrier faultBarrier() {
+		return this.faultBarrier;
 	}
 
 	void start() {
+		this.faultBarrier.run(this::resolveRoute);
+	}
+
+	private void resolveRoute() {
 		Optional<ServingConfiguration> configuration = this.context.configuration();
 		if (configuration.isEmpty() || !this.context.directory().isLoaded()) {
 			refuse(UNAVAILABLE, "configuration_unknown", 500);
@@ -169,7 +184,8 @@
 		this.telemetry.admitted(this.workspace, budget, configuration.version());
 		this.exchange.setObserver(this);
 		this.deadlineTimer = this.context.timers()
-			.schedule(Duration.ofMillis(this.deadlineMillis - this.context.now()), this::onDeadline);
+			.schedule(Duration.ofMillis(this.deadlineMillis - this.context.now()),
+					() -> this.faultBarrier.run(this::onDeadline));
 		startStages(matched);
 	}
 
@@ -407,6 +423,30 @@
 		endUnanswered(reason);
 	}
 
+	/**
+	 * Ends the request after an unexpected exception. The exception may have been raised
+	 * when the end of the request was reported, or by its answer; an exchange that has an
+	 * answer ignores another one.
+	 */
+	void endAfterFault() {
+		if (!this.ended) {
+			endEarly("internal_error");
+			return;
+		}
+		if (this.streamPosition != null) {
+			this.exchange.abort();
+			return;
+		}
+		this.exchange.respond(BAD_GATEWAY, PlatformHeaders.ownAnswerHeaders(""), EMPTY_BODY);
+	}
+
+	/**
+	 * Closes the caller's connection unless the request has been answered.
+	 */
+	void abort() {
+		this.exchange.abort();
+	}
+
 	/**
 	 * Refuses a request that was not executed.
 	 * @param status the response status
@@ -511,6 +551,7 @@
 
 	private void end() {
 		this.ended = true;
+		this.endCallback.accept(this);
 		this.deadlineTimer.dispose();
 		this.exchange.setObserver(null);
 		if (this.attempt != null) {
@@ -520,11 +561,14 @@
 		if (this.stageExecution != null) {
 			this.stageExecution.cancel();
 		}
-		this.endCallback.accept(this);
 	}
 
 	@Override
 	public void onDisconnected() {
+		this.faultBarrier.run(this::cancel);
+	}
+
+	private void cancel() {
 		if (this.ended) {
 			return;
 		}
@@ -535,12 +579,17 @@
 	@Override
 	public void onWritable() {
 		if (this.attempt != null) {
-			this.attempt.resumeReading();
+			this.faultBarrier.run(this.attempt::resumeReading);
 		}
 	}
 
 	private final class StageListener implements StageExecution.Listener {
 
+		@Override
+		public void execute(Runnable step) {
+			RequestFlow.this.faultBarrier.run(step);
+		}
+
 		@Override
 		public void onStageEnd(String stageService, int pieces, long startedMillis, PieceResult lastResult) {
 			RequestFlow.this.telemetry.stageEnded(stageService, pieces, startedMillis, lastResult);
--- a/src/main/java/org/magnoliahub/entry/StageExecution.java
+++ b/src/main/java/org/magnoliahub/entry/StageExecution.java
@@ -187,6 +187,10 @@
 
 	@Override
 	public void onPiece(int stage, int piece, PieceResult result) {
+		this.listener.execute(() -> processPiece(stage, piece, result));
+	}
+
+	private void processPiece(int stage, int piece, PieceResult result) {
 		if (this.cancelled) {
 			return;
 		}
@@ -296,6 +300,13 @@
 	 */
 	interface Listener {
 
+		/**
+		 * Runs a step of the request, and ends the request if the step raises an
+		 * exception.
+		 * @param step the step
+		 */
+		void execute(Runnable step);
+
 		/**
 		 * Called when a stage has completed or failed.
 		 * @param service the service of the stage
