--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -134,7 +134,8 @@
 				this.retryable ? RETRYABLE_IDLE_MILLIS : NON_RETRYABLE_IDLE_MILLIS, CONNECT_TIMEOUT_MILLIS,
 				Long.MAX_VALUE, request.requestId(),
 				this.context.endpointNotices().interceptor(this.choice.endpoint(), Attempt::isFromEndpoint));
-		this.exchange = this.context.httpClient().send(httpCall, this);
+		this.exchange = this.context.httpClient()
+			.send(httpCall, new GuardedResponseListener(this, this.flow.faultBarrier()));
 		if (this.retryable && !this.ended) {
 			scheduleTimeoutCheck();
 		}
@@ -150,7 +151,8 @@
 		long timeoutMillis = responseTimeoutMillis();
 		long wait = Math.max(MINIMUM_CHECK_INTERVAL_MILLIS,
 				this.lastReceivedMillis + timeoutMillis - this.context.now());
-		this.timeoutCheck = this.context.timers().schedule(Duration.ofMillis(wait), this::checkTimeout);
+		this.timeoutCheck = this.context.timers()
+			.schedule(Duration.ofMillis(wait), () -> this.flow.faultBarrier().run(this::checkTimeout));
 	}
 
 	private long responseTimeoutMillis() {
--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.magnoliahub.entry;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -29,7 +31,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.jspecify.annotations.Nullable;
-import org.magnoliahub.serving.CallerLimits;
 
 /**
  * A connection of a caller. Reads one complete request at a time and writes its response.
@@ -39,6 +40,13 @@
 
 	private static final int MAXIMUM_QUEUED_MESSAGES = 64;
 
+	/**
+	 * Time between the expiry of a timeout and its effect, in which the event loop reads
+	 * what has arrived. After the process was suspended, timers run before sockets are
+	 * read.
+	 */
+	private static final Duration READ_TIME = Duration.ofMillis(20);
+
 	private static final byte[] EMPTY_BODY = new byte[0];
 
 	private final CallerServer server;
@@ -70,22 +78,35 @@
 	}
 
 	private void checkTimeouts() {
-		long now = this.server.timers().milliTime();
-		CallerLimits limits = this.server.limits();
-		if (this.currentExchange != null) {
-			return;
+		if (hasExpired()) {
+			this.server.timers().schedule(READ_TIME, this::closeIfStillExpired);
 		}
-		if (this.headStartedMillis >= 0 && now - this.headStartedMillis > limits.headerTimeoutMillis()) {
-			reject(HttpResponseStatus.REQUEST_TIMEOUT);
+	}
+
+	private void closeIfStillExpired() {
+		if (!hasExpired()) {
 			return;
 		}
-		if (now - this.lastActiveMillis > limits.idleTimeoutMillis()) {
-			this.channel.close();
+		if (isHeadOverdue()) {
+			reject(HttpResponseStatus.REQUEST_TIMEOUT);
 			return;
 		}
-		if (this.server.isClosingIdleConnections() && this.head == null && this.headStartedMillis < 0) {
-			this.channel.close();
+		this.channel.close();
+	}
+
+	private boolean hasExpired() {
+		if (this.closing || this.currentExchange != null) {
+			return false;
 		}
+		boolean idle = this.server.timers().milliTime() - this.lastActiveMillis > this.server.limits()
+			.idleTimeoutMillis();
+		boolean unused = this.head == null && this.headStartedMillis < 0;
+		return isHeadOverdue() || idle || (this.server.isClosingIdleConnections() && unused);
+	}
+
+	private boolean isHeadOverdue() {
+		return this.headStartedMillis >= 0 && this.server.timers().milliTime()
+				- this.headStartedMillis > this.server.limits().headerTimeoutMillis();
 	}
 
 	/**
@@ -186,7 +207,13 @@
 		this.body = Unpooled.EMPTY_BUFFER;
 		Exchange exchange = new Exchange(request, bytes, this.server.timers().milliTime());
 		this.currentExchange = exchange;
-		this.server.accept(exchange);
+		try {
+			this.server.accept(exchange);
+		}
+		catch (RuntimeException ex) {
+			this.server.logFault(ex);
+			exchange.respond(HttpResponseStatus.BAD_GATEWAY.code(), new DefaultHttpHeaders(), EMPTY_BODY);
+		}
 	}
 
 	private void reject(HttpResponseStatus status) {
@@ -242,6 +269,9 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		if (!(cause instanceof IOException)) {
+			this.server.logFault(cause);
+		}
 		this.channel.close();
 	}
 
@@ -259,6 +289,8 @@
 
 		private boolean chunked;
 
+		private boolean closeAnnounced;
+
 		private boolean ended;
 
 		private Exchange(HttpRequest request, byte[] body, long arrivedMillis) {
@@ -332,7 +364,8 @@
 			if (this.chunked) {
 				response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 			}
-			if (!isKeepAlive() || !this.chunked) {
+			this.closeAnnounced = !isKeepAlive() || !this.chunked;
+			if (this.closeAnnounced) {
 				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 			}
 			CallerConnection.this.channel.write(response);
@@ -349,7 +382,9 @@
 		@Override
 		public void endStream() {
 			if (!this.ended) {
-				end(LastHttpContent.EMPTY_LAST_CONTENT, isKeepAlive() && this.chunked);
+				// The caller may send its next request behind a stream whose head did not
+				// announce the close.
+				end(LastHttpContent.EMPTY_LAST_CONTENT, !this.closeAnnounced);
 			}
 		}
 
@@ -360,7 +395,9 @@
 				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 			}
 			if (keep) {
-				CallerConnection.this.channel.writeAndFlush(last);
+				if (CallerConnection.this.channel.writeAndFlush(last).cause() != null) {
+					CallerConnection.this.channel.close();
+				}
 			}
 			else {
 				CallerConnection.this.channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
@@ -372,6 +409,9 @@
 
 		@Override
 		public void abort() {
+			if (this.ended) {
+				return;
+			}
 			this.ended = true;
 			this.observer = null;
 			if (this.streamStarted && !this.chunked) {
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -124,7 +124,7 @@
 
 	private final OpenRequests openRequests = new OpenRequests();
 
-	private final ShutdownSequence shutdownSequence;
+	private @Nullable ShutdownSequence shutdownSequence;
 
 	private long loopSampleDue;
 
@@ -159,9 +159,7 @@
 				incarnation);
 		this.memberTable = new MemberTable(this.store, this.timers, this.log, self, this.restorationReport,
 				this.stageCoordinator::setMembers);
-		this.callerServer = new CallerServer(this.timers, this::limits, this::accept, this.log);
-		this.shutdownSequence = new ShutdownSequence(this.timers, this.log, this.gracefulShutdown, this.openRequests,
-				this.callerServer);
+		this.callerServer = new CallerServer(this.timers, this::limits, this::accept, this.log, this.metrics);
 	}
 
 	/**
@@ -373,7 +371,8 @@
 	 */
 	public void stop() {
 		CountDownLatch stopped = new CountDownLatch(1);
-		this.group.next().execute(() -> beginStop(stopped));
+		long requestedMillis = this.timers.milliTime();
+		this.group.next().execute(() -> beginStop(requestedMillis, stopped));
 		try {
 			stopped.await(this.settings.bounds().graceMillis(), TimeUnit.MILLISECONDS);
 		}
@@ -415,9 +414,15 @@
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
-	private void beginStop(CountDownLatch stopped) {
+	private void beginStop(long requestedMillis, CountDownLatch stopped) {
 		this.memberTable.stop();
-		this.shutdownSequence.begin(stopped::countDown);
+		if (this.shutdownSequence != null) {
+			return;
+		}
+		ShutdownSequence sequence = new ShutdownSequence(this.timers, this.log, this.gracefulShutdown,
+				this.openRequests, this.callerServer);
+		this.shutdownSequence = sequence;
+		sequence.begin(requestedMillis, stopped::countDown);
 	}
 
 }
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -37,6 +37,8 @@
 
 	private static final byte[] EMPTY_BODY = new byte[0];
 
+	private static final int BAD_REQUEST = 400;
+
 	private static final int UNAUTHORIZED = 401;
 
 	private static final int NOT_FOUND = 404;
@@ -76,6 +78,8 @@
 
 	private final RequestTelemetry telemetry;
 
+	private final RequestFaultBarrier faultBarrier;
+
 	private @Nullable Route route;
 
 	private @Nullable String workspace;
@@ -117,9 +121,22 @@
 		this.endCallback = endCallback;
 		this.telemetry = new RequestTelemetry(context, this.request, exchange.arrivedMillis());
 		this.silentAttempt = new SilentAttempt(context.timers(), this::resume);
+		this.faultBarrier = new RequestFaultBarrier(context.log(), context.metrics(), this.request.requestId(), this);
+	}
+
+	/**
+	 * Returns what runs each step of the request that is caused by an event.
+	 * @return the barrier against unexpected exceptions
+	 */
+	RequestFaultBarrier faultBarrier() {
+		return this.faultBarrier;
 	}
 
 	void start() {
+		this.faultBarrier.run(this::resolveRoute);
+	}
+
+	private void resolveRoute() {
 		Optional<ServingConfiguration> configuration = this.context.configuration();
 		if (configuration.isEmpty() || !this.context.directory().isLoaded()) {
 			refuse(UNAVAILABLE, "configuration_unknown", 500);
@@ -138,6 +155,10 @@
 			refuse(UNAUTHORIZED, "unknown_key", -1);
 			return;
 		}
+		if (!matched.stages().isEmpty() && this.request.hasTooManyPieces()) {
+			refuse(BAD_REQUEST, "too_many_pieces", -1);
+			return;
+		}
 		if (!this.context.gracefulShutdown().accepts(matched.kind(), this.context.now())) {
 			refuse(UNAVAILABLE, "stopping", 0);
 			return;
@@ -166,7 +187,8 @@
 		this.telemetry.admitted(this.workspace, budget, configuration.version());
 		this.exchange.setObserver(this);
 		this.deadlineTimer = this.context.timers()
-			.schedule(Duration.ofMillis(this.deadlineMillis - this.context.now()), this::onDeadline);
+			.schedule(Duration.ofMillis(this.deadlineMillis - this.context.now()),
+					() -> this.faultBarrier.run(this::onDeadline));
 		startStages(matched);
 	}
 
@@ -463,12 +485,37 @@
 	 * @param reason the reason to report
 	 */
 	void endEarly(String reason) {
+		this.silentAttempt.release();
 		if (this.attempt != null) {
 			this.possibleExecutions++;
 		}
 		endUnanswered(reason);
 	}
 
+	/**
+	 * Ends the request after an unexpected exception. The exception may have been raised
+	 * when the end of the request was reported, or by its answer; an exchange that has an
+	 * answer ignores another one.
+	 */
+	void endAfterFault() {
+		if (!this.ended) {
+			endEarly("internal_error");
+			return;
+		}
+		if (this.streamPosition != null) {
+			this.exchange.abort();
+			return;
+		}
+		this.exchange.respond(BAD_GATEWAY, PlatformHeaders.ownAnswerHeaders(""), EMPTY_BODY);
+	}
+
+	/**
+	 * Closes the caller's connection unless the request has been answered.
+	 */
+	void abort() {
+		this.exchange.abort();
+	}
+
 	/**
 	 * Refuses a request that was not executed.
 	 * @param status the response status
@@ -574,6 +621,7 @@
 
 	private void end() {
 		this.ended = true;
+		this.endCallback.accept(this);
 		this.deadlineTimer.dispose();
 		this.exchange.setObserver(null);
 		this.silentAttempt.release();
@@ -584,11 +632,14 @@
 		if (this.stageExecution != null) {
 			this.stageExecution.cancel();
 		}
-		this.endCallback.accept(this);
 	}
 
 	@Override
 	public void onDisconnected() {
+		this.faultBarrier.run(this::cancel);
+	}
+
+	private void cancel() {
 		if (this.ended) {
 			return;
 		}
@@ -599,12 +650,17 @@
 	@Override
 	public void onWritable() {
 		if (this.attempt != null) {
-			this.attempt.resumeReading();
+			this.faultBarrier.run(this.attempt::resumeReading);
 		}
 	}
 
 	private final class StageListener implements StageExecution.Listener {
 
+		@Override
+		public void execute(Runnable step) {
+			RequestFlow.this.faultBarrier.run(step);
+		}
+
 		@Override
 		public void onStageEnd(String stageService, int pieces, long startedMillis, PieceResult lastResult) {
 			RequestFlow.this.telemetry.stageEnded(stageService, pieces, startedMillis, lastResult);
