--- a/src/main/java/org/magnoliahub/platform/emulator/EmulatedRequest.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EmulatedRequest.java
@@ -7,12 +7,25 @@
  * @param target path and query
  * @param id id of the request, a letter and a number
  * @param stagePieces pieces of each of its stages as on the wire, empty without stages
+ * @param key key of the caller
  */
-public record EmulatedRequest(String method, String target, String id, String stagePieces) {
+public record EmulatedRequest(String method, String target, String id, String stagePieces, String key) {
 
 	/** Body of requests that have one. */
 	public static final String BODY = "hi";
 
+	/**
+	 * Creates a request with the key that all configurations have.
+	 * @param method its method
+	 * @param target path and query
+	 * @param id id of the request, a letter and a number
+	 * @param stagePieces pieces of each of its stages as on the wire, empty without
+	 * stages
+	 */
+	public EmulatedRequest(String method, String target, String id, String stagePieces) {
+		this(method, target, id, stagePieces, EmulatedSettings.KEY);
+	}
+
 	/**
 	 * Returns the request as it is sent.
 	 * @param budgetMillis how long the caller waits
@@ -20,8 +33,7 @@
 	 */
 	public String text(long budgetMillis) {
 		StringBuilder text = new StringBuilder(this.method + " " + this.target + " HTTP/1.1\r\nHost: h\r\nRequest-Id: "
-				+ this.id + "\r\nAuthorization: Bearer " + EmulatedSettings.KEY + "\r\nDeadline-Ms: " + budgetMillis
-				+ "\r\n");
+				+ this.id + "\r\nAuthorization: Bearer " + this.key + "\r\nDeadline-Ms: " + budgetMillis + "\r\n");
 		if (!this.stagePieces.isEmpty()) {
 			text.append("Pieces: ").append(this.stagePieces);
 			text.append("\r\nPiece-Key: k").append(this.id.substring(1)).append("\r\n");
--- a/src/main/java/org/magnoliahub/platform/emulator/EmulatedSettings.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EmulatedSettings.java
@@ -46,7 +46,7 @@
 			{"name":"rank","health_path":"/h","pieces":{"slots":1,"batch":4,"call_ms":20,"item_ms":2,
 			"headroom_mb":1,"handle_s":4}}],
 			"limits":{"max_header_bytes":4000,"max_body_bytes":20000,"header_timeout_ms":800,"idle_timeout_ms":3000},
-			"tenants":[{"name":"workspace-1","api_keys":["key-1"]}]}
+			"tenants":[{"name":"workspace-1","api_keys":[%s]}]}
 			""";
 
 	private static final String NODE = """
@@ -81,11 +81,28 @@
 	 * @return its text
 	 */
 	public static String configuration(long version, List<String> plainPrefixes) {
+		return configuration(version, plainPrefixes, List.of());
+	}
+
+	/**
+	 * Returns a configuration with a route for each kind of request.
+	 * @param version its version
+	 * @param plainPrefixes prefixes of further routes to the plain service
+	 * @param keys further keys of the only workspace
+	 * @return its text
+	 */
+	public static String configuration(long version, List<String> plainPrefixes, List<String> keys) {
 		StringBuilder routes = new StringBuilder(PLAIN_ROUTE.formatted("look", "/look/"));
 		for (String prefix : plainPrefixes) {
 			routes.append(PLAIN_ROUTE.formatted("plain" + prefix.replace('/', '-'), prefix));
 		}
-		return CONFIGURATION.formatted(version, routes);
+		StringBuilder quotedKeys = new StringBuilder(quoted(KEY));
+		keys.forEach((key) -> quotedKeys.append(',').append(quoted(key)));
+		return CONFIGURATION.formatted(version, routes, quotedKeys);
+	}
+
+	private static String quoted(String text) {
+		return '"' + text + '"';
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/soak/Disturbances.java
+++ b/src/main/java/org/magnoliahub/soak/Disturbances.java
@@ -9,11 +9,15 @@
 final class Disturbances {
 
 	/** A gateway is in touch again this long after a disturbance. */
-	static final long CONTACT_MILLIS = 4_000;
+	static final long CONTACT_MILLIS = 3_000;
 
 	private static final int ALL_GATEWAYS = -1;
 
-	private static final int NO_GATEWAY = -2;
+	private static final int LINK = -2;
+
+	private static final int ENDPOINT = -3;
+
+	private static final int PLANNED_END = -4;
 
 	private final List<Span> spans = new CopyOnWriteArrayList<>();
 
@@ -37,10 +41,20 @@
 
 	/**
 	 * Notes that an endpoint's disturbance begins, which leaves all gateways in touch.
+	 * @param endpoint id of the endpoint
 	 * @return the span, to be ended
 	 */
-	Span beginEndpoint() {
-		return begin(NO_GATEWAY);
+	Span beginEndpoint(String endpoint) {
+		return begin(new Span(ENDPOINT, endpoint, Ledger.now()));
+	}
+
+	/**
+	 * Notes that an endpoint ends as planned, which disturbs nothing else.
+	 * @param endpoint id of the endpoint
+	 * @return the span, to be ended
+	 */
+	Span beginPlannedEnd(String endpoint) {
+		return begin(new Span(PLANNED_END, endpoint, Ledger.now()));
 	}
 
 	/**
@@ -49,7 +63,7 @@
 	 * @return the span, to be ended
 	 */
 	Span beginLink(String endpoint) {
-		return begin(new Span(NO_GATEWAY, endpoint, Ledger.now()));
+		return begin(new Span(LINK, endpoint, Ledger.now()));
 	}
 
 	private Span begin(int gateway) {
@@ -70,7 +84,7 @@
 	 */
 	boolean isLinkCalm(String endpoint, long from, long to) {
 		return this.spans.stream()
-			.filter((span) -> span.endpoint.equals(endpoint))
+			.filter((span) -> span.gateway == LINK && span.endpoint.equals(endpoint))
 			.noneMatch((span) -> span.meets(from, to));
 	}
 
@@ -87,6 +101,32 @@
 			.noneMatch((span) -> span.meets(from, to));
 	}
 
+	/**
+	 * Returns whether a gateway is in touch at a moment: nothing disturbed it for the
+	 * contact time before.
+	 * @param gateway index of the gateway
+	 * @param moment the moment
+	 * @param slackMillis further time without a disturbance that is asked for
+	 * @return whether rules with a time bound hold for it
+	 */
+	boolean isInTouch(int gateway, long moment, long slackMillis) {
+		return isCalm(gateway, moment - slackMillis, moment);
+	}
+
+	/**
+	 * Returns whether an endpoint and the link to it were sound throughout.
+	 * @param endpoint id of the endpoint
+	 * @param from start of the time in question
+	 * @param to its end
+	 * @return whether neither excuses a gateway
+	 */
+	boolean isEndpointSound(String endpoint, long from, long to) {
+		return isLinkCalm(endpoint, from, to) && this.spans.stream()
+			.filter((span) -> (span.gateway == ENDPOINT || span.gateway == PLANNED_END)
+					&& span.endpoint.equals(endpoint))
+			.noneMatch((span) -> span.meets(from, to));
+	}
+
 	/**
 	 * Returns whether there was no disturbance at all.
 	 * @param from start of the time in question
@@ -94,7 +134,17 @@
 	 * @return whether nothing excuses anyone
 	 */
 	boolean isUndisturbed(long from, long to) {
-		return this.spans.stream().noneMatch((span) -> span.meets(from, to));
+		return this.spans.stream()
+			.filter((span) -> span.gateway != PLANNED_END)
+			.noneMatch((span) -> span.meets(from, to));
+	}
+
+	/**
+	 * Returns the disturbances for people who trace a finding.
+	 * @return a line for each, in the order of their start
+	 */
+	List<String> timeline() {
+		return this.spans.stream().map(Span::toString).toList();
 	}
 
 	/**
@@ -120,6 +170,17 @@
 			this.to = Ledger.now();
 		}
 
+		@Override
+		public String toString() {
+			return "from " + this.from + " to " + this.to + " " + switch (this.gateway) {
+				case ALL_GATEWAYS -> "all gateways";
+				case LINK -> "link to " + this.endpoint;
+				case ENDPOINT -> "endpoint " + this.endpoint;
+				case PLANNED_END -> "planned end of " + this.endpoint;
+				default -> "gateway " + this.gateway;
+			};
+		}
+
 		private boolean meets(long start, long end) {
 			return this.from <= end && this.to + CONTACT_MILLIS >= start;
 		}
--- a/src/main/java/org/magnoliahub/soak/FaultInjector.java
+++ b/src/main/java/org/magnoliahub/soak/FaultInjector.java
@@ -1,7 +1,6 @@
 package org.magnoliahub.soak;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -20,9 +19,6 @@
  */
 final class FaultInjector implements AutoCloseable {
 
-	/** A gateway gets this long to stop before it is killed. */
-	private static final long GRACE_MILLIS = 8_000;
-
 	private static final long LEAVING_MILLIS = 3_500;
 
 	/** Longer than the window in which requests to a limited endpoint are counted. */
@@ -37,31 +33,33 @@
 	/** Further time until endpoints have written their rows again. */
 	private static final long ENDPOINT_RETURN_MILLIS = 900;
 
-	private static final int THREADS = 12;
+	private static final long LOST_CALLS_MILLIS = 300;
+
+	private static final int THREADS = 16;
 
 	private final StoreEmulator store;
 
 	private final SoakEndpoints endpoints;
 
-	private final List<GatewayChild> gateways;
+	private final GatewayFaults processes;
 
 	private final List<LoopbackProxy> storeLinks;
 
-	private final VersionProbe.Operator operator;
+	private final ConfigurationOperator operator;
 
 	private final Ledger ledger;
 
 	private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(THREADS);
 
-	private final List<Stop> stops = new CopyOnWriteArrayList<>();
+	private final List<String> timeline = new CopyOnWriteArrayList<>();
 
 	private final Map<FaultKind, Action> actions = new EnumMap<>(FaultKind.class);
 
 	FaultInjector(StoreEmulator store, SoakEndpoints endpoints, List<GatewayChild> gateways,
-			List<LoopbackProxy> storeLinks, VersionProbe.Operator operator, Ledger ledger) {
+			List<LoopbackProxy> storeLinks, ConfigurationOperator operator, Ledger ledger) {
 		this.store = store;
 		this.endpoints = endpoints;
-		this.gateways = gateways;
+		this.processes = new GatewayFaults(gateways, operator, ledger);
 		this.storeLinks = storeLinks;
 		this.operator = operator;
 		this.ledger = ledger;
@@ -82,14 +80,19 @@
 		this.actions.put(FaultKind.STORE_ROLLS_BACK, this::rollBack);
 		this.actions.put(FaultKind.STORE_LINK_TO, (fault) -> storeLink(fault, LoopbackProxy.Harm.LOSES_REQUESTS));
 		this.actions.put(FaultKind.STORE_LINK_FROM, (fault) -> storeLink(fault, LoopbackProxy.Harm.LOSES_ANSWERS));
+		this.actions.put(FaultKind.STORE_LOSES_CALLS, this::loseCalls);
+		this.actions.put(FaultKind.STORE_CONNECTIONS_SILENT, this::silenceStoreConnections);
 		this.actions.put(FaultKind.STORE_LINK_RESET, (fault) -> storeLink(fault, LoopbackProxy.Harm.RESETS));
 	}
 
 	private void addGatewayActions() {
-		this.actions.put(FaultKind.GATEWAY_STOP, this::stop);
-		this.actions.put(FaultKind.GATEWAY_PAUSE, this::pauseGateway);
-		this.actions.put(FaultKind.GATEWAY_KILL, this::kill);
-		this.actions.put(FaultKind.GATEWAY_RELOAD, this::reload);
+		this.actions.put(FaultKind.GATEWAY_STOP, (fault) -> this.processes.stop(index(fault)));
+		this.actions.put(FaultKind.GATEWAYS_STOP_IN_TURN, (fault) -> this.processes.stopInTurn(index(fault)));
+		this.actions.put(FaultKind.GATEWAY_PAUSE, (fault) -> this.processes.pause(index(fault), fault.lengthMillis()));
+		this.actions.put(FaultKind.GATEWAY_KILL, (fault) -> this.processes.kill(index(fault)));
+		this.actions.put(FaultKind.GATEWAYS_KILL, (fault) -> this.processes.killAll());
+		this.actions.put(FaultKind.GATEWAY_KILL_AFTER_CHANGE, (fault) -> this.processes.killAfterChange(index(fault)));
+		this.actions.put(FaultKind.GATEWAY_RELOAD, (fault) -> this.processes.reload(index(fault)));
 	}
 
 	private void addEndpointActions() {
@@ -97,6 +100,7 @@
 		this.actions.put(FaultKind.ENDPOINT_LINK_RESET, (fault) -> link(fault, LoopbackProxy.Harm.RESETS));
 		this.actions.put(FaultKind.ENDPOINT_LINK_TO, (fault) -> link(fault, LoopbackProxy.Harm.LOSES_REQUESTS));
 		this.actions.put(FaultKind.ENDPOINT_LINK_FROM, (fault) -> link(fault, LoopbackProxy.Harm.LOSES_ANSWERS));
+		this.actions.put(FaultKind.ENDPOINT_CONNECTIONS_SILENT, this::silenceEndpointConnections);
 		this.actions.put(FaultKind.ENDPOINT_FULL, (fault) -> mode(fault, EndpointEmulator.Mode.FULL));
 		this.actions.put(FaultKind.ENDPOINT_LIMITED, this::limitRate);
 		this.actions.put(FaultKind.ENDPOINT_PAUSES, (fault) -> mode(fault, EndpointEmulator.Mode.PAUSES));
@@ -132,17 +136,26 @@
 	}
 
 	/**
-	 * Returns the planned stops that were played.
-	 * @return the stops, in no order
+	 * Returns the faults for people who trace a finding.
+	 * @return a line for each that was played, with its time
+	 */
+	List<String> timeline() {
+		return List.copyOf(this.timeline);
+	}
+
+	/**
+	 * Returns the planned work at gateways that was played.
+	 * @return the work, in no order
 	 */
-	List<Stop> stops() {
-		return new ArrayList<>(this.stops);
+	PlannedWork plannedWork() {
+		return this.processes.plannedWork();
 	}
 
 	private void play(PlannedFault fault) {
 		try {
 			Action action = this.actions.get(fault.kind());
 			if (action != null) {
+				this.timeline.add(Ledger.now() + " " + fault);
 				action.play(fault);
 			}
 		}
@@ -154,12 +167,8 @@
 		}
 	}
 
-	private GatewayChild gateway(PlannedFault fault) {
-		return this.gateways.get(index(fault));
-	}
-
 	private int index(PlannedFault fault) {
-		return fault.target() % this.gateways.size();
+		return fault.target() % this.storeLinks.size();
 	}
 
 	private void store(PlannedFault fault, StoreEmulator.Mode mode) throws InterruptedException {
@@ -180,8 +189,9 @@
 	}
 
 	private void leave(PlannedFault fault) throws IOException, InterruptedException {
-		Disturbances.Span span = this.ledger.disturbances().beginEndpoint();
-		SoakEndpoints.Leaving leaving = this.endpoints.leave(this.endpoints.answeringPlace(fault.target()));
+		SoakEndpoints.Place place = this.endpoints.answeringPlace(fault.target());
+		Disturbances.Span span = this.ledger.disturbances().beginEndpoint(place.endpoint());
+		SoakEndpoints.Leaving leaving = this.endpoints.leave(place);
 		Thread.sleep(LEAVING_MILLIS);
 		leaving.end();
 		span.end();
@@ -193,6 +203,30 @@
 				LoopbackProxy.Harm.NONE);
 	}
 
+	// New calls fail for a moment only, so that the gateway's wait for the lost ones is
+	// what delays it.
+	private void loseCalls(PlannedFault fault) throws InterruptedException {
+		Disturbances.Span span = this.ledger.disturbances().beginAll();
+		this.store.silenceConnections();
+		this.store.setMode(StoreEmulator.Mode.SILENT);
+		Thread.sleep(Math.min(fault.lengthMillis(), LOST_CALLS_MILLIS));
+		this.store.setMode(StoreEmulator.Mode.SOUND);
+		span.end();
+	}
+
+	private void silenceStoreConnections(PlannedFault fault) {
+		Disturbances.Span span = this.ledger.disturbances().beginGateway(index(fault));
+		this.storeLinks.get(index(fault)).silenceConnections();
+		span.end();
+	}
+
+	private void silenceEndpointConnections(PlannedFault fault) {
+		SoakEndpoints.Place place = this.endpoints.place(fault.target());
+		Disturbances.Span span = this.ledger.disturbances().beginLink(place.endpoint());
+		place.proxy().silenceConnections();
+		span.end();
+	}
+
 	private void link(PlannedFault fault, LoopbackProxy.Harm harm) throws InterruptedException {
 		SoakEndpoints.Place place = this.endpoints.place(fault.target());
 		LoopbackProxy link = place.proxy();
@@ -202,12 +236,13 @@
 
 	private void mode(PlannedFault fault, EndpointEmulator.Mode mode) throws InterruptedException {
 		SoakEndpoints.Place place = this.endpoints.answeringPlace(fault.target());
-		hold(fault, this.ledger.disturbances().beginEndpoint(), place::setMode, mode, EndpointEmulator.Mode.SOUND);
+		hold(fault, this.ledger.disturbances().beginEndpoint(place.endpoint()), place::setMode, mode,
+				EndpointEmulator.Mode.SOUND);
 	}
 
 	private void limitRate(PlannedFault fault) throws InterruptedException {
 		SoakEndpoints.Place place = this.endpoints.answeringPlace(fault.target());
-		Disturbances.Span span = this.ledger.disturbances().beginEndpoint();
+		Disturbances.Span span = this.ledger.disturbances().beginEndpoint(place.endpoint());
 		place.setMode(EndpointEmulator.Mode.LIMITED);
 		Thread.sleep(Math.max(fault.lengthMillis(), LIMITED_MILLIS));
 		place.setMode(EndpointEmulator.Mode.SOUND);
@@ -223,81 +258,27 @@
 	}
 
 	private void restart(PlannedFault fault) throws IOException {
-		Disturbances.Span span = this.ledger.disturbances().beginEndpoint();
-		this.endpoints.restart(this.endpoints.place(fault.target()));
+		SoakEndpoints.Place place = this.endpoints.place(fault.target());
+		Disturbances.Span span = this.ledger.disturbances().beginEndpoint(place.endpoint());
+		this.endpoints.restart(place);
 		span.end();
 	}
 
 	private void drain(PlannedFault fault) throws IOException, InterruptedException {
-		SoakEndpoints.Leaving leaving = this.endpoints.drain(this.endpoints.place(fault.target()));
+		SoakEndpoints.Place place = this.endpoints.place(fault.target());
+		String endpoint = place.endpoint();
+		SoakEndpoints.Leaving leaving = this.endpoints.drain(place);
 		Thread.sleep(LEAVING_MILLIS);
-		Disturbances.Span span = this.ledger.disturbances().beginEndpoint();
+		Disturbances.Span span = this.ledger.disturbances().beginPlannedEnd(endpoint);
 		leaving.end();
 		span.end();
 	}
 
-	private void stop(PlannedFault fault) throws IOException, InterruptedException {
-		GatewayChild gateway = gateway(fault);
-		synchronized (gateway) {
-			gateway.expectEnd();
-			long begun = Ledger.now();
-			gateway.signal("TERM");
-			if (!gateway.awaitEnd(GRACE_MILLIS)) {
-				this.ledger.found(Finding.Promise.PLANNED_STOP, "gateway " + index(fault) + " did not end in time");
-			}
-			this.stops.add(new Stop(index(fault), begun, Ledger.now()));
-			gateway.start();
-			gateway.awaitReady();
-		}
-	}
-
-	private void pauseGateway(PlannedFault fault) throws IOException, InterruptedException {
-		GatewayChild gateway = gateway(fault);
-		synchronized (gateway) {
-			Disturbances.Span span = this.ledger.disturbances().beginGateway(index(fault));
-			gateway.signal("STOP");
-			Thread.sleep(fault.lengthMillis());
-			gateway.signal("CONT");
-			span.end();
-		}
-	}
-
-	// Waits for a start, since the signal ends a Java process before its program begins.
-	private void reload(PlannedFault fault) throws IOException, InterruptedException {
-		GatewayChild gateway = gateway(fault);
-		synchronized (gateway) {
-			gateway.signal("HUP");
-		}
-	}
-
-	private void kill(PlannedFault fault) throws IOException, InterruptedException {
-		GatewayChild gateway = gateway(fault);
-		synchronized (gateway) {
-			Disturbances.Span span = this.ledger.disturbances().beginGateway(index(fault));
-			gateway.expectEnd();
-			gateway.signal("KILL");
-			gateway.awaitEnd(GRACE_MILLIS);
-			gateway.start();
-			gateway.awaitReady();
-			span.end();
-		}
-	}
-
 	@Override
 	public void close() {
 		this.scheduler.shutdownNow();
 	}
 
-	/**
-	 * A planned stop of a gateway.
-	 *
-	 * @param gateway index of the gateway
-	 * @param begunMillis when it was told to stop
-	 * @param endedMillis when it had ended
-	 */
-	record Stop(int gateway, long begunMillis, long endedMillis) {
-	}
-
 	/**
 	 * Plays a fault from its start to its end.
 	 */
--- a/src/main/java/org/magnoliahub/soak/FaultKind.java
+++ b/src/main/java/org/magnoliahub/soak/FaultKind.java
@@ -6,102 +6,120 @@
 enum FaultKind {
 
 	/** The store answers no call. */
-	STORE_SILENT(false),
+	STORE_SILENT(Scope.STORE),
 
 	/** The store refuses all calls. */
-	STORE_BUSY(false),
+	STORE_BUSY(Scope.STORE),
 
 	/** The store refuses every other call. */
-	STORE_UNEVEN(false),
+	STORE_UNEVEN(Scope.STORE),
 
 	/** The store resets connections. */
-	STORE_RESET(false),
+	STORE_RESET(Scope.STORE),
 
 	/** The store answers late. */
-	STORE_SLOW(false),
+	STORE_SLOW(Scope.STORE),
 
 	/** The store does what it is told, and its answers get lost. */
-	STORE_LOSES_ANSWERS(false),
+	STORE_LOSES_ANSWERS(Scope.STORE),
 
 	/** The store forgets the history of its feeds. */
-	STORE_FORGETS(false),
+	STORE_FORGETS(Scope.STORE),
 
 	/** The store is away and comes back from an older copy. */
-	STORE_ROLLS_BACK(false),
+	STORE_ROLLS_BACK(Scope.STORE),
+
+	/** The store never answers the calls that it has, and none for a moment. */
+	STORE_LOSES_CALLS(Scope.STORE),
+
+	/** One gateway's open connections to the store go silent, while new ones work. */
+	STORE_CONNECTIONS_SILENT(Scope.STORE),
 
 	/** One gateway's calls do not reach the store. */
-	STORE_LINK_TO(false),
+	STORE_LINK_TO(Scope.STORE),
 
 	/** The store's answers do not reach one gateway. */
-	STORE_LINK_FROM(false),
+	STORE_LINK_FROM(Scope.STORE),
 
 	/** One gateway's connections to the store are reset. */
-	STORE_LINK_RESET(false),
+	STORE_LINK_RESET(Scope.STORE),
 
 	/** A gateway is told to stop, and starts again. */
-	GATEWAY_STOP(true),
+	GATEWAY_STOP(Scope.PLANNED),
+
+	/** All gateways are told to stop, one a second after the other, and start again. */
+	GATEWAYS_STOP_IN_TURN(Scope.PLANNED),
 
 	/** A gateway is paused. */
-	GATEWAY_PAUSE(false),
+	GATEWAY_PAUSE(Scope.GATEWAY),
 
 	/** A gateway is killed, and starts again. */
-	GATEWAY_KILL(false),
+	GATEWAY_KILL(Scope.GATEWAY),
+
+	/** All gateways are killed at the same moment, and start again. */
+	GATEWAYS_KILL(Scope.GATEWAY),
+
+	/** A gateway is killed when a change of the configuration was acknowledged. */
+	GATEWAY_KILL_AFTER_CHANGE(Scope.GATEWAY),
 
 	/** A gateway is told to read its settings again. */
-	GATEWAY_RELOAD(true),
+	GATEWAY_RELOAD(Scope.PLANNED),
 
 	/** What is sent to an endpoint is late. */
-	ENDPOINT_LINK_DELAY(false),
+	ENDPOINT_LINK_DELAY(Scope.ENDPOINT),
 
 	/** An endpoint's connections are reset. */
-	ENDPOINT_LINK_RESET(false),
+	ENDPOINT_LINK_RESET(Scope.ENDPOINT),
 
 	/** What is sent to an endpoint is lost. */
-	ENDPOINT_LINK_TO(false),
+	ENDPOINT_LINK_TO(Scope.ENDPOINT),
 
 	/** What an endpoint sends is lost. */
-	ENDPOINT_LINK_FROM(false),
+	ENDPOINT_LINK_FROM(Scope.ENDPOINT),
+
+	/** The open connections to an endpoint go silent, while new ones work. */
+	ENDPOINT_CONNECTIONS_SILENT(Scope.ENDPOINT),
 
 	/** An endpoint refuses all requests. */
-	ENDPOINT_FULL(false),
+	ENDPOINT_FULL(Scope.ENDPOINT),
 
 	/** An endpoint refuses all requests and asks for pauses. */
-	ENDPOINT_PAUSES(false),
+	ENDPOINT_PAUSES(Scope.ENDPOINT),
 
 	/** An endpoint states in its answers a low request rate. */
-	ENDPOINT_LIMITED(false),
+	ENDPOINT_LIMITED(Scope.ENDPOINT),
 
 	/** An endpoint says in its answers that it leaves, and its row does not. */
-	ENDPOINT_LEAVES(false),
+	ENDPOINT_LEAVES(Scope.ENDPOINT),
 
 	/** An endpoint takes several times as long. */
-	ENDPOINT_SLOW(false),
+	ENDPOINT_SLOW(Scope.ENDPOINT),
 
 	/** An endpoint ends answers early. */
-	ENDPOINT_TRUNCATES(false),
+	ENDPOINT_TRUNCATES(Scope.ENDPOINT),
 
 	/** An endpoint sends bytes that are no answer. */
-	ENDPOINT_GARBLES(false),
+	ENDPOINT_GARBLES(Scope.ENDPOINT),
 
 	/** An endpoint sends bytes without end. */
-	ENDPOINT_ENDLESS(false),
+	ENDPOINT_ENDLESS(Scope.ENDPOINT),
 
 	/** An endpoint sends more answers than it was asked for. */
-	ENDPOINT_ADDS_ANSWERS(false),
+	ENDPOINT_ADDS_ANSWERS(Scope.ENDPOINT),
 
 	/** An endpoint ends without a word, and another one starts. */
-	ENDPOINT_RESTART(false),
+	ENDPOINT_RESTART(Scope.ENDPOINT),
 
 	/** An endpoint drains and leaves, and another one starts. */
-	ENDPOINT_DRAIN(true),
+	ENDPOINT_DRAIN(Scope.PLANNED),
 
 	/** A new configuration adds a route and removes an older one. */
-	CONFIGURATION_CHANGE(true);
+	CONFIGURATION_CHANGE(Scope.PLANNED);
 
-	private final boolean planned;
+	private final Scope scope;
 
-	FaultKind(boolean planned) {
-		this.planned = planned;
+	FaultKind(Scope scope) {
+		this.scope = scope;
 	}
 
 	/**
@@ -109,7 +127,43 @@
 	 * @return whether the operator does it
 	 */
 	boolean isPlanned() {
-		return this.planned;
+		return this.scope == Scope.PLANNED;
+	}
+
+	/**
+	 * Returns whether it ends all gateways, which takes longer than a series leaves time
+	 * for.
+	 * @return whether it meets all of them
+	 */
+	boolean stopsAllGateways() {
+		return this == GATEWAYS_KILL || this == GATEWAYS_STOP_IN_TURN;
+	}
+
+	/**
+	 * Returns whether gateways are out of touch for some time after it.
+	 * @return whether it disturbs the store, links to it or processes of gateways
+	 */
+	boolean breaksContact() {
+		return this.scope == Scope.STORE || this.scope == Scope.GATEWAY;
+	}
+
+	/**
+	 * What a fault disturbs.
+	 */
+	private enum Scope {
+
+		/** The store or links to it. */
+		STORE,
+
+		/** Processes of gateways. */
+		GATEWAY,
+
+		/** An endpoint or the link to it. */
+		ENDPOINT,
+
+		/** Nothing: it is planned work. */
+		PLANNED
+
 	}
 
 }
--- a/src/main/java/org/magnoliahub/soak/FaultPlan.java
+++ b/src/main/java/org/magnoliahub/soak/FaultPlan.java
@@ -36,6 +36,23 @@
 
 	private static final long LONGEST_MILLIS = 2_500;
 
+	private static final long CYCLE_MILLIS = 8_000;
+
+	private static final long BURST_MILLIS = 3_500;
+
+	private static final long FIRST_CHANGE_MILLIS = 3_000;
+
+	private static final long SHORTEST_CHANGE_MILLIS = 700;
+
+	private static final long LONGEST_CHANGE_MILLIS = 2_500;
+
+	private static final double CHANGE_BEHIND_SHARE = 0.5;
+
+	private static final long CHANGE_BEHIND_MILLIS = 200;
+
+	private static final List<FaultKind> LOSE_CALLS = List.of(FaultKind.STORE_SILENT, FaultKind.STORE_LOSES_CALLS,
+			FaultKind.STORE_CONNECTIONS_SILENT);
+
 	private static final int TARGETS = 60;
 
 	FaultPlan {
@@ -50,24 +67,83 @@
 	 */
 	static FaultPlan draw(long seed, long lengthMillis) {
 		RandomGenerator random = new SplittableRandom(seed);
+		long end = lengthMillis - RECOVERY_MILLIS;
 		List<PlannedFault> faults = new ArrayList<>();
+		addCalm(faults, random);
+		addFaults(faults, random, end);
+		addLostCalls(faults, random, end);
+		addChanges(faults, random, end);
+		faults.sort(Comparator.comparingLong(PlannedFault::startMillis));
+		return new FaultPlan(seed, lengthMillis, faults);
+	}
+
+	private static void addCalm(List<PlannedFault> faults, RandomGenerator random) {
+		FaultKind stop = random.nextBoolean() ? FaultKind.GATEWAYS_STOP_IN_TURN : FaultKind.GATEWAY_STOP;
 		faults.add(new PlannedFault(FaultKind.CONFIGURATION_CHANGE, 1_000, 0, 0));
 		faults.add(new PlannedFault(FaultKind.ENDPOINT_DRAIN, 1_500, 0, random.nextInt(TARGETS)));
-		faults.add(new PlannedFault(FaultKind.GATEWAY_STOP, 2_500, 0, random.nextInt(TARGETS)));
-		faults.add(new PlannedFault(FaultKind.CONFIGURATION_CHANGE, 4_000, 0, 0));
-		long end = lengthMillis - RECOVERY_MILLIS;
+		faults.add(new PlannedFault(stop, 2_500, 0, random.nextInt(TARGETS)));
+		faults.add(new PlannedFault(FaultKind.GATEWAY_RELOAD, 7_000, 0, random.nextInt(TARGETS)));
+	}
+
+	private static void addFaults(List<PlannedFault> faults, RandomGenerator random, long end) {
+		FaultKind[] kinds = FaultKind.values();
 		long count = (end - CALM_MILLIS) / FAULT_INTERVAL_MILLIS;
 		for (long index = 0; index < count; index++) {
-			long start = random.nextLong(CALM_MILLIS, end);
-			FaultKind kind = FaultKind.values()[random.nextInt(FaultKind.values().length)];
-			int length = (random.nextDouble() < SERIES_SHARE) ? SERIES_LENGTH : 1;
-			for (int repeat = 0; repeat < length; repeat++) {
-				faults.add(fault(random, kind, start, end));
+			long drawn = random.nextLong(CALM_MILLIS, end);
+			FaultKind kind = kinds[random.nextInt(kinds.length)];
+			boolean series = random.nextDouble() < SERIES_SHARE && !kind.stopsAllGateways();
+			long start = kind.breaksContact() ? inBurst(drawn, end) : drawn;
+			for (int repeat = 0; repeat < (series ? SERIES_LENGTH : 1); repeat++) {
+				faults.add(fault(random, kind, start, kind.breaksContact() ? burstEnd(start, end) : end));
 				start += SERIES_GAP_MILLIS;
 			}
 		}
-		faults.sort(Comparator.comparingLong(PlannedFault::startMillis));
-		return new FaultPlan(seed, lengthMillis, faults);
+	}
+
+	// The last fault before a rest leaves calls to the store without an answer: only what
+	// follows from it keeps the gateways from the changes that come in the rest.
+	private static void addLostCalls(List<PlannedFault> faults, RandomGenerator random, long end) {
+		for (long start = CALM_MILLIS; start + BURST_MILLIS < end; start += CYCLE_MILLIS) {
+			FaultKind kind = LOSE_CALLS.get(random.nextInt(LOSE_CALLS.size()));
+			long at = start + BURST_MILLIS;
+			faults.add(new PlannedFault(kind, at, SHORTEST_MILLIS, random.nextInt(TARGETS)));
+			faults.add(change(at + SHORTEST_MILLIS + random.nextLong(CHANGE_BEHIND_MILLIS), end));
+		}
+	}
+
+	// Rests between bursts let gateways come back in touch, without which no rule with a
+	// time bound could be judged.
+	private static long inBurst(long drawn, long end) {
+		long cycle = (drawn - CALM_MILLIS) / CYCLE_MILLIS;
+		long begin = CALM_MILLIS + cycle * CYCLE_MILLIS;
+		long length = Math.min(BURST_MILLIS, end - begin);
+		return begin + (drawn - begin) * length / Math.min(CYCLE_MILLIS, end - begin);
+	}
+
+	private static long burstEnd(long start, long end) {
+		long begin = start - (start - CALM_MILLIS) % CYCLE_MILLIS;
+		return Math.min(begin + BURST_MILLIS + SHORTEST_MILLIS, end);
+	}
+
+	// Changes go on all the time and come right behind disturbances, so that a gateway
+	// that has missed one answers by an older version when it is in touch again.
+	private static void addChanges(List<PlannedFault> faults, RandomGenerator random, long end) {
+		List<PlannedFault> changes = new ArrayList<>();
+		for (PlannedFault fault : faults) {
+			if (fault.kind().breaksContact() && random.nextDouble() < CHANGE_BEHIND_SHARE) {
+				changes.add(change(fault.endMillis() + random.nextLong(CHANGE_BEHIND_MILLIS), end));
+			}
+		}
+		long next = FIRST_CHANGE_MILLIS;
+		while (next < end) {
+			changes.add(change(next, end));
+			next += random.nextLong(SHORTEST_CHANGE_MILLIS, LONGEST_CHANGE_MILLIS);
+		}
+		faults.addAll(changes);
+	}
+
+	private static PlannedFault change(long start, long end) {
+		return new PlannedFault(FaultKind.CONFIGURATION_CHANGE, Math.min(start, end), 0, 0);
 	}
 
 	private static PlannedFault fault(RandomGenerator random, FaultKind kind, long start, long end) {
--- a/src/main/java/org/magnoliahub/soak/Finding.java
+++ b/src/main/java/org/magnoliahub/soak/Finding.java
@@ -52,6 +52,12 @@
 		/** A configuration never goes back. */
 		CONFIGURATION_NEVER_BACK,
 
+		/** A request that all configurations allow is never refused as not allowed. */
+		PROPER_REQUEST_ADMITTED,
+
+		/** A request that was read gets a complete answer. */
+		COMPLETE_ANSWER,
+
 		/** Endpoints stop work that nobody waits for. */
 		CANCELLATION,
 
--- a/src/main/java/org/magnoliahub/soak/GatewayChild.java
+++ b/src/main/java/org/magnoliahub/soak/GatewayChild.java
@@ -1,15 +1,22 @@
 package org.magnoliahub.soak;
 
+import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.entry.EntryMain;
+import org.magnoliahub.ledger.GatewayLog;
 import org.magnoliahub.platform.emulator.EmulatedSettings;
 
 /**
@@ -29,6 +36,9 @@
 
 	private final File log;
 
+	/** Length of the log of an earlier run of the same seed. */
+	private final long logStart;
+
 	private String recordSeconds = "60";
 
 	private volatile @Nullable Process process;
@@ -41,6 +51,7 @@
 		this.node = node;
 		this.settings = settings;
 		this.log = log;
+		this.logStart = log.length();
 	}
 
 	/**
@@ -174,6 +185,26 @@
 		return false;
 	}
 
+	/**
+	 * Returns the requests that the gateway has read in full, as its log says. The last
+	 * lines of a process that was killed may be missing.
+	 * @return ids of the requests
+	 * @throws IOException if the log cannot be read
+	 */
+	Set<String> readRequests() throws IOException {
+		Set<String> ids = new HashSet<>();
+		GatewayLog reader = new GatewayLog((entry) -> {
+			if (entry.event().path("event").asText().equals("request_admitted")) {
+				ids.add(entry.event().path("id").asText());
+			}
+		});
+		try (InputStream bytes = Files.newInputStream(this.log.toPath())) {
+			bytes.skipNBytes(this.logStart);
+			reader.read(new BufferedReader(new InputStreamReader(bytes, StandardCharsets.UTF_8)));
+		}
+		return ids;
+	}
+
 	void expectEnd() {
 		this.expectedToRun = false;
 	}
--- a/src/main/java/org/magnoliahub/soak/Ledger.java
+++ b/src/main/java/org/magnoliahub/soak/Ledger.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.magnoliahub.platform.emulator.EmulatedRequest;
+import org.magnoliahub.platform.emulator.EmulatedSettings;
+import org.magnoliahub.platform.emulator.EndpointEmulator;
 import org.magnoliahub.platform.emulator.EndpointRequest;
 import org.magnoliahub.platform.emulator.EndpointRun;
 import org.magnoliahub.platform.emulator.RunObserver;
@@ -18,6 +20,8 @@
  */
 final class Ledger implements RunObserver {
 
+	private static final long SHORT_RUN_MILLIS = 100;
+
 	private final Map<String, RequestStory> stories = new ConcurrentHashMap<>();
 
 	private final Map<String, Long> drainedSince = new ConcurrentHashMap<>();
@@ -32,6 +36,8 @@
 
 	private final Disturbances disturbances = new Disturbances();
 
+	private final ConfigurationCheck configurations = new ConfigurationCheck();
+
 	/**
 	 * Returns the time of all stories.
 	 * @return monotonic time, in milliseconds
@@ -45,8 +51,26 @@
 	}
 
 	RequestStory open(RequestKind kind, String prefix, int gateway) {
+		return open(kind, prefix, EmulatedSettings.KEY, gateway, "r" + this.nextId.incrementAndGet());
+	}
+
+	/**
+	 * Opens a request that an endpoint answers in a short time.
+	 * @param prefix prefix of its route
+	 * @param key key of the caller
+	 * @param gateway index of the gateway that gets it
+	 * @return its story
+	 */
+	RequestStory openShort(String prefix, String key, int gateway) {
 		String id = "r" + this.nextId.incrementAndGet();
-		EmulatedRequest request = new EmulatedRequest(kind.method(), prefix + id, id, kind.stagePieces());
+		while (EndpointEmulator.expectedMillis(id, false) > SHORT_RUN_MILLIS) {
+			id = "r" + this.nextId.incrementAndGet();
+		}
+		return open(RequestKind.LOOK, prefix, key, gateway, id);
+	}
+
+	private RequestStory open(RequestKind kind, String prefix, String key, int gateway, String id) {
+		EmulatedRequest request = new EmulatedRequest(kind.method(), prefix + id, id, kind.stagePieces(), key);
 		RequestStory story = new RequestStory(kind, request, gateway, now());
 		add(story);
 		return story;
@@ -60,6 +84,14 @@
 		return this.stories.values();
 	}
 
+	/**
+	 * Returns the judge of routes and keys that come and go.
+	 * @return the versions and the requests that tell them apart
+	 */
+	ConfigurationCheck configurations() {
+		return this.configurations;
+	}
+
 	Disturbances disturbances() {
 		return this.disturbances;
 	}
--- a/src/main/java/org/magnoliahub/soak/LoopbackProxy.java
+++ b/src/main/java/org/magnoliahub/soak/LoopbackProxy.java
@@ -4,6 +4,8 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.magnoliahub.platform.emulator.LoopbackListener;
 import org.magnoliahub.platform.emulator.RawServer;
@@ -25,6 +27,8 @@
 
 	private final int port;
 
+	private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
+
 	private volatile Harm harm = Harm.NONE;
 
 	private LoopbackProxy(String address) throws IOException {
@@ -55,6 +59,14 @@
 		}
 	}
 
+	/**
+	 * Leaves the open connections open and passes nothing on them any more, while new
+	 * connections work.
+	 */
+	void silenceConnections() {
+		this.silent.addAll(this.listener.connections());
+	}
+
 	private void connect(Socket caller) {
 		if (this.harm == Harm.RESETS) {
 			reset(caller);
@@ -64,8 +76,8 @@
 			Socket target = new Socket(this.host, this.port);
 			target.setTcpNoDelay(true);
 			caller.setTcpNoDelay(true);
-			LoopbackListener.daemon(() -> pass(caller, target, Harm.LOSES_REQUESTS));
-			pass(target, caller, Harm.LOSES_ANSWERS);
+			LoopbackListener.daemon(() -> pass(caller, target, caller, Harm.LOSES_REQUESTS));
+			pass(target, caller, caller, Harm.LOSES_ANSWERS);
 		}
 		catch (IOException ex) {
 			reset(caller);
@@ -74,7 +86,7 @@
 
 	// A one-way loss holds the bytes back like a network that drops packets, and passes
 	// them on when the harm ends, as a retransmission does.
-	private void pass(Socket from, Socket to, Harm loss) {
+	private void pass(Socket from, Socket to, Socket caller, Harm loss) {
 		byte[] buffer = new byte[BUFFER_BYTES];
 		try {
 			InputStream input = from.getInputStream();
@@ -82,11 +94,17 @@
 			int count = input.read(buffer);
 			while (count >= 0) {
 				awaitPassage(loss);
-				output.write(buffer, 0, count);
-				output.flush();
+				if (!this.silent.contains(caller)) {
+					output.write(buffer, 0, count);
+					output.flush();
+				}
 				count = input.read(buffer);
 			}
 			awaitPassage(loss);
+			if (this.silent.contains(caller) && from != caller) {
+				// The caller does not learn that the target has closed its connection.
+				return;
+			}
 			to.close();
 			from.close();
 		}
--- a/src/main/java/org/magnoliahub/soak/PromiseChecks.java
+++ b/src/main/java/org/magnoliahub/soak/PromiseChecks.java
@@ -58,11 +58,12 @@
 	 * Checks a run that has ended.
 	 * @param ledger its stories
 	 * @param budget repeats of all gateways
-	 * @param stops its planned stops
+	 * @param work its planned work at gateways
+	 * @param read ids of the requests that gateways have read
 	 * @param recovery span after the last fault in which requests must be served
 	 * @return what was broken
 	 */
-	static List<Finding> check(Ledger ledger, EmulatedSettings.Budget budget, List<FaultInjector.Stop> stops,
+	static List<Finding> check(Ledger ledger, EmulatedSettings.Budget budget, PlannedWork work, Set<String> read,
 			Recovery recovery) {
 		PromiseChecks checks = new PromiseChecks(ledger, budget);
 		checks.findings.addAll(ledger.found());
@@ -71,9 +72,11 @@
 		checks.checkDraining();
 		checks.checkNotices();
 		checks.findings.addAll(RequestRateCheck.check(ledger));
+		checks.findings.addAll(ledger.configurations().check(ledger.disturbances()));
 		checks.checkBudget("plain");
 		checks.checkBudget("model");
-		checks.checkStops(stops);
+		checks.checkStops(work.stops());
+		checks.findings.addAll(new CompleteAnswerCheck(ledger, work, read).check());
 		checks.checkRecovery(recovery);
 		return checks.findings;
 	}
@@ -97,6 +100,9 @@
 				add(Promise.OWN_ANSWER, story + ": inputs " + arrival.request().inputs());
 			}
 		}
+		if (story.isDenied() && !story.isProbe()) {
+			add(Promise.PROPER_REQUEST_ADMITTED, story);
+		}
 		CallerAnswer answer = story.answer();
 		if (answer != null && answer.status() == OK) {
 			checkAnswer(story, answer);
@@ -273,9 +279,9 @@
 		return times.stream().filter((time) -> time >= start && time < start + REPEAT_WINDOW_MILLIS).count();
 	}
 
-	private void checkStops(List<FaultInjector.Stop> stops) {
+	private void checkStops(List<PlannedWork.Stop> stops) {
 		Set<RequestStory> cut = new HashSet<>();
-		for (FaultInjector.Stop stop : stops) {
+		for (PlannedWork.Stop stop : stops) {
 			for (RequestStory story : this.ledger.stories()) {
 				boolean during = story.gateway() == stop.gateway() && story.endedMillis() >= stop.begunMillis()
 						&& story.sentMillis() <= stop.endedMillis();
@@ -301,7 +307,7 @@
 		List<RequestStory> stories = this.ledger.stories()
 			.stream()
 			.filter((story) -> story.sentMillis() >= recovery.fromMillis() && story.sentMillis() < recovery.toMillis())
-			.filter((story) -> !story.isAbandoned())
+			.filter((story) -> !story.isAbandoned() && !(story.isProbe() && story.isDenied()))
 			.toList();
 		long served = stories.stream().filter(RequestStory::isServed).count();
 		if (stories.isEmpty() || served < RECOVERED_SHARE * stories.size()) {
--- a/src/main/java/org/magnoliahub/soak/RequestStory.java
+++ b/src/main/java/org/magnoliahub/soak/RequestStory.java
@@ -6,6 +6,7 @@
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.platform.emulator.CallerAnswer;
 import org.magnoliahub.platform.emulator.EmulatedRequest;
+import org.magnoliahub.platform.emulator.EmulatedSettings;
 import org.magnoliahub.platform.emulator.EndpointRequest;
 import org.magnoliahub.platform.emulator.EndpointRun;
 
@@ -28,6 +29,8 @@
 
 	private volatile @Nullable CallerAnswer answer;
 
+	private volatile long writtenMillis = Long.MAX_VALUE;
+
 	private volatile long endedMillis;
 
 	private volatile boolean abandoned;
@@ -59,6 +62,18 @@
 		return this.endedMillis;
 	}
 
+	/**
+	 * Returns when the last byte of the request was sent.
+	 * @return the time, or the largest value if it was not sent in full
+	 */
+	long writtenMillis() {
+		return this.writtenMillis;
+	}
+
+	void writtenAt(long now) {
+		this.writtenMillis = now;
+	}
+
 	boolean isAbandoned() {
 		return this.abandoned;
 	}
@@ -97,6 +112,25 @@
 		this.runs.stream().filter((known) -> known.run.equals(run)).forEach((known) -> known.endedMillis = now);
 	}
 
+	/**
+	 * Returns whether the gateway said that its configuration does not allow the request.
+	 * @return whether the answer is a refusal of the gateway's own
+	 */
+	boolean isDenied() {
+		CallerAnswer given = this.answer;
+		return given != null && given.signature().isEmpty()
+				&& (given.status() == 401 || given.status() == 403 || given.status() == 404);
+	}
+
+	/**
+	 * Returns whether only some configurations allow the request.
+	 * @return whether its route or its key comes and goes
+	 */
+	boolean isProbe() {
+		return !this.request.target().startsWith(this.kind.prefix())
+				|| !this.request.key().equals(EmulatedSettings.KEY);
+	}
+
 	/**
 	 * Returns whether the caller got the whole answer.
 	 * @return whether the request was served
--- a/src/main/java/org/magnoliahub/soak/Soak.java
+++ b/src/main/java/org/magnoliahub/soak/Soak.java
@@ -4,9 +4,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.magnoliahub.platform.emulator.EmulatedSettings;
@@ -86,10 +88,10 @@
 		Runtime.getRuntime().addShutdownHook(atExit);
 		try (StoreEmulator store = new StoreEmulator();
 				SoakEndpoints endpoints = SoakEndpoints.start(store, this.ledger, endpointCounts())) {
-			VersionProbe.Operator operator = new VersionProbe.Operator(store);
+			ConfigurationOperator operator = new ConfigurationOperator(store, this.ledger.configurations().versions());
 			operator.change();
 			startGateways(store);
-			startLoad(operator);
+			startLoad();
 			try (FaultInjector injector = new FaultInjector(store, endpoints, this.gateways, this.storeLinks, operator,
 					this.ledger)) {
 				return play(injector, endpoints);
@@ -130,16 +132,19 @@
 		}
 	}
 
-	private void startLoad(VersionProbe.Operator operator) {
+	private void startLoad() {
 		for (int index = 0; index < this.options.callers(); index++) {
-			SoakCaller caller = new SoakCaller(this.gateways, this.ledger, this.plan.seed() * 1_000 + index);
+			SoakCaller caller = new SoakCaller(this.gateways, this.ledger, this.plan.seed() * 1_000 + index,
+					index % 2 == 0);
 			this.callers.add(caller);
 			start(caller);
 		}
 		for (int index = 0; index < this.gateways.size(); index++) {
-			VersionProbe probe = new VersionProbe(index, this.gateways.get(index), operator, this.ledger);
-			this.probes.add(probe);
-			start(probe);
+			for (VersionProbe.Kind kind : VersionProbe.Kind.values()) {
+				VersionProbe probe = new VersionProbe(kind, index, this.gateways.get(index), this.ledger);
+				this.probes.add(probe);
+				start(probe);
+			}
 		}
 	}
 
@@ -150,7 +155,7 @@
 		thread.start();
 	}
 
-	private SoakResult play(FaultInjector injector, SoakEndpoints endpoints) throws InterruptedException {
+	private SoakResult play(FaultInjector injector, SoakEndpoints endpoints) throws IOException, InterruptedException {
 		injector.start(this.plan);
 		if (!injector.awaitEnd(this.plan.lengthMillis() + FAULTS_END_LIMIT_MILLIS)) {
 			this.ledger.found(Finding.Promise.PROCESS_LIFE, "faults did not end in time");
@@ -166,11 +171,29 @@
 			}
 		}
 		endpoints.stages().faults().forEach((fault) -> this.ledger.found(Finding.Promise.OWN_ANSWER, fault));
-		List<Finding> findings = PromiseChecks.check(this.ledger, BUDGET, injector.stops(), recovery);
+		List<Finding> findings = PromiseChecks.check(this.ledger, BUDGET, injector.plannedWork(), readRequests(),
+				recovery);
+		writeTimeline(injector);
 		long served = this.ledger.stories().stream().filter(RequestStory::isServed).count();
 		return new SoakResult(this.plan, this.ledger.stories().size(), served, findings);
 	}
 
+	private void writeTimeline(FaultInjector injector) throws IOException {
+		List<String> lines = new ArrayList<>(injector.timeline());
+		lines.addAll(this.ledger.disturbances().timeline());
+		lines.add(injector.plannedWork().toString());
+		this.ledger.configurations().versions().versions().forEach((version) -> lines.add(version.toString()));
+		Files.write(this.directory.resolve("timeline.txt"), lines);
+	}
+
+	private Set<String> readRequests() throws IOException {
+		Set<String> read = new HashSet<>();
+		for (GatewayChild gateway : this.gateways) {
+			read.addAll(gateway.readRequests());
+		}
+		return read;
+	}
+
 	private void stopLoad() throws InterruptedException {
 		this.callers.forEach(SoakCaller::stop);
 		this.probes.forEach(VersionProbe::stop);
--- a/src/main/java/org/magnoliahub/soak/SoakCaller.java
+++ b/src/main/java/org/magnoliahub/soak/SoakCaller.java
@@ -32,22 +32,31 @@
 
 	private static final double NEW_CONNECTION_SHARE = 0.05;
 
+	private static final double IDLE_SHARE = 0.03;
+
+	/** Four fifths of the time after which gateways close idle connections. */
+	private static final int LONGEST_IDLE_MILLIS = 2_400;
+
 	private final List<GatewayChild> gateways;
 
 	private final Ledger ledger;
 
 	private final RandomGenerator random;
 
+	/** Uses a connection until the gateway closes it, also after long pauses. */
+	private final boolean keepsConnections;
+
 	private volatile boolean stopped;
 
 	private @Nullable Socket socket;
 
 	private int gateway;
 
-	SoakCaller(List<GatewayChild> gateways, Ledger ledger, long seed) {
+	SoakCaller(List<GatewayChild> gateways, Ledger ledger, long seed, boolean keepsConnections) {
 		this.gateways = gateways;
 		this.ledger = ledger;
 		this.random = new SplittableRandom(seed);
+		this.keepsConnections = keepsConnections;
 	}
 
 	void stop() {
@@ -59,7 +68,7 @@
 		while (!this.stopped) {
 			send();
 			try {
-				Thread.sleep(this.random.nextInt(LONGEST_PAUSE_MILLIS));
+				Thread.sleep(pauseMillis());
 			}
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
@@ -69,6 +78,13 @@
 		close();
 	}
 
+	private long pauseMillis() {
+		if (this.keepsConnections && this.random.nextDouble() < IDLE_SHARE) {
+			return this.random.nextInt(LONGEST_IDLE_MILLIS);
+		}
+		return this.random.nextInt(LONGEST_PAUSE_MILLIS);
+	}
+
 	private void send() {
 		Socket open = connection();
 		if (open == null) {
@@ -81,6 +97,7 @@
 			open.setSoTimeout(abandons ? this.random.nextInt(SHORTEST_ABANDON_MILLIS, LONGEST_ABANDON_MILLIS)
 					: (int) kind.timeoutMillis() + PATIENCE_MILLIS);
 			RawServer.write(open, story.request().text(kind.timeoutMillis() + PATIENCE_MILLIS));
+			story.writtenAt(Ledger.now());
 			InputStream input = new BufferedInputStream(open.getInputStream());
 			CallerAnswer answer = CallerAnswer.read(input);
 			// A stream that the caller left is incomplete by its own choice.
@@ -105,7 +122,8 @@
 	}
 
 	private void closeAfter(CallerAnswer answer) {
-		if (answer.closes() || this.random.nextDouble() < NEW_CONNECTION_SHARE) {
+		boolean leaves = !this.keepsConnections && this.random.nextDouble() < NEW_CONNECTION_SHARE;
+		if (answer.closes() || leaves) {
 			close();
 		}
 	}
--- a/src/main/java/org/magnoliahub/soak/VersionProbe.java
+++ b/src/main/java/org/magnoliahub/soak/VersionProbe.java
@@ -3,49 +3,43 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.net.Socket;
-import java.util.List;
+import java.net.SocketTimeoutException;
+import java.util.Map;
 
-import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.emulator.CallerAnswer;
 import org.magnoliahub.platform.emulator.EmulatedSettings;
 import org.magnoliahub.platform.emulator.RawServer;
-import org.magnoliahub.platform.emulator.StoreEmulator;
 
 /**
- * Changes the configuration and asks a gateway again and again for the route that only
- * the newest version has.
+ * Asks a gateway again and again for a route or with a key that only some versions of the
+ * configuration have.
  */
 final class VersionProbe implements Runnable {
 
-	private static final int INTERVAL_MILLIS = 250;
+	/** No multiple of the periods of timers, so that probes meet all of their phases. */
+	private static final int INTERVAL_MILLIS = 173;
 
 	private static final int ANSWER_MILLIS = 2_500;
 
-	private static final long IN_FORCE_MILLIS = 2_000;
+	/** Older versions that are asked for by turns, since a gateway may be far behind. */
+	private static final int REMOVED_VERSIONS = 4;
 
-	/** Room for the probe's own way on a busy machine. */
-	private static final long SLACK_MILLIS = 1_000;
-
-	private static final int NOT_FOUND = 404;
+	private final Kind kind;
 
 	private final int index;
 
 	private final GatewayChild gateway;
 
-	private final Operator operator;
-
 	private final Ledger ledger;
 
 	private volatile boolean stopped;
 
-	private int seenIncarnation;
-
-	private long seenVersion;
+	private int count;
 
-	VersionProbe(int index, GatewayChild gateway, Operator operator, Ledger ledger) {
+	VersionProbe(Kind kind, int index, GatewayChild gateway, Ledger ledger) {
+		this.kind = kind;
 		this.index = index;
 		this.gateway = gateway;
-		this.operator = operator;
 		this.ledger = ledger;
 	}
 
@@ -71,97 +65,71 @@
 		}
 	}
 
+	// The version that is due shows answers by older ones, and the newest one shows
+	// configurations that go back.
 	private void probe() throws IOException {
-		Version newest = this.operator.newest();
-		int incarnation = this.gateway.incarnation();
-		long seen = (incarnation == this.seenIncarnation) ? this.seenVersion : 0;
-		long sent = Ledger.now();
-		int status = ask(newest);
-		boolean sameProcess = incarnation == this.gateway.incarnation();
-		if (!sameProcess || this.operator.newest().number() != newest.number()) {
-			return;
-		}
-		if (status != NOT_FOUND && status != 503 && status != 0) {
-			this.seenIncarnation = incarnation;
-			this.seenVersion = newest.number();
+		this.count++;
+		ConfigurationVersions versions = this.ledger.configurations().versions();
+		int present = (this.count % 2 == 0) ? versions.newest()
+				: versions.newestAccepted(Ledger.now() - ConfigurationCheck.IN_FORCE_MILLIS);
+		int removed = present - ConfigurationVersions.KEPT - this.count / 2 % REMOVED_VERSIONS;
+		int version = this.kind.added ? present : removed;
+		if (version < 0) {
 			return;
 		}
-		if (status == NOT_FOUND) {
-			check(newest, seen, sent);
-		}
-	}
-
-	private void check(Version newest, long seen, long sent) {
-		String detail = "gateway " + this.index + " has no route of version " + newest.number() + " at " + sent;
-		if (seen >= newest.number()) {
-			this.ledger.found(Finding.Promise.CONFIGURATION_NEVER_BACK, detail + ", but had it before");
-		}
-		long due = newest.acceptedMillis() + IN_FORCE_MILLIS + SLACK_MILLIS;
-		if (sent > due && this.ledger.disturbances().isCalm(this.index, newest.acceptedMillis(), sent)) {
-			this.ledger.found(Finding.Promise.CONFIGURATION_IN_TIME,
-					detail + ", accepted at " + newest.acceptedMillis());
+		int incarnation = this.gateway.incarnation();
+		RequestStory story = ask(version);
+		if (incarnation == this.gateway.incarnation()) {
+			this.ledger.configurations().add(new ConfigurationCheck.Probe(story, version, incarnation));
 		}
 	}
 
-	private int ask(Version newest) throws IOException {
+	private RequestStory ask(int version) throws IOException {
+		String prefix = this.kind.key ? RequestKind.LOOK.prefix() : ConfigurationVersions.prefix(version);
+		String key = this.kind.key ? ConfigurationVersions.key(version) : EmulatedSettings.KEY;
 		try (Socket socket = this.gateway.connect()) {
 			socket.setSoTimeout(ANSWER_MILLIS);
-			RequestStory story = this.ledger.open(RequestKind.LOOK, newest.prefix(), this.index);
+			RequestStory story = this.ledger.openShort(prefix, key, this.index);
 			try {
 				RawServer.write(socket, story.request().text(ANSWER_MILLIS));
+				story.writtenAt(Ledger.now());
 				CallerAnswer answer = CallerAnswer.read(new BufferedInputStream(socket.getInputStream()));
 				story.answered(answer, Ledger.now());
-				return answer.status();
 			}
-			catch (IOException ex) {
+			catch (SocketTimeoutException ex) {
 				story.abandonedAt(Ledger.now());
-				throw ex;
 			}
+			catch (IOException ex) {
+				story.answered(new CallerAnswer(0, Map.of(), "", false), Ledger.now());
+			}
+			return story;
 		}
 	}
 
 	/**
-	 * A version of the configuration.
-	 *
-	 * @param number its number
-	 * @param prefix prefix of the route that it adds
-	 * @param acceptedMillis when the store had it
+	 * What is asked for.
 	 */
-	record Version(long number, String prefix, long acceptedMillis) {
-	}
+	enum Kind {
 
-	/**
-	 * Writes versions of the configuration.
-	 */
-	static final class Operator {
+		/** A route that is there. */
+		ADDED_ROUTE(true, false),
 
-		private final StoreEmulator store;
+		/** A key that is there. */
+		ADDED_KEY(true, true),
 
-		private Version newest = new Version(0, "/new-0/", 0);
+		/** A route that was taken away. */
+		REMOVED_ROUTE(false, false),
 
-		Operator(StoreEmulator store) {
-			this.store = store;
-		}
+		/** A key that was taken away. */
+		REMOVED_KEY(false, true);
 
-		synchronized Version newest() {
-			return this.newest;
-		}
+		private final boolean added;
 
-		synchronized void change() {
-			long number = this.newest.number() + 3;
-			String prefix = "/new-" + number + "/";
-			this.store.put(StoreFormat.CONFIGURATION_TABLE, StoreFormat.CONFIGURATION_KEY,
-					EmulatedSettings.configuration(number, List.of(prefix)));
-			this.newest = new Version(number, prefix, Ledger.now());
-		}
+		private final boolean key;
 
-		/**
-		 * Writes the newest version again, which the store has lost.
-		 */
-		synchronized void writeAgain() {
-			this.store.put(StoreFormat.CONFIGURATION_TABLE, StoreFormat.CONFIGURATION_KEY,
-					EmulatedSettings.configuration(this.newest.number(), List.of(this.newest.prefix())));
-			this.newest = new Version(this.newest.number(), this.newest.prefix(), Ledger.now());
+		Kind(boolean added, boolean key) {
+			this.added = added;
+			this.key = key;
 		}
 
 	}
--- a/src/test/java/org/magnoliahub/soak/FaultPlanTests.java
+++ b/src/test/java/org/magnoliahub/soak/FaultPlanTests.java
@@ -1,6 +1,7 @@
 package org.magnoliahub.soak;
 
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
@@ -42,4 +43,41 @@
 		}
 	}
 
+	/**
+	 * Guards against plans that leave no time in which rules with a time bound hold.
+	 */
+	@Test
+	void gatewaysComeBackInTouchBetweenBursts() {
+		for (long seed = 0; seed < 50; seed++) {
+			List<PlannedFault> breaks = FaultPlan.draw(seed, 60_000)
+				.faults()
+				.stream()
+				.filter((fault) -> fault.kind().breaksContact())
+				.toList();
+			assertThat(breaks).allMatch((fault) -> (fault.endMillis() - FaultPlan.CALM_MILLIS) % 8_000 <= 3_700);
+		}
+	}
+
+	/**
+	 * Guards against changes of the configuration that miss the time around disturbances.
+	 */
+	@Test
+	void configurationChangesOftenAndRightBehindDisturbances() {
+		int behind = 0;
+		for (long seed = 0; seed < 50; seed++) {
+			List<PlannedFault> faults = FaultPlan.draw(seed, LENGTH_MILLIS).faults();
+			List<PlannedFault> changes = faults.stream()
+				.filter((fault) -> fault.kind() == FaultKind.CONFIGURATION_CHANGE)
+				.toList();
+			assertThat(changes).hasSizeGreaterThan(8);
+			behind += (int) faults.stream()
+				.filter((fault) -> fault.kind().breaksContact())
+				.filter((fault) -> changes.stream()
+					.anyMatch((change) -> change.startMillis() >= fault.endMillis()
+							&& change.startMillis() < fault.endMillis() + 200))
+				.count();
+		}
+		assertThat(behind).isGreaterThan(100);
+	}
+
 }
--- a/src/test/java/org/magnoliahub/soak/PromiseChecksTests.java
+++ b/src/test/java/org/magnoliahub/soak/PromiseChecksTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
@@ -27,6 +28,8 @@
 
 	private static final EmulatedSettings.Budget BUDGET = new EmulatedSettings.Budget(0.1, 12);
 
+	private static final PlannedWork NO_WORK = new PlannedWork(List.of(), List.of());
+
 	private static final String BODY = "body";
 
 	private final Ledger ledger = new Ledger();
@@ -96,7 +99,9 @@
 					for (int index = 0; index < 4; index++) {
 						t.send(RequestKind.LOOK).answered(new CallerAnswer(504, Map.of(), "", true), t.start + 3_500);
 					}
-				}), broken(Promise.CANCELLATION, (t) -> {
+				}),
+				broken(Promise.PROPER_REQUEST_ADMITTED, (t) -> t.answer(t.send(RequestKind.LOOK), 401, "", "", true)),
+				broken(Promise.CANCELLATION, (t) -> {
 					for (int index = 0; index < 40; index++) {
 						RequestStory story = t.send(RequestKind.DRAFT);
 						t.run(story, "a");
@@ -157,7 +162,7 @@
 	void noServiceAfterTheLastFaultIsFound() {
 		answer(send(RequestKind.LOOK), 503, "", "", true);
 		PromiseChecks.Recovery recovery = new PromiseChecks.Recovery(this.start, this.start + 1_000);
-		assertThat(PromiseChecks.check(this.ledger, BUDGET, List.of(), recovery)).extracting(Finding::promise)
+		assertThat(PromiseChecks.check(this.ledger, BUDGET, NO_WORK, Set.of(), recovery)).extracting(Finding::promise)
 			.containsExactly(Promise.RECOVERY);
 	}
 
@@ -166,13 +171,15 @@
 		RequestStory story = send(RequestKind.ORDER);
 		run(story, "a");
 		story.answered(new CallerAnswer(0, Map.of(), "", false), this.start + 100);
-		FaultInjector.Stop stop = new FaultInjector.Stop(0, this.start - 1, this.start + 1_000);
-		assertThat(PromiseChecks.check(this.ledger, BUDGET, List.of(stop), served())).extracting(Finding::promise)
-			.containsExactly(Promise.PLANNED_STOP);
+		PlannedWork.Stop stop = new PlannedWork.Stop(0, this.start - 1, this.start + 1_000);
+		assertThat(
+				PromiseChecks.check(this.ledger, BUDGET, new PlannedWork(List.of(stop), List.of()), Set.of(), served()))
+			.extracting(Finding::promise)
+			.containsExactlyInAnyOrder(Promise.PLANNED_STOP, Promise.COMPLETE_ANSWER);
 	}
 
 	private List<Finding> check() {
-		return PromiseChecks.check(this.ledger, BUDGET, List.of(), served());
+		return PromiseChecks.check(this.ledger, BUDGET, NO_WORK, Set.of(), served());
 	}
 
 	// A request in a span of its own, so that the recovery is sound in all other cases.
