--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -16,7 +16,7 @@
 	STOPPING(Importance.HIGH, "open_requests", "connections"),
 
 	/** The process exits. */
-	STOPPED(Importance.HIGH, "open_requests"),
+	STOPPED(Importance.HIGH, "open_requests", "cut_streams", "connections"),
 
 	/** The process cannot listen on one of its addresses. */
 	LISTEN_FAILED(Importance.HIGH, "reason"),
@@ -25,7 +25,7 @@
 	SETTINGS_RELOADED(Importance.HIGH, "outcome"),
 
 	/** The gateway uses a new configuration. */
-	CONFIGURATION_ADOPTED(Importance.HIGH, "version", "previous", "era"),
+	CONFIGURATION_ADOPTED(Importance.HIGH, "version", "previous", "era", "source"),
 
 	/** A stored configuration was rejected. */
 	CONFIGURATION_REJECTED(Importance.HIGH, "reason"),
