Send requests in the soak that outlast a planned stop

Cause of the gap: all requests of the soak ended within 1.1 s at sound endpoints, so none was open at the end of the grace of 8 s.

Change: one more caller for each gateway sends orders that take 2 to 6 s on a route of 12 s, on kept connections.

Unit tests of the soak, ArchitectureTests, PlatformNamesTests and ConfigurationContactTests pass.

--- a/src/main/java/org/magnoliahub/platform/emulator/EmulatedSettings.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EmulatedSettings.java
@@ -33,6 +33,8 @@
 			{"version":%d,"routes":[%s
 			{"name":"order","host":"h","prefix":"/order/","kind":"non_idempotent","timeout_ms":1500,
 			"target_latency_ms":300,"service":"plain","max_attempts":1},
+			{"name":"long","host":"h","prefix":"/long/","kind":"non_idempotent","timeout_ms":12000,
+			"target_latency_ms":8000,"service":"long","max_attempts":1},
 			{"name":"draft","host":"h","prefix":"/draft/","kind":"streaming","timeout_ms":5000,
 			"target_latency_ms":900,"service":"model","max_attempts":2,"resume_streams":true,"sticky":true},
 			{"name":"once","host":"h","prefix":"/once/","kind":"streaming","timeout_ms":5000,
@@ -40,7 +42,8 @@
 			{"name":"staged","host":"h","prefix":"/staged/","kind":"streaming","timeout_ms":5000,
 			"target_latency_ms":900,"service":"model","max_attempts":2,"resume_streams":true,"sticky":true,
 			"stages":[{"service":"read","after":[],"size_bytes":100},{"service":"rank","after":[0],"size_bytes":100}]}],
-			"services":[{"name":"plain","health_path":"/h"},{"name":"model","health_path":"/h","engine":{"slots":8}},
+			"services":[{"name":"plain","health_path":"/h"},{"name":"long","health_path":"/h"},
+			{"name":"model","health_path":"/h","engine":{"slots":8}},
 			{"name":"read","health_path":"/h","pieces":{"slots":1,"batch":4,"call_ms":20,"item_ms":2,
 			"headroom_mb":1,"handle_s":4}},
 			{"name":"rank","health_path":"/h","pieces":{"slots":1,"batch":4,"call_ms":20,"item_ms":2,
--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -19,6 +19,10 @@
 
 	private static final int LONG_RUN_MILLIS = 1_100;
 
+	private static final int SHORTEST_LONG_MILLIS = 2_000;
+
+	private static final int LONG_SPAN_MILLIS = 4_000;
+
 	private static final int SLOW_FACTOR = 6;
 
 	private static final int EVENT_MILLIS = 30;
@@ -224,12 +228,18 @@
 		return (hash % LONG_RUN_SHARE == 0) ? LONG_RUN_MILLIS : 10 + hash / 20;
 	}
 
-	private long millis(String requestId) {
-		return (this.mode == Mode.SLOW) ? SLOW_FACTOR * soundMillis(requestId) : soundMillis(requestId);
+	private long millis(EndpointRequest request) {
+		boolean isLong = request.target().startsWith("/long/");
+		long sound = isLong ? longMillis(request.requestId()) : soundMillis(request.requestId());
+		return (this.mode == Mode.SLOW) ? SLOW_FACTOR * sound : sound;
+	}
+
+	private static long longMillis(String requestId) {
+		return SHORTEST_LONG_MILLIS + Math.floorMod(requestId.hashCode() * 31, LONG_SPAN_MILLIS);
 	}
 
 	private void answer(EndpointRun run, Socket socket) throws IOException {
-		if (!work(socket, millis(run.request().requestId()))) {
+		if (!work(socket, millis(run.request()))) {
 			return;
 		}
 		String text = "HTTP/1.1 200 OK\r\n" + notice(run.request()) + "Request-Id: " + run.request().requestId()
@@ -256,7 +266,7 @@
 		String requestId = run.request().requestId();
 		String from = run.request().lastEventId();
 		int next = from.isEmpty() ? 1 : Integer.parseInt(from) + 1;
-		if (!work(socket, millis(requestId) / 2)) {
+		if (!work(socket, millis(run.request()) / 2)) {
 			return;
 		}
 		RawServer.write(socket,
--- a/src/main/java/org/magnoliahub/soak/RequestKind.java
+++ b/src/main/java/org/magnoliahub/soak/RequestKind.java
@@ -11,6 +11,9 @@
 	/** May run at most once. */
 	ORDER("POST", "/order/", 1_500, 1, false, false, ""),
 
+	/** May run at most once, and may take longer than a planned stop leaves time for. */
+	LONG("POST", "/long/", 12_000, 1, false, false, ""),
+
 	/** A stream that another endpoint may resume. */
 	DRAFT("POST", "/draft/", 5_000, 2, true, true, ""),
 
@@ -81,6 +84,9 @@
 	 * @return name of the service
 	 */
 	String service() {
+		if (this == LONG) {
+			return "long";
+		}
 		return this.stream ? "model" : "plain";
 	}
 
--- a/src/main/java/org/magnoliahub/soak/Soak.java
+++ b/src/main/java/org/magnoliahub/soak/Soak.java
@@ -114,6 +114,7 @@
 		counts.put("model", 3);
 		counts.put("read", 2);
 		counts.put("rank", 2);
+		counts.put("long", 2);
 		return counts;
 	}
 
@@ -133,9 +134,11 @@
 	}
 
 	private void startLoad() {
-		for (int index = 0; index < this.options.callers(); index++) {
-			SoakCaller caller = new SoakCaller(this.gateways, this.ledger, this.plan.seed() * 1_000 + index,
-					index % 2 == 0);
+		int patient = this.options.gateways();
+		for (int index = 0; index < this.options.callers() + patient; index++) {
+			SoakCaller.Habit habit = (index < patient) ? SoakCaller.Habit.SENDS_LONG_REQUESTS
+					: SoakCaller.Habit.of(index);
+			SoakCaller caller = new SoakCaller(this.gateways, this.ledger, this.plan.seed() * 1_000 + index, habit);
 			this.callers.add(caller);
 			start(caller);
 		}
--- a/src/main/java/org/magnoliahub/soak/SoakCaller.java
+++ b/src/main/java/org/magnoliahub/soak/SoakCaller.java
@@ -43,8 +43,7 @@
 
 	private final RandomGenerator random;
 
-	/** Uses a connection until the gateway closes it, also after long pauses. */
-	private final boolean keepsConnections;
+	private final Habit habit;
 
 	private volatile boolean stopped;
 
@@ -52,11 +51,11 @@
 
 	private int gateway;
 
-	SoakCaller(List<GatewayChild> gateways, Ledger ledger, long seed, boolean keepsConnections) {
+	SoakCaller(List<GatewayChild> gateways, Ledger ledger, long seed, Habit habit) {
 		this.gateways = gateways;
 		this.ledger = ledger;
 		this.random = new SplittableRandom(seed);
-		this.keepsConnections = keepsConnections;
+		this.habit = habit;
 	}
 
 	void stop() {
@@ -79,7 +78,7 @@
 	}
 
 	private long pauseMillis() {
-		if (this.keepsConnections && this.random.nextDouble() < IDLE_SHARE) {
+		if (this.habit == Habit.KEEPS_CONNECTIONS && this.random.nextDouble() < IDLE_SHARE) {
 			return this.random.nextInt(LONGEST_IDLE_MILLIS);
 		}
 		return this.random.nextInt(LONGEST_PAUSE_MILLIS);
@@ -90,8 +89,9 @@
 		if (open == null) {
 			return;
 		}
-		RequestKind kind = kind(this.random.nextDouble());
-		boolean abandons = this.random.nextDouble() < ABANDON_SHARE;
+		boolean isLong = this.habit == Habit.SENDS_LONG_REQUESTS;
+		RequestKind kind = isLong ? RequestKind.LONG : kind(this.random.nextDouble());
+		boolean abandons = !isLong && this.random.nextDouble() < ABANDON_SHARE;
 		RequestStory story = this.ledger.open(kind, this.gateway);
 		try {
 			open.setSoTimeout(abandons ? this.random.nextInt(SHORTEST_ABANDON_MILLIS, LONGEST_ABANDON_MILLIS)
@@ -122,7 +122,7 @@
 	}
 
 	private void closeAfter(CallerAnswer answer) {
-		boolean leaves = !this.keepsConnections && this.random.nextDouble() < NEW_CONNECTION_SHARE;
+		boolean leaves = this.habit == Habit.OPENS_CONNECTIONS && this.random.nextDouble() < NEW_CONNECTION_SHARE;
 		if (answer.closes() || leaves) {
 			close();
 		}
@@ -177,4 +177,24 @@
 		}
 	}
 
+	/**
+	 * How a caller uses its connections.
+	 */
+	enum Habit {
+
+		/** Opens a new connection now and then. */
+		OPENS_CONNECTIONS,
+
+		/** Uses a connection until the gateway closes it, also after long pauses. */
+		KEEPS_CONNECTIONS,
+
+		/** The same with requests that take seconds. */
+		SENDS_LONG_REQUESTS;
+
+		static Habit of(int index) {
+			return (index % 2 == 0) ? KEEPS_CONNECTIONS : OPENS_CONNECTIONS;
+		}
+
+	}
+
 }
--- a/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
+++ b/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.jspecify.annotations.Nullable;
@@ -22,6 +23,8 @@
  */
 final class SoakEndpoints implements AutoCloseable {
 
+	private static final Set<String> REQUEST_SERVICES = Set.of("plain", "model", "long");
+
 	private static final int LIMIT = 8;
 
 	private static final long STAGE_CALL_MILLIS = 15;
@@ -92,7 +95,7 @@
 		String id = place.service + "-" + this.nextId.incrementAndGet();
 		Closeable server;
 		String address;
-		if (place.service.equals("plain") || place.service.equals("model")) {
+		if (REQUEST_SERVICES.contains(place.service)) {
 			EndpointEmulator emulator = EndpointEmulator.start(id, LIMIT, this.ledger);
 			server = emulator;
 			address = emulator.address();
