--- a/src/main/java/org/magnoliahub/platform/emulator/EmulatedSettings.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EmulatedSettings.java
@@ -33,6 +33,8 @@
 			{"version":%d,"routes":[%s
 			{"name":"order","host":"h","prefix":"/order/","kind":"non_idempotent","timeout_ms":1500,
 			"target_latency_ms":300,"service":"plain","max_attempts":1},
+			{"name":"long","host":"h","prefix":"/long/","kind":"non_idempotent","timeout_ms":12000,
+			"target_latency_ms":8000,"service":"long","max_attempts":1},
 			{"name":"draft","host":"h","prefix":"/draft/","kind":"streaming","timeout_ms":5000,
 			"target_latency_ms":900,"service":"model","max_attempts":2,"resume_streams":true,"sticky":true},
 			{"name":"once","host":"h","prefix":"/once/","kind":"streaming","timeout_ms":5000,
@@ -40,13 +42,14 @@
 			{"name":"staged","host":"h","prefix":"/staged/","kind":"streaming","timeout_ms":5000,
 			"target_latency_ms":900,"service":"model","max_attempts":2,"resume_streams":true,"sticky":true,
 			"stages":[{"service":"read","after":[],"size_bytes":100},{"service":"rank","after":[0],"size_bytes":100}]}],
-			"services":[{"name":"plain","health_path":"/h"},{"name":"model","health_path":"/h","engine":{"slots":8}},
+			"services":[{"name":"plain","health_path":"/h"},{"name":"long","health_path":"/h"},
+			{"name":"model","health_path":"/h","engine":{"slots":8}},
 			{"name":"read","health_path":"/h","pieces":{"slots":1,"batch":4,"call_ms":20,"item_ms":2,
 			"headroom_mb":1,"handle_s":4}},
 			{"name":"rank","health_path":"/h","pieces":{"slots":1,"batch":4,"call_ms":20,"item_ms":2,
 			"headroom_mb":1,"handle_s":4}}],
 			"limits":{"max_header_bytes":4000,"max_body_bytes":20000,"header_timeout_ms":800,"idle_timeout_ms":3000},
-			"tenants":[{"name":"workspace-1","api_keys":["key-1"]}]}
+			"tenants":[{"name":"workspace-1","api_keys":[%s]}]}
 			""";
 
 	private static final String NODE = """
@@ -81,11 +84,28 @@
 	 * @return its text
 	 */
 	public static String configuration(long version, List<String> plainPrefixes) {
+		return configuration(version, plainPrefixes, List.of());
+	}
+
+	/**
+	 * Returns a configuration with a route for each kind of request.
+	 * @param version its version
+	 * @param plainPrefixes prefixes of further routes to the plain service
+	 * @param keys further keys of the only workspace
+	 * @return its text
+	 */
+	public static String configuration(long version, List<String> plainPrefixes, List<String> keys) {
 		StringBuilder routes = new StringBuilder(PLAIN_ROUTE.formatted("look", "/look/"));
 		for (String prefix : plainPrefixes) {
 			routes.append(PLAIN_ROUTE.formatted("plain" + prefix.replace('/', '-'), prefix));
 		}
-		return CONFIGURATION.formatted(version, routes);
+		StringBuilder quotedKeys = new StringBuilder(quoted(KEY));
+		keys.forEach((key) -> quotedKeys.append(',').append(quoted(key)));
+		return CONFIGURATION.formatted(version, routes, quotedKeys);
+	}
+
+	private static String quoted(String text) {
+		return '"' + text + '"';
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -22,6 +22,10 @@
 	/** One in this number of requests is refused in {@link Mode#ADDS_ANSWERS}. */
 	private static final int REFUSAL_SHARE = 3;
 
+	private static final int SHORTEST_LONG_MILLIS = 2_000;
+
+	private static final int LONG_SPAN_MILLIS = 4_000;
+
 	private static final int SLOW_FACTOR = 6;
 
 	private static final int EVENT_MILLIS = 30;
@@ -234,12 +238,18 @@
 		return (hash % LONG_RUN_SHARE == 0) ? LONG_RUN_MILLIS : 10 + hash / 20;
 	}
 
-	private long millis(String requestId) {
-		return (this.mode == Mode.SLOW) ? SLOW_FACTOR * soundMillis(requestId) : soundMillis(requestId);
+	private long millis(EndpointRequest request) {
+		boolean isLong = request.target().startsWith("/long/");
+		long sound = isLong ? longMillis(request.requestId()) : soundMillis(request.requestId());
+		return (this.mode == Mode.SLOW) ? SLOW_FACTOR * sound : sound;
+	}
+
+	private static long longMillis(String requestId) {
+		return SHORTEST_LONG_MILLIS + Math.floorMod(requestId.hashCode() * 31, LONG_SPAN_MILLIS);
 	}
 
 	private void answer(EndpointRun run, Socket socket) throws IOException {
-		if (!work(socket, millis(run.request().requestId()))) {
+		if (!work(socket, millis(run.request()))) {
 			return;
 		}
 		String text = "HTTP/1.1 200 OK\r\n" + notice(run.request()) + "Request-Id: " + run.request().requestId()
@@ -266,7 +276,7 @@
 		String requestId = run.request().requestId();
 		String from = run.request().lastEventId();
 		int next = from.isEmpty() ? 1 : Integer.parseInt(from) + 1;
-		if (!work(socket, millis(requestId) / 2)) {
+		if (!work(socket, millis(run.request()) / 2)) {
 			return;
 		}
 		if (this.mode == Mode.REJECTS_RESUMED && !from.isEmpty()) {
--- a/src/main/java/org/magnoliahub/soak/SoakCaller.java
+++ b/src/main/java/org/magnoliahub/soak/SoakCaller.java
@@ -32,22 +32,30 @@
 
 	private static final double NEW_CONNECTION_SHARE = 0.05;
 
+	private static final double IDLE_SHARE = 0.03;
+
+	/** Four fifths of the time after which gateways close idle connections. */
+	private static final int LONGEST_IDLE_MILLIS = 2_400;
+
 	private final List<GatewayChild> gateways;
 
 	private final Ledger ledger;
 
 	private final RandomGenerator random;
 
+	private final Habit habit;
+
 	private volatile boolean stopped;
 
 	private @Nullable Socket socket;
 
 	private int gateway;
 
-	SoakCaller(List<GatewayChild> gateways, Ledger ledger, long seed) {
+	SoakCaller(List<GatewayChild> gateways, Ledger ledger, long seed, Habit habit) {
 		this.gateways = gateways;
 		this.ledger = ledger;
 		this.random = new SplittableRandom(seed);
+		this.habit = habit;
 	}
 
 	void stop() {
@@ -59,7 +67,7 @@
 		while (!this.stopped) {
 			send();
 			try {
-				Thread.sleep(this.random.nextInt(LONGEST_PAUSE_MILLIS));
+				Thread.sleep(pauseMillis());
 			}
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
@@ -69,18 +77,27 @@
 		close();
 	}
 
+	private long pauseMillis() {
+		if (this.habit == Habit.KEEPS_CONNECTIONS && this.random.nextDouble() < IDLE_SHARE) {
+			return this.random.nextInt(LONGEST_IDLE_MILLIS);
+		}
+		return this.random.nextInt(LONGEST_PAUSE_MILLIS);
+	}
+
 	private void send() {
 		Socket open = connection();
 		if (open == null) {
 			return;
 		}
-		RequestKind kind = kind(this.random.nextDouble());
-		boolean abandons = this.random.nextDouble() < ABANDON_SHARE;
+		boolean isLong = this.habit == Habit.SENDS_LONG_REQUESTS;
+		RequestKind kind = isLong ? RequestKind.LONG : kind(this.random.nextDouble());
+		boolean abandons = !isLong && this.random.nextDouble() < ABANDON_SHARE;
 		RequestStory story = this.ledger.open(kind, this.gateway);
 		try {
 			open.setSoTimeout(abandons ? this.random.nextInt(SHORTEST_ABANDON_MILLIS, LONGEST_ABANDON_MILLIS)
 					: (int) kind.timeoutMillis() + PATIENCE_MILLIS);
 			RawServer.write(open, story.request().text(kind.timeoutMillis() + PATIENCE_MILLIS));
+			story.writtenAt(Ledger.now());
 			InputStream input = new BufferedInputStream(open.getInputStream());
 			CallerAnswer answer = CallerAnswer.read(input);
 			// A stream that the caller left is incomplete by its own choice.
@@ -105,7 +122,8 @@
 	}
 
 	private void closeAfter(CallerAnswer answer) {
-		if (answer.closes() || this.random.nextDouble() < NEW_CONNECTION_SHARE) {
+		boolean leaves = this.habit == Habit.OPENS_CONNECTIONS && this.random.nextDouble() < NEW_CONNECTION_SHARE;
+		if (answer.closes() || leaves) {
 			close();
 		}
 	}
@@ -159,4 +177,24 @@
 		}
 	}
 
+	/**
+	 * How a caller uses its connections.
+	 */
+	enum Habit {
+
+		/** Opens a new connection now and then. */
+		OPENS_CONNECTIONS,
+
+		/** Uses a connection until the gateway closes it, also after long pauses. */
+		KEEPS_CONNECTIONS,
+
+		/** The same with requests that take seconds. */
+		SENDS_LONG_REQUESTS;
+
+		static Habit of(int index) {
+			return (index % 2 == 0) ? KEEPS_CONNECTIONS : OPENS_CONNECTIONS;
+		}
+
+	}
+
 }
