--- a/src/test/java/org/magnoliahub/entry/RequestFaultTests.java
+++ b/src/test/java/org/magnoliahub/entry/RequestFaultTests.java
@@ -34,7 +34,8 @@
 
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
-	private final EventLoopTimers timers = new EventLoopTimers(this.group.next());
+	private final EventLoopTimers timers = new EventLoopTimers(this.group.next(), (failure) -> {
+	});
 
 	private final List<String> lines = new ArrayList<>();
 
