Give stages that run again for a begun stream the time of the whole request

Cause: a stream whose inputs have been released runs its stages again for the next engine, and these expired with the time for the first event, which had passed. Stage endpoints answered "late" at once.

Change: behind the first event stages expire with the deadline of the request.

streamThatBreaksOffLateRunsItsStagesAgain failed before (remaining_ms 1 in the second run of the stages) and passes now.

--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -199,8 +199,7 @@
 		}
 		String zone = this.engineService
 				? this.context.selector().expectedEngineZone(this.serviceName, this.request, this.context.now()) : "";
-		long firstEventDeadline = this.exchange.arrivedMillis() + matched.firstEventTimeoutMillis();
-		long expiresAt = Math.min(this.deadlineMillis, firstEventDeadline);
+		long expiresAt = stagesExpireAt(matched);
 		StageExecution execution = new StageExecution(this.context, this.stages, matched, this.request,
 				this.exchange.arrivedMillis(), expiresAt, zone, new StageListener());
 		this.stageExecution = execution;
@@ -217,6 +216,16 @@
 		endUnanswered(NO_CAPACITY);
 	}
 
+	// The time for the first event does not limit stages that run again for a stream that
+	// has begun.
+	private long stagesExpireAt(Route matched) {
+		if (this.streamPosition != null) {
+			return this.deadlineMillis;
+		}
+		long firstEventDeadline = this.exchange.arrivedMillis() + matched.firstEventTimeoutMillis();
+		return Math.min(this.deadlineMillis, firstEventDeadline);
+	}
+
 	private boolean mayStartStages(Route matched, StageExecution execution, long expiresAt) {
 		long now = this.context.now();
 		StageAdmission.Estimate estimate = new StageAdmission.Estimate(execution.expectedWaitMillis(),
--- a/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
+++ b/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
@@ -26,6 +26,7 @@
 import org.magnoliahub.platform.emulator.EndpointRun;
 import org.magnoliahub.platform.emulator.RawServer;
 import org.magnoliahub.platform.emulator.RunObserver;
+import org.magnoliahub.platform.emulator.StageEmulator;
 import org.magnoliahub.platform.emulator.UnresumedAnswer;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -46,6 +47,9 @@
 
 	private final List<String> resumedAt = new CopyOnWriteArrayList<>();
 
+	/** Five of these are longer than the time for the first event. */
+	private static final long EVENT_INTERVAL_MILLIS = 720;
+
 	private EntryFixture fixture;
 
 	@BeforeEach
@@ -345,6 +349,48 @@
 		}
 	}
 
+	private static void pause(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/** Guards against stages that expire with the time for the first event. */
+	@Test
+	void streamThatBreaksOffLateRunsItsStagesAgain() throws Exception {
+		StageEmulator stages = new StageEmulator(20, 1);
+		List<String> stageCalls = new CopyOnWriteArrayList<>();
+		RawServer.Handler stage = (request, socket) -> {
+			stageCalls.add(request.body());
+			stages.handler().handle(request, socket);
+		};
+		this.fixture.addEndpoint("s-1", "read", stage);
+		this.fixture.addEndpoint("s-2", "rank", stage);
+		RawServer.Handler engine = (request, socket) -> {
+			if (!request.header("Last-Event-Id").isEmpty()) {
+				RawServer.write(socket,
+						EntryFixture.streamHead(request) + EntryFixture.chunk(EntryFixture.event(6)) + "0\r\n\r\n");
+				return;
+			}
+			RawServer.write(socket, EntryFixture.streamHead(request));
+			for (int number = 1; number <= 5; number++) {
+				RawServer.write(socket, EntryFixture.chunk(EntryFixture.event(number)));
+				pause(EVENT_INTERVAL_MILLIS);
+			}
+			socket.close();
+		};
+		this.fixture.addEndpoint("m-1", "model", engine);
+		this.fixture.addEndpoint("m-2", "model", engine);
+		this.fixture.awaitEndpoints();
+		CallerAnswer answer = this.fixture.send("POST", "/staged/1", "r1", "Pieces: 1,1", "Piece-Key: k1");
+		assertThat(answer.complete()).isTrue();
+		assertThat(answer.body()).endsWith(EntryFixture.event(6));
+		assertThat(stageCalls).hasSizeGreaterThanOrEqualTo(4).noneMatch((call) -> call.contains("\"remaining_ms\":1,"));
+	}
+
 	private static final class RunIgnorer implements RunObserver {
 
 		@Override
