Load fewer classes at the start again

A status line is found without a regular expression, the key of pooled connections has its own equals and hashCode, and a silent attempt resumes its request without a function object.

--- a/src/main/java/org/magnoliahub/entry/HttpCall.java
+++ b/src/main/java/org/magnoliahub/entry/HttpCall.java
@@ -52,6 +52,19 @@
 	 * @param group kind of call
 	 */
 	record ConnectionKey(String address, String group) {
+
+		// The generated methods load classes that lengthen the start.
+		@Override
+		public boolean equals(@Nullable Object other) {
+			return other instanceof ConnectionKey key && this.address.equals(key.address)
+					&& this.group.equals(key.group);
+		}
+
+		@Override
+		public int hashCode() {
+			return 31 * this.address.hashCode() + this.group.hashCode();
+		}
+
 	}
 
 }
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -120,7 +120,7 @@
 		this.request = PlatformHeaders.callerRequest(exchange.headers());
 		this.endCallback = endCallback;
 		this.telemetry = new RequestTelemetry(context, this.request, exchange.arrivedMillis());
-		this.silentAttempt = new SilentAttempt(context.timers(), this::resume);
+		this.silentAttempt = new SilentAttempt(context.timers(), this);
 		this.faultBarrier = new RequestFaultBarrier(context.log(), context.metrics(), this.request.requestId(), this);
 	}
 
@@ -350,7 +350,11 @@
 		return true;
 	}
 
-	private void resume(Attempt silent) {
+	/**
+	 * Continues with an attempt that was replaced because it was silent.
+	 * @param silent the attempt
+	 */
+	void resume(Attempt silent) {
 		if (this.attempt != null) {
 			this.attempt.cancel();
 		}
--- a/src/main/java/org/magnoliahub/entry/SilentAttempt.java
+++ b/src/main/java/org/magnoliahub/entry/SilentAttempt.java
@@ -1,7 +1,6 @@
 package org.magnoliahub.entry;
 
 import java.time.Duration;
-import java.util.function.Consumer;
 
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.jspecify.annotations.Nullable;
@@ -22,7 +21,7 @@
 
 	private final Timers timers;
 
-	private final Consumer<Attempt> resumption;
+	private final RequestFlow flow;
 
 	private @Nullable Attempt attempt;
 
@@ -31,12 +30,11 @@
 	/**
 	 * Creates an object that keeps no attempt.
 	 * @param timers limits the time for which an attempt is kept
-	 * @param resumption called with a kept attempt that responds, instead of the attempt
-	 * that replaced it
+	 * @param flow the request, which is resumed with a kept attempt that responds
 	 */
-	SilentAttempt(Timers timers, Consumer<Attempt> resumption) {
+	SilentAttempt(Timers timers, RequestFlow flow) {
 		this.timers = timers;
-		this.resumption = resumption;
+		this.flow = flow;
 	}
 
 	/**
@@ -65,7 +63,7 @@
 			return;
 		}
 		take();
-		this.resumption.accept(responding);
+		this.flow.resume(responding);
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
+++ b/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.regex.Pattern;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -64,7 +63,8 @@
 
 	private static final String PROTOCOL = "HTTP/1.";
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}");
+	/** Characters of a status line up to the end of its status. */
+	private static final int STATUS_LINE_LENGTH = "HTTP/1.1 200".length();
 
 	/** Headers that concern one connection only, in lower case. */
 	private static final Set<String> CONNECTION_HEADERS = Set.of("connection", "keep-alive", "proxy-connection",
@@ -207,8 +207,31 @@
 		return new HashSet<>(response.headers().getAll(REQUEST_ID)).size() > 1;
 	}
 
+	// Not a regular expression, because its classes lengthen the start.
 	private static boolean containsStatusLine(String text) {
-		return text.contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
+		int at = text.indexOf(PROTOCOL);
+		while (at >= 0) {
+			if (isStatusLine(text, at)) {
+				return true;
+			}
+			at = text.indexOf(PROTOCOL, at + 1);
+		}
+		return false;
+	}
+
+	private static boolean isStatusLine(String text, int start) {
+		int end = start + STATUS_LINE_LENGTH;
+		if (end > text.length()) {
+			return false;
+		}
+		int minor = start + PROTOCOL.length();
+		return isBetween(text.charAt(minor), '0', '1') && text.charAt(minor + 1) == ' '
+				&& isBetween(text.charAt(end - 3), '1', '5') && isBetween(text.charAt(end - 2), '0', '9')
+				&& isBetween(text.charAt(end - 1), '0', '9');
+	}
+
+	private static boolean isBetween(char symbol, char lowest, char highest) {
+		return symbol >= lowest && symbol <= highest;
 	}
 
 	private static EndpointNotice notice(int status, HttpHeaders headers) {
