--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -415,9 +415,8 @@
 			this.ended = true;
 			this.observer = null;
 			if (this.streamStarted && !this.chunked) {
-				// The end of the connection would complete a stream without chunks, so
-				// the
-				// connection is reset.
+				// The end of the connection would complete a stream without chunks, so it
+				// is reset.
 				CallerConnection.this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
 			}
 			CallerConnection.this.channel.close();
--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -180,8 +180,7 @@
 		}
 		this.receivingResponse = true;
 		// A refusal that the peer repeats could be taken for the next response if that
-		// names
-		// no request.
+		// names no request.
 		boolean distinguishable = current.call().requestId() != null || head.isSuccess();
 		this.reusable = distinguishable && !head.closesConnection() && hasDelimitedBody(response);
 		if (head.keepAliveMillis() >= 0) {
--- a/src/test/java/org/magnoliahub/entry/EntryFixture.java
+++ b/src/test/java/org/magnoliahub/entry/EntryFixture.java
@@ -177,6 +177,18 @@
 		return String.join("", this.log);
 	}
 
+	/**
+	 * Waits, for example to let an endpoint respond late.
+	 */
+	static void pause(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	static String signedResponse(RawServer.Request request, String body) {
 		return "HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("Request-Id") + "\r\nResponse-Signature: s\r\n"
 				+ "Content-Length: " + body.length() + "\r\n\r\n" + body;
--- a/src/test/java/org/magnoliahub/entry/PlannedStopTests.java
+++ b/src/test/java/org/magnoliahub/entry/PlannedStopTests.java
@@ -5,7 +5,6 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.locks.LockSupport;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -109,7 +108,7 @@
 	void requestBehindAStreamThatDidNotAnnounceTheCloseIsAnswered() throws Exception {
 		this.fixture.addEndpoint("m-1", "model", (request, socket) -> {
 			RawServer.write(socket, EntryFixture.streamHead(request) + EntryFixture.chunk(EntryFixture.event(1)));
-			pause(800);
+			EntryFixture.pause(800);
 			RawServer.write(socket, EntryFixture.chunk(EntryFixture.event(2)) + "0\r\n\r\n");
 		});
 		this.fixture.awaitEndpoints();
@@ -130,10 +129,6 @@
 		}
 	}
 
-	private static void pause(long millis) {
-		LockSupport.parkNanos(Duration.ofMillis(millis).toNanos());
-	}
-
 	private static void waitForClose(Socket socket) throws IOException {
 		while (socket.getInputStream().read() >= 0) {
 			// Bytes after the request are ignored.
--- a/src/test/java/org/magnoliahub/entry/SilentEndpointTests.java
+++ b/src/test/java/org/magnoliahub/entry/SilentEndpointTests.java
@@ -54,29 +54,20 @@
 		this.fixture.close();
 	}
 
-	private static void pause(long millis) {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	private static void streamWithPause(RawServer.Request request, Socket socket) throws IOException {
 		RawServer.write(socket, EntryFixture.streamHead(request) + EntryFixture.chunk(EntryFixture.event(1)));
-		pause(EVENT_PAUSE_MILLIS);
+		EntryFixture.pause(EVENT_PAUSE_MILLIS);
 		RawServer.write(socket, EntryFixture.chunk(EntryFixture.event(2)) + "0\r\n\r\n");
 	}
 
 	private static void streamAfterPause(RawServer.Request request, Socket socket) throws IOException {
-		pause(EVENT_PAUSE_MILLIS);
+		EntryFixture.pause(EVENT_PAUSE_MILLIS);
 		RawServer.write(socket,
 				EntryFixture.streamHead(request) + EntryFixture.chunk(EntryFixture.event(1)) + "0\r\n\r\n");
 	}
 
 	private static void respondSlowly(RawServer.Request request, Socket socket) throws IOException {
-		pause(RESPONSE_MILLIS);
+		EntryFixture.pause(RESPONSE_MILLIS);
 		RawServer.write(socket, EntryFixture.signedResponse(request, "slow"));
 	}
 
@@ -228,7 +219,7 @@
 	@Test
 	void failureOfReplacedAttemptDoesNotEndRequest() throws Exception {
 		addEndpointsThatWaitForSecondCall((request, socket) -> socket.close(), (request, socket) -> {
-			pause(OTHER_RESPONSE_MILLIS);
+			EntryFixture.pause(OTHER_RESPONSE_MILLIS);
 			RawServer.write(socket, EntryFixture.signedResponse(request, "slow"));
 		});
 		assertResponseIsRelayed();
--- a/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
+++ b/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
@@ -349,15 +349,6 @@
 		}
 	}
 
-	private static void pause(long millis) {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	/** Guards against stages that expire with the time for the first event. */
 	@Test
 	void streamThatBreaksOffLateRunsItsStagesAgain() throws Exception {
@@ -378,7 +369,7 @@
 			RawServer.write(socket, EntryFixture.streamHead(request));
 			for (int number = 1; number <= 5; number++) {
 				RawServer.write(socket, EntryFixture.chunk(EntryFixture.event(number)));
-				pause(EVENT_INTERVAL_MILLIS);
+				EntryFixture.pause(EVENT_INTERVAL_MILLIS);
 			}
 			socket.close();
 		};
