--- a/src/test/java/org/magnoliahub/entry/SilentEndpointTests.java
+++ b/src/test/java/org/magnoliahub/entry/SilentEndpointTests.java
@@ -11,8 +11,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.parallel.Execution;
-import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliahub.platform.PlatformFormatException;
@@ -25,7 +23,6 @@
  * Guards against responses of slow endpoints that are given up although no other endpoint
  * takes the request.
  */
-@Execution(ExecutionMode.CONCURRENT)
 class SilentEndpointTests {
 
 	/** Longer than the response timeout between the events of a stream. */
--- a/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
+++ b/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
@@ -14,8 +14,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.parallel.Execution;
-import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -35,7 +33,6 @@
  * Guards against streams that contain anything but the events of their request after the
  * first endpoint broke off.
  */
-@Execution(ExecutionMode.CONCURRENT)
 class StreamContinuationTests {
 
 	private static final String RELAYED = EntryFixture.event(1) + EntryFixture.event(2);
