Log how an answer stated its end and what was left behind its last event

ResponseHead says whether the end of the body is that of the connection. No decision has changed; HttpConnection uses the new field for what it computed before.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -302,6 +302,7 @@
 			this.flow.onOutcomeUnknown("answer without signature");
 			return;
 		}
+		this.flow.onResponseEnd(responseHead.endsWithConnection(), this.splitter.incompleteBytes());
 		this.choice.endpoint().recordSuccess(now);
 		if (this.resuming && !this.continued) {
 			// Covers errors, and a success without an event behind the last relayed one.
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -99,8 +99,8 @@
 	STREAM_RESUMED(Importance.HIGH, "id", "last_event"),
 
 	/** The response to a request was relayed. */
-	REQUEST_ANSWERED(Importance.LOW, "id", "route", "status", "age_ms", "first_ms", "endpoint", "objective_ms",
-			"queue_ms", "call_ms", "hand_ms", "lost_ms", "engine_ms", "pause_ms"),
+	REQUEST_ANSWERED(Importance.LOW, "id", "route", "status", "age_ms", "first_ms", "endpoint", "until_close",
+			"rest_bytes", "objective_ms", "queue_ms", "call_ms", "hand_ms", "lost_ms", "engine_ms", "pause_ms"),
 
 	/** A request failed that may have been executed. */
 	REQUEST_FAILED(Importance.HIGH, "id", "route", "status", "reason", "age_ms", "objective_ms", "queue_ms", "call_ms",
--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
@@ -182,7 +181,7 @@
 		// A refusal that the peer repeats could be taken for the next response if that
 		// names no request.
 		boolean distinguishable = current.call().requestId() != null || head.isSuccess();
-		this.reusable = distinguishable && !head.closesConnection() && hasDelimitedBody(response);
+		this.reusable = distinguishable && !head.closesConnection() && (this.headRequest || !head.endsWithConnection());
 		if (head.keepAliveMillis() >= 0) {
 			this.keepAliveTimeoutMillis = head.keepAliveMillis();
 		}
@@ -190,11 +189,6 @@
 		current.listener().onHead(response, head);
 	}
 
-	private boolean hasDelimitedBody(HttpResponse response) {
-		return this.headRequest || HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
-				|| response.status().code() == 204 || response.status().code() == 304;
-	}
-
 	private void onContent(HttpContent content) {
 		HttpExchange current = this.exchange;
 		if (current == null) {
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -634,6 +634,15 @@
 		this.exchange.endStream();
 	}
 
+	/**
+	 * Called before the end of a response is relayed.
+	 * @param endsWithConnection whether its end is that of the connection
+	 * @param restBytes the number of bytes behind its last complete event
+	 */
+	void onResponseEnd(boolean endsWithConnection, int restBytes) {
+		this.telemetry.responseEnded(endsWithConnection, restBytes);
+	}
+
 	private void reportAnswered(int status) {
 		this.telemetry.answered(status, this.firstEventMillis, endpointId());
 	}
--- a/src/main/java/org/magnoliahub/entry/RequestTelemetry.java
+++ b/src/main/java/org/magnoliahub/entry/RequestTelemetry.java
@@ -47,6 +47,10 @@
 
 	private long sentMillis;
 
+	private boolean responseEndsWithConnection;
+
+	private int responseRestBytes;
+
 	RequestTelemetry(EntryContext context, CallerRequest request, long arrivedMillis) {
 		this.context = context;
 		this.request = request;
@@ -169,6 +173,16 @@
 		writeRecord(isRetryable() ? "failed" : "outcome_unknown", reason, false);
 	}
 
+	/**
+	 * Records how the response that is being relayed has ended.
+	 * @param endsWithConnection whether its end is that of the connection
+	 * @param restBytes the number of bytes behind its last complete event
+	 */
+	void responseEnded(boolean endsWithConnection, int restBytes) {
+		this.responseEndsWithConnection = endsWithConnection;
+		this.responseRestBytes = restBytes;
+	}
+
 	/**
 	 * Records a relayed response.
 	 * @param status the response status
@@ -180,6 +194,8 @@
 		this.timings.responseCompleted(this.context.now());
 		endEvent(EntryEvent.REQUEST_ANSWERED, status).field("first_ms", firstEventMillis)
 			.field("endpoint", respondingEndpointId)
+			.field("until_close", this.responseEndsWithConnection)
+			.field("rest_bytes", this.responseRestBytes)
 			.write();
 		countRequest("answered", "");
 		boolean success = status < FIRST_ERROR_STATUS;
--- a/src/main/java/org/magnoliahub/entry/StageEndpointClient.java
+++ b/src/main/java/org/magnoliahub/entry/StageEndpointClient.java
@@ -213,7 +213,8 @@
 
 		private Disposable timeout = Disposable.disposed();
 
-		private ResponseHead head = new ResponseHead(0, null, false, false, false, true, -1, null, EndpointNotice.NONE);
+		private ResponseHead head = new ResponseHead(0, null, false, false, false, true, false, -1, null,
+				EndpointNotice.NONE);
 
 		private boolean ended;
 
--- a/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
+++ b/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
@@ -52,6 +52,10 @@
 
 	private static final String STORE_ERA = "Store-Era";
 
+	private static final int NO_CONTENT = 204;
+
+	private static final int NOT_MODIFIED = 304;
+
 	private static final int UNAVAILABLE = 503;
 
 	private static final double MILLIS_PER_SECOND = 1_000;
@@ -185,7 +189,14 @@
 		boolean notExecuted = headers.contains(NOT_EXECUTED) || status == 421;
 		return new ResponseHead(status, headers.get(REQUEST_ID), signature != null && !signature.isBlank(), notExecuted,
 				headers.contains(HttpHeaderNames.CONTENT_ENCODING), !HttpUtil.isKeepAlive(response),
-				keepAliveMillis(headers.get("Keep-Alive")), load(headers.get("Server-Load")), notice(status, headers));
+				endsWithConnection(response), keepAliveMillis(headers.get("Keep-Alive")),
+				load(headers.get("Server-Load")), notice(status, headers));
+	}
+
+	private static boolean endsWithConnection(HttpResponse response) {
+		int status = response.status().code();
+		return status != NO_CONTENT && status != NOT_MODIFIED && !HttpUtil.isTransferEncodingChunked(response)
+				&& !HttpUtil.isContentLengthSet(response);
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/serving/ResponseHead.java
+++ b/src/main/java/org/magnoliahub/serving/ResponseHead.java
@@ -13,14 +13,16 @@
  * @param contentEncoded whether the body has a content encoding, and therefore is not the
  * body that the endpoint sent
  * @param closesConnection whether the endpoint closes the connection after the response
+ * @param endsWithConnection whether the end of the body is that of the connection,
+ * because the response states neither a length nor chunks
  * @param keepAliveMillis idle timeout of the connection at the endpoint, in milliseconds,
  * or -1 if not specified
  * @param load load that the endpoint reported, if any
  * @param notice draining and pause signals
  */
 public record ResponseHead(int status, @Nullable String requestId, boolean signed, boolean notExecuted,
-		boolean contentEncoded, boolean closesConnection, long keepAliveMillis, @Nullable EndpointLoad load,
-		EndpointNotice notice) {
+		boolean contentEncoded, boolean closesConnection, boolean endsWithConnection, long keepAliveMillis,
+		@Nullable EndpointLoad load, EndpointNotice notice) {
 
 	/**
 	 * Returns whether the response is successful.
--- a/src/test/java/org/magnoliahub/platform/PlatformHeadersTests.java
+++ b/src/test/java/org/magnoliahub/platform/PlatformHeadersTests.java
@@ -83,7 +83,7 @@
 			.add(headers("Request-Id", "r", "Response-Signature", "s", "Server-Load", "3,1,8", "Keep-Alive",
 					"timeout=2, max=5"));
 		ResponseHead head = PlatformHeaders.answerHead(response);
-		assertThat(head).isEqualTo(new ResponseHead(200, "r", true, false, false, false, 2_000,
+		assertThat(head).isEqualTo(new ResponseHead(200, "r", true, false, false, false, true, 2_000,
 				new EndpointLoad(3, 1, 8), EndpointNotice.NONE));
 	}
 
