Emulate answers that end with their connection and streams cut inside an event

Store and stage calls carry one JSON object, which is rejected when cut at any byte (StoreFormatTests, StageCallFormatTests); the own interface rejects responses cut at any byte, with and without a length, and completions without their terminal marker (HttpEndpointClientTests); links between gateways and agents have a length in front of each message. The reader of the project's own checks had the fault: CallerAnswer took a head that ended early, a missing last line of a chunk and an answer without a length for a whole answer without a body. The emulated endpoint sends a third of its streams and a fifth of its plain answers without a length, and breaks streams off inside an event in all framings.

--- a/src/main/java/org/magnoliahub/platform/emulator/CallerAnswer.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/CallerAnswer.java
@@ -1,5 +1,6 @@
 package org.magnoliahub.platform.emulator;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
@@ -28,16 +29,41 @@
 		if (start == null || start.isEmpty()) {
 			return new CallerAnswer(0, Map.of(), "", false);
 		}
-		Map<String, String> headers = HeadReader.headers(input);
+		HeadReader.Headers head = HeadReader.headers(input);
+		Map<String, String> headers = head.values();
 		int status = Integer.parseInt(start.split(" ")[1]);
+		if (!head.complete()) {
+			return new CallerAnswer(status, headers, "", false);
+		}
 		if (headers.containsKey("transfer-encoding")) {
 			return chunked(input, status, headers);
 		}
+		if (!headers.containsKey("content-length") && hasBody(status)) {
+			return untilClose(input, status, headers);
+		}
 		int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
 		byte[] body = input.readNBytes(length);
 		return new CallerAnswer(status, headers, new String(body, StandardCharsets.UTF_8), body.length == length);
 	}
 
+	private static boolean hasBody(int status) {
+		return status >= 200 && status != 204 && status != 304;
+	}
+
+	// A reset is no end of an answer.
+	private static CallerAnswer untilClose(InputStream input, int status, Map<String, String> headers) {
+		ByteArrayOutputStream body = new ByteArrayOutputStream();
+		boolean complete = false;
+		try {
+			input.transferTo(body);
+			complete = true;
+		}
+		catch (IOException ex) {
+			// The part that came stays an answer.
+		}
+		return new CallerAnswer(status, headers, body.toString(StandardCharsets.UTF_8), complete);
+	}
+
 	private static CallerAnswer chunked(InputStream input, int status, Map<String, String> headers) {
 		StringBuilder body = new StringBuilder();
 		try {
@@ -48,9 +74,9 @@
 				}
 				int length = Integer.parseInt(size, HEXADECIMAL);
 				body.append(new String(input.readNBytes(length), StandardCharsets.UTF_8));
-				HeadReader.line(input);
-				if (length == 0) {
-					return new CallerAnswer(status, headers, body.toString(), true);
+				boolean ended = HeadReader.line(input) == null;
+				if (ended || length == 0) {
+					return new CallerAnswer(status, headers, body.toString(), !ended);
 				}
 			}
 		}
--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -22,6 +22,11 @@
 	/** One in this number of requests is refused in {@link Mode#ADDS_ANSWERS}. */
 	private static final int REFUSAL_SHARE = 3;
 
+	/**
+	 * One in this number of plain answers states no length and ends with its connection.
+	 */
+	private static final int UNTIL_CLOSE_SHARE = 5;
+
 	private static final int SHORTEST_LONG_MILLIS = 2_000;
 
 	private static final int LONG_SPAN_MILLIS = 4_000;
@@ -252,13 +257,14 @@
 		if (!work(socket, millis(run.request()))) {
 			return;
 		}
+		boolean untilClose = this.mode != Mode.ADDS_ANSWERS && endsWithConnection(run.request().requestId());
+		String end = untilClose ? "Connection: close" : "Content-Length: " + run.body().length();
 		String text = "HTTP/1.1 200 OK\r\n" + notice(run.request()) + "Request-Id: " + run.request().requestId()
-				+ "\r\nResponse-Signature: " + run.signature() + "\r\nContent-Length: " + run.body().length()
-				+ "\r\n\r\n" + run.body();
+				+ "\r\nResponse-Signature: " + run.signature() + "\r\n" + end + "\r\n\r\n" + run.body();
 		switch (this.mode) {
 			case TRUNCATES -> {
 				RawServer.write(socket, text.substring(0, text.length() - 10));
-				socket.close();
+				closeWithin(socket, untilClose);
 			}
 			case GARBLES -> {
 				RawServer.write(socket, "these bytes are no answer\r\n\r\n");
@@ -268,7 +274,26 @@
 				this.extra.put(socket, text);
 				RawServer.write(socket, text);
 			}
-			default -> RawServer.write(socket, text);
+			default -> {
+				RawServer.write(socket, text);
+				if (untilClose) {
+					socket.close();
+				}
+			}
+		}
+	}
+
+	private static boolean endsWithConnection(String requestId) {
+		return Math.floorMod(requestId.hashCode() * 13, UNTIL_CLOSE_SHARE) == 0;
+	}
+
+	// A proper close would complete an answer that ends with its connection.
+	private static void closeWithin(Socket socket, boolean untilClose) throws IOException {
+		if (untilClose) {
+			RawServer.reset(socket);
+		}
+		else {
+			socket.close();
 		}
 	}
 
@@ -283,23 +308,23 @@
 			RawServer.write(socket, UnresumedAnswer.of(requestId).text(requestId, run.signature()));
 			return;
 		}
+		StreamFraming framing = StreamFraming.of(requestId);
 		RawServer.write(socket,
 				"HTTP/1.1 200 OK\r\n" + notice(run.request()) + "Request-Id: " + requestId + "\r\nResponse-Signature: "
-						+ run.signature()
-						+ "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+						+ run.signature() + "\r\nContent-Type: text/event-stream\r\n" + framing.header() + "\r\n");
 		for (int number = next; number <= eventCount(requestId); number++) {
+			String event = event(requestId, number);
 			if (breaksOffStreams() && number > eventCount(requestId) / 2) {
-				RawServer.write(socket, "40\r\n" + event(requestId, number).substring(0, 5));
+				RawServer.write(socket, framing.cut(event));
 				socket.close();
 				return;
 			}
-			String event = event(requestId, number);
-			RawServer.write(socket, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+			RawServer.write(socket, framing.whole(event));
 			if (!work(socket, EVENT_MILLIS)) {
 				return;
 			}
 		}
-		RawServer.write(socket, "0\r\n\r\n");
+		framing.end(socket);
 	}
 
 	private boolean breaksOffStreams() {
--- a/src/main/java/org/magnoliahub/platform/emulator/HeadReader.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/HeadReader.java
@@ -21,16 +21,17 @@
 	/**
 	 * Reads a line.
 	 * @param input what comes from the peer
-	 * @return the line without its end, or {@code null} at the end of the connection
+	 * @return the line without its end, or {@code null} if the connection ends before the
+	 * line does
 	 * @throws IOException if the connection breaks
 	 */
 	static @Nullable String line(InputStream input) throws IOException {
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 		int next = input.read();
-		if (next < 0) {
-			return null;
-		}
-		while (next >= 0 && next != '\n') {
+		while (next != '\n') {
+			if (next < 0) {
+				return null;
+			}
 			if (next != '\r') {
 				bytes.write(next);
 			}
@@ -42,18 +43,30 @@
 	/**
 	 * Reads headers up to the empty line behind them.
 	 * @param input what comes from the peer
-	 * @return the headers, their names in lower case
+	 * @return the headers, as far as they came before the end of the connection
 	 * @throws IOException if the connection breaks
 	 */
-	static Map<String, String> headers(InputStream input) throws IOException {
+	static Headers headers(InputStream input) throws IOException {
 		Map<String, String> headers = new TreeMap<>();
 		String header = line(input);
 		while (header != null && !header.isEmpty()) {
 			int colon = header.indexOf(':');
+			if (colon < 0) {
+				return new Headers(headers, false);
+			}
 			headers.put(header.substring(0, colon).toLowerCase(Locale.ROOT), header.substring(colon + 1).trim());
 			header = line(input);
 		}
-		return headers;
+		return new Headers(headers, header != null);
+	}
+
+	/**
+	 * Headers of a request or an answer.
+	 *
+	 * @param values the headers, their names in lower case
+	 * @param complete whether the empty line behind them came
+	 */
+	record Headers(Map<String, String> values, boolean complete) {
 	}
 
 }
--- a/src/main/java/org/magnoliahub/platform/emulator/RawServer.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/RawServer.java
@@ -64,7 +64,11 @@
 		if (start == null) {
 			return null;
 		}
-		Map<String, String> headers = HeadReader.headers(input);
+		HeadReader.Headers head = HeadReader.headers(input);
+		if (!head.complete()) {
+			return null;
+		}
+		Map<String, String> headers = head.values();
 		int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
 		return new Request(start, headers, new String(input.readNBytes(length), StandardCharsets.UTF_8));
 	}
--- a/src/test/java/org/magnoliahub/enginehttp/HttpEndpointClientTests.java
+++ b/src/test/java/org/magnoliahub/enginehttp/HttpEndpointClientTests.java
@@ -156,6 +156,36 @@
 		assertThat(this.server.getRequestCount()).isEqualTo(1);
 	}
 
+	static List<Arguments> cutResponses() {
+		String head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+		return List.of(Arguments.of(StageType.SERVICE, head + "Content-Length: 4\r\n\r\nabcd"),
+				Arguments.of(StageType.SERVICE, head + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n"),
+				Arguments.of(StageType.ENCODE, head + "\r\n{\"data\":[{\"embedding\":[1,2.5]}]}"),
+				Arguments.of(StageType.RETRIEVE, head + "\r\n{\"documents\":[\"x\",\"y\"]}"),
+				Arguments.of(StageType.GENERATE, head + "\r\n" + event("a") + DONE.substring(0, DONE.length() - 1)));
+	}
+
+	/** Guards against a response that ends early and is reported as a result. */
+	@ParameterizedTest
+	@MethodSource("cutResponses")
+	void responseThatEndsEarlyIsNoResult(StageType type, String response) throws Exception {
+		for (int cut = 0; cut < response.length(); cut++) {
+			String part = response.substring(0, cut);
+			try (RawServer cutting = RawServer.start((request, socket) -> {
+				RawServer.write(socket, part);
+				socket.close();
+			})) {
+				HttpEndpointClient client = HttpEndpointClient.create("http://" + cutting.address(), "m",
+						this.eventLoop);
+				TestSubscriber<EndpointEvent> subscriber = client.call(call(type, List.of()), Duration.ofSeconds(5), 0)
+					.test()
+					.awaitDone(10, TimeUnit.SECONDS);
+				assertThat(subscriber.values()).as(part).noneMatch(EndpointEvent.Finished.class::isInstance);
+				subscriber.assertError((error) -> error instanceof EndpointException);
+			}
+		}
+	}
+
 	// Guards against reporting an unknown outcome although nothing was sent.
 	@Test
 	void refusedConnectionReportsNoEffect() throws Exception {
--- a/src/test/java/org/magnoliahub/platform/StageCallFormatTests.java
+++ b/src/test/java/org/magnoliahub/platform/StageCallFormatTests.java
@@ -50,6 +50,17 @@
 					PieceFailure.FAILED);
 	}
 
+	/** Guards against an answer that ends early and is taken for a whole one. */
+	@Test
+	void answerThatEndsEarlyIsRejected() {
+		String body = "{\"items\":[{\"handle\":\"10.0.0.1:80/a\"},{\"reason\":\"gone\"}]}";
+		for (int end = 0; end < body.length(); end++) {
+			byte[] part = bytes(body.substring(0, end));
+			assertThatExceptionOfType(PlatformFormatException.class).as("%d bytes", end)
+				.isThrownBy(() -> this.format.results(part, 2, "z"));
+		}
+	}
+
 	@ParameterizedTest
 	@ValueSource(
 			strings = { "", "{}", "{\"items\":[]}", "{\"items\":[{\"handle\":\"a\"},{\"handle\":\"b\"}]}", "{\"it" })
--- a/src/test/java/org/magnoliahub/platform/StoreFormatTests.java
+++ b/src/test/java/org/magnoliahub/platform/StoreFormatTests.java
@@ -57,6 +57,17 @@
 	/**
 	 * Guards against a list that ends at a row without a key.
 	 */
+	/** Guards against an answer that ends early and is taken for a shorter list. */
+	@Test
+	void answerThatEndsEarlyIsRejected() {
+		String body = "{\"rows\":[{\"key\":\"a\",\"value\":\"\",\"ver\":4},{\"key\":\"b\",\"value\":\"\",\"ver\":5}],"
+				+ "\"ver\":90,\"has_more\":false}";
+		for (int end = 0; end < body.length(); end++) {
+			String part = body.substring(0, end);
+			assertThatExceptionOfType(PlatformFormatException.class).as(part).isThrownBy(() -> read(part));
+		}
+	}
+
 	@Test
 	void pageGoesOnBehindTheLastRowWithAKey() throws PlatformFormatException {
 		StoredRows rows = read("{\"rows\":[{\"key\":\"a\",\"value\":\"\",\"ver\":4},{\"value\":\"\"}],"
--- a/src/test/java/org/magnoliahub/platform/emulator/EndpointEmulatorTests.java
+++ b/src/test/java/org/magnoliahub/platform/emulator/EndpointEmulatorTests.java
@@ -52,6 +52,28 @@
 		}
 	}
 
+	@Test
+	void streamsAreBrokenOffInsideAnEventInAllFramings() throws IOException {
+		try (EndpointEmulator endpoint = EndpointEmulator.start(ENDPOINT, 4, new SilentObserver())) {
+			endpoint.setMode(EndpointEmulator.Mode.TRUNCATES);
+			int port = Integer.parseInt(endpoint.address().substring(endpoint.address().indexOf(':') + 1));
+			for (StreamFraming framing : StreamFraming.values()) {
+				String id = IntStream.range(0, 1_000)
+					.mapToObj((index) -> "s" + index)
+					.filter((candidate) -> StreamFraming.of(candidate) == framing)
+					.findFirst()
+					.orElseThrow();
+				try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+					RawServer.write(socket, "POST /draft/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id
+							+ "\r\nTarget-Instance: " + ENDPOINT + "\r\n\r\n");
+					CallerAnswer answer = CallerAnswer.read(new BufferedInputStream(socket.getInputStream()));
+					assertThat(answer.complete()).isEqualTo(framing != StreamFraming.CHUNKS);
+					assertThat(answer.body()).startsWith(EndpointEmulator.event(id, 1)).doesNotEndWith("\n\n");
+				}
+			}
+		}
+	}
+
 	private static final class SilentObserver implements RunObserver {
 
 		@Override
