Log the parts of the prompt of a failed attempt, and emulate endpoints that crash by one

EndpointEmulator can end, with all its connections, when it begins to write an answer to a request with a certain part.

--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -93,7 +93,7 @@
 	REQUEST_SENT(Importance.LOW, "id", "endpoint", "attempt", "age_ms", "expected_ms", "doubtful", "list_age_ms"),
 
 	/** An attempt ended without a response that can be relayed. */
-	ATTEMPT_FAILED(Importance.HIGH, "id", "endpoint", "attempt", "age_ms", "reason", "may_have_run", "next"),
+	ATTEMPT_FAILED(Importance.HIGH, "id", "endpoint", "attempt", "age_ms", "reason", "may_have_run", "next", "prompt"),
 
 	/** A stream is resumed at another endpoint. */
 	STREAM_RESUMED(Importance.HIGH, "id", "last_event"),
--- a/src/main/java/org/magnoliahub/entry/RequestTelemetry.java
+++ b/src/main/java/org/magnoliahub/entry/RequestTelemetry.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.StringJoiner;
 
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.model.AttemptRecord;
@@ -113,6 +114,7 @@
 			.field("reason", reason)
 			.field("may_have_run", mayHaveExecuted)
 			.field("next", next)
+			.field("prompt", promptIds())
 			.write();
 		this.context.metrics().attemptFailed(mayHaveExecuted, next);
 	}
@@ -227,6 +229,12 @@
 					reason, inTime, this.attempts));
 	}
 
+	private String promptIds() {
+		StringJoiner ids = new StringJoiner(",");
+		this.request.promptSegments().forEach((segment) -> ids.add(segment.id()));
+		return ids.toString();
+	}
+
 	private EntryLog.Line endEvent(EntryEvent event, int status) {
 		EntryLog.Line line = event(event).field("route", routeName())
 			.field("status", status)
--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -62,6 +62,8 @@
 
 	private volatile boolean leaving;
 
+	private volatile CrashTrigger crashTrigger = CrashTrigger.NONE;
+
 	private EndpointEmulator(String id, int limit, RunObserver observer) throws IOException {
 		this.id = id;
 		this.limit = limit;
@@ -97,6 +99,15 @@
 		this.mode = newMode;
 	}
 
+	/**
+	 * Lets it end, with all its connections, when it begins to write an answer to a
+	 * request with a certain part of the prompt.
+	 * @param trigger the part, and what learns of the end
+	 */
+	public void setCrashTrigger(CrashTrigger trigger) {
+		this.crashTrigger = trigger;
+	}
+
 	/**
 	 * Says in all answers from now on that it leaves.
 	 */
@@ -126,7 +137,8 @@
 	private void handle(RawServer.Request request, Socket socket) throws IOException {
 		EndpointRequest arrived = new EndpointRequest(this.id, request.header("Request-Id"), request.method(),
 				request.target(), request.body(), request.header("Tenant"), request.header("Last-Event-Id"),
-				inputs(request.header("Inputs")));
+				request.header("Prompt-Prefix"), inputs(request.header("Inputs")));
+		boolean crashes = this.crashTrigger.isPartOf(arrived.prompt());
 		this.observer.arrived(arrived);
 		String late = this.extra.remove(socket);
 		if (late != null) {
@@ -145,7 +157,7 @@
 				refuse(arrived, socket, 503);
 			}
 			else {
-				run(arrived, socket);
+				run(arrived, socket, crashes);
 			}
 		}
 		finally {
@@ -188,7 +200,7 @@
 		return rate + "Server-Leaving: 1\r\n";
 	}
 
-	private void run(EndpointRequest request, Socket socket) throws IOException {
+	private void run(EndpointRequest request, Socket socket, boolean crashes) throws IOException {
 		int number = this.runs.incrementAndGet();
 		String signature = "s-" + this.id + "-" + number;
 		String body = request.requestId() + " at " + this.id + " run " + number + " "
@@ -196,7 +208,10 @@
 		EndpointRun run = new EndpointRun(request, signature, body);
 		this.observer.started(run);
 		try {
-			if (this.mode == Mode.ENDLESS) {
+			if (crashes) {
+				crash(run, socket);
+			}
+			else if (this.mode == Mode.ENDLESS) {
 				endless(run, socket);
 			}
 			else if (isStream(request)) {
@@ -211,6 +226,16 @@
 		}
 	}
 
+	private void crash(EndpointRun run, Socket socket) throws IOException {
+		if (!work(socket, millis(run.request()) / 2)) {
+			return;
+		}
+		RawServer.write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + run.request().requestId()
+				+ "\r\nResponse-Signature: " + run.signature() + "\r\n");
+		this.server.close();
+		this.crashTrigger.onCrash().run();
+	}
+
 	private static void endless(EndpointRun run, Socket socket) throws IOException {
 		String requestId = run.request().requestId();
 		EndlessAnswer[] kinds = EndlessAnswer.values();
@@ -359,6 +384,24 @@
 		this.server.close();
 	}
 
+	/**
+	 * What ends the endpoint.
+	 *
+	 * @param part id of the part of a prompt, empty for none
+	 * @param onCrash called after its end
+	 */
+	public record CrashTrigger(String part, Runnable onCrash) {
+
+		/** Nothing ends the endpoint. */
+		public static final CrashTrigger NONE = new CrashTrigger("", () -> {
+		});
+
+		private boolean isPartOf(String prompt) {
+			return !this.part.isEmpty() && prompt.contains(this.part + ":");
+		}
+
+	}
+
 	/**
 	 * Ways to answer.
 	 */
--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointRequest.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointRequest.java
@@ -12,10 +12,11 @@
  * @param body its body
  * @param workspace the workspace that it runs for
  * @param lastEventId event after which a stream goes on, empty for a new one
+ * @param prompt parts of its prompt, empty if it has none
  * @param inputs handles of the stage results that it gets
  */
 public record EndpointRequest(String endpoint, String requestId, String method, String target, String body,
-		String workspace, String lastEventId, List<String> inputs) {
+		String workspace, String lastEventId, String prompt, List<String> inputs) {
 
 	public EndpointRequest {
 		inputs = List.copyOf(inputs);
--- a/src/test/java/org/magnoliahub/soak/CompleteAnswerCheckTests.java
+++ b/src/test/java/org/magnoliahub/soak/CompleteAnswerCheckTests.java
@@ -184,7 +184,7 @@
 
 	private EndpointRequest request(RequestStory story) {
 		return new EndpointRequest("e", story.request().id(), story.request().method(), story.request().target(), "",
-				EmulatedSettings.WORKSPACE, "", List.of());
+				EmulatedSettings.WORKSPACE, "", "", List.of());
 	}
 
 	private void close(RequestStory story, long afterMillis) {
--- a/src/test/java/org/magnoliahub/soak/ConfigurationCheckTests.java
+++ b/src/test/java/org/magnoliahub/soak/ConfigurationCheckTests.java
@@ -136,7 +136,7 @@
 	private void admit(int version, int incarnation, long millis) {
 		RequestStory story = probe(version, incarnation, millis, 200);
 		story.arrived(new EndpointRequest("e", story.request().id(), "GET", story.request().target(), "",
-				EmulatedSettings.WORKSPACE, "", List.of()), this.start + millis);
+				EmulatedSettings.WORKSPACE, "", "", List.of()), this.start + millis);
 	}
 
 	private RequestStory probe(int version, int incarnation, long millis, int status) {
--- a/src/test/java/org/magnoliahub/soak/PromiseChecksTests.java
+++ b/src/test/java/org/magnoliahub/soak/PromiseChecksTests.java
@@ -65,7 +65,7 @@
 				}), broken(Promise.UNCHANGED_REQUEST, (t) -> {
 					RequestStory story = t.send(RequestKind.LOOK);
 					story.arrived(new EndpointRequest("e", story.request().id(), "GET", "/look/other", "",
-							EmulatedSettings.WORKSPACE, "", List.of()), t.start);
+							EmulatedSettings.WORKSPACE, "", "", List.of()), t.start);
 				}), broken(Promise.DRAINING, (t) -> {
 					t.ledger.drained("e");
 					t.arrive(t.send(RequestKind.LOOK), t.start + 4_000);
@@ -200,7 +200,7 @@
 	private EndpointRequest request(RequestStory story) {
 		String body = story.request().method().equals("POST") ? EmulatedRequest.BODY : "";
 		return new EndpointRequest("e", story.request().id(), story.request().method(), story.request().target(), body,
-				EmulatedSettings.WORKSPACE, "", List.of());
+				EmulatedSettings.WORKSPACE, "", "", List.of());
 	}
 
 	private void arrive(RequestStory story, long millis) {
