--- a/src/test/java/org/magnoliahub/entry/PlannedStopTests.java
+++ b/src/test/java/org/magnoliahub/entry/PlannedStopTests.java
@@ -2,12 +2,16 @@
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.platform.StoreFormat;
@@ -129,6 +133,73 @@
 		}
 	}
 
+	/** Guards against an order that runs although its answer cannot be given any more. */
+	@Tag("known-red")
+	@Test
+	void orderThatCannotEndBeforeTheExitIsRefusedAtOnce() throws Exception {
+		AtomicInteger runs = new AtomicInteger();
+		addSlowEndpoint(2_500, runs);
+		for (int index = 0; index < 3; index++) {
+			assertThat(this.fixture.send("POST", "/long/1", "w" + index).status()).isEqualTo(200);
+		}
+		Thread stopping = new Thread(() -> this.fixture.gateway(0).stop());
+		try (Socket open = send("/once/1", "r0"); Socket kept = this.fixture.connect(0)) {
+			stopping.start();
+			Thread.sleep(2_300);
+			RawServer.write(kept, EntryFixture.request("POST", "/long/1", "r1").replace("hi", "h"));
+			Thread.sleep(2_800);
+			RawServer.write(kept, "i");
+			CallerAnswer answer = read(kept);
+			assertThat(answer.status()).isEqualTo(503);
+			assertThat(answer.closes()).isTrue();
+			assertThat(runs.get()).isEqualTo(3);
+			open.close();
+		}
+		stopping.join(GRACE_MILLIS);
+	}
+
+	/** Guards against requests late in the grace that are passed on and then cut. */
+	@Tag("known-red")
+	@Test
+	void ordersThroughoutTheGraceAreAnsweredOrRefusedTruthfully() throws Exception {
+		AtomicInteger runs = new AtomicInteger();
+		addSlowEndpoint(1_200, runs);
+		Thread stopping = new Thread(() -> this.fixture.gateway(0).stop());
+		List<Socket> sockets = new ArrayList<>();
+		try (Socket open = send("/once/1", "r0")) {
+			stopping.start();
+			for (int index = 0; index < 13; index++) {
+				try {
+					sockets.add(send("/long/1", "o" + index));
+				}
+				catch (ConnectException ex) {
+					// The gateway has stopped to listen.
+				}
+				Thread.sleep(550);
+			}
+			int answered = 0;
+			for (Socket socket : sockets) {
+				CallerAnswer answer = read(socket);
+				assertThat(answer.complete()).isTrue();
+				assertThat(answer.status()).isIn(200, 503);
+				answered += (answer.status() == 200) ? 1 : 0;
+				socket.close();
+			}
+			assertThat(runs.get()).isEqualTo(answered).isGreaterThan(4);
+		}
+		stopping.join(GRACE_MILLIS);
+	}
+
+	private void addSlowEndpoint(long millis, AtomicInteger runs) throws IOException, InterruptedException {
+		this.fixture.addEndpoint("m-1", "model", (request, socket) -> waitForClose(socket));
+		this.fixture.addEndpoint("l-1", "long", (request, socket) -> {
+			runs.incrementAndGet();
+			EntryFixture.pause(millis);
+			RawServer.write(socket, EntryFixture.signedResponse(request, "done"));
+		});
+		this.fixture.awaitEndpoints();
+	}
+
 	private static void waitForClose(Socket socket) throws IOException {
 		while (socket.getInputStream().read() >= 0) {
 			// Bytes after the request are ignored.
