Play requests that end endpoints in the soak, and check both sides of the block

CRASHING_PROMPT judges by the users' rules: at most three such requests later than 3 s after the fifth end, at gateways in touch, and sound streams served at least half as often as before.

--- a/src/main/java/org/magnoliahub/platform/emulator/EmulatedRequest.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EmulatedRequest.java
@@ -8,8 +8,9 @@
  * @param id id of the request, a letter and a number
  * @param stagePieces pieces of each of its stages as on the wire, empty without stages
  * @param key key of the caller
+ * @param prompt parts of its prompt as on the wire, empty without a prompt
  */
-public record EmulatedRequest(String method, String target, String id, String stagePieces, String key) {
+public record EmulatedRequest(String method, String target, String id, String stagePieces, String key, String prompt) {
 
 	/** Body of requests that have one. */
 	public static final String BODY = "hi";
@@ -26,6 +27,19 @@
 		this(method, target, id, stagePieces, EmulatedSettings.KEY);
 	}
 
+	/**
+	 * Creates a request without a prompt.
+	 * @param method its method
+	 * @param target path and query
+	 * @param id id of the request, a letter and a number
+	 * @param stagePieces pieces of each of its stages as on the wire, empty without
+	 * stages
+	 * @param key key of the caller
+	 */
+	public EmulatedRequest(String method, String target, String id, String stagePieces, String key) {
+		this(method, target, id, stagePieces, key, "");
+	}
+
 	/**
 	 * Returns the request as it is sent.
 	 * @param budgetMillis how long the caller waits
@@ -38,6 +52,9 @@
 			text.append("Pieces: ").append(this.stagePieces);
 			text.append("\r\nPiece-Key: k").append(this.id.substring(1)).append("\r\n");
 		}
+		if (!this.prompt.isEmpty()) {
+			text.append("Prompt-Prefix: ").append(this.prompt).append("\r\n");
+		}
 		return text.append(this.method.equals("POST") ? "Content-Length: 2\r\n\r\n" + BODY : "\r\n").toString();
 	}
 
--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -6,6 +6,7 @@
 import java.net.SocketTimeoutException;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -58,6 +59,9 @@
 
 	private final Map<Socket, String> extra = new ConcurrentHashMap<>();
 
+	/** Connections with a stream that ends with them. */
+	private final Set<Socket> untilClose = ConcurrentHashMap.newKeySet();
+
 	private volatile Mode mode = Mode.SOUND;
 
 	private volatile boolean leaving;
@@ -232,7 +236,7 @@
 		}
 		RawServer.write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + run.request().requestId()
 				+ "\r\nResponse-Signature: " + run.signature() + "\r\n");
-		this.server.close();
+		close();
 		this.crashTrigger.onCrash().run();
 	}
 
@@ -334,6 +338,19 @@
 			return;
 		}
 		StreamFraming framing = StreamFraming.of(requestId);
+		if (framing == StreamFraming.CONNECTION) {
+			this.untilClose.add(socket);
+		}
+		try {
+			writeStream(run, socket, framing, next);
+		}
+		finally {
+			this.untilClose.remove(socket);
+		}
+	}
+
+	private void writeStream(EndpointRun run, Socket socket, StreamFraming framing, int next) throws IOException {
+		String requestId = run.request().requestId();
 		RawServer.write(socket,
 				"HTTP/1.1 200 OK\r\n" + notice(run.request()) + "Request-Id: " + requestId + "\r\nResponse-Signature: "
 						+ run.signature() + "\r\nContent-Type: text/event-stream\r\n" + framing.header() + "\r\n");
@@ -379,8 +396,13 @@
 		}
 	}
 
+	// A proper close between two events would complete a stream that ends with its
+	// connection.
 	@Override
 	public void close() throws IOException {
+		for (Socket socket : this.untilClose) {
+			RawServer.reset(socket);
+		}
 		this.server.close();
 	}
 
--- a/src/main/java/org/magnoliahub/soak/FaultPlan.java
+++ b/src/main/java/org/magnoliahub/soak/FaultPlan.java
@@ -21,6 +21,11 @@
 	/** Rest after the last fault, in which the system recovers and is measured. */
 	static final long RECOVERY_MILLIS = 9_000;
 
+	/** Moments from which requests that end endpoints can come. */
+	private static final long CRASH_STARTS = 5;
+
+	private static final long CRASH_STEP_MILLIS = 1_000;
+
 	/** Shortest load that leaves room for faults. */
 	static final long MINIMUM_MILLIS = CALM_MILLIS + RECOVERY_MILLIS + 4_000;
 
@@ -59,6 +64,14 @@
 		faults = List.copyOf(faults);
 	}
 
+	/**
+	 * Returns when requests begin that end endpoints; they come to the end of the load.
+	 * @return time since its start, in milliseconds, negative if there are none
+	 */
+	long crashesFromMillis() {
+		return (this.seed % 2 == 0) ? CALM_MILLIS + this.seed / 2 % CRASH_STARTS * CRASH_STEP_MILLIS : -1;
+	}
+
 	/**
 	 * Draws a plan.
 	 * @param seed the seed
--- a/src/main/java/org/magnoliahub/soak/Finding.java
+++ b/src/main/java/org/magnoliahub/soak/Finding.java
@@ -46,6 +46,9 @@
 		/** All gateways together respect the request rate that an endpoint states. */
 		REQUEST_RATE,
 
+		/** Requests that end endpoints are kept from them, and sound ones are not. */
+		CRASHING_PROMPT,
+
 		/** A configuration is in force in time. */
 		CONFIGURATION_IN_TIME,
 
--- a/src/main/java/org/magnoliahub/soak/Ledger.java
+++ b/src/main/java/org/magnoliahub/soak/Ledger.java
@@ -26,6 +26,8 @@
 
 	private final Map<String, Long> drainedSince = new ConcurrentHashMap<>();
 
+	private final List<Long> crashes = new CopyOnWriteArrayList<>();
+
 	private final List<Notice> notices = new CopyOnWriteArrayList<>();
 
 	private final List<RateNotice> rateNotices = new CopyOnWriteArrayList<>();
@@ -69,8 +71,25 @@
 		return open(RequestKind.LOOK, prefix, key, gateway, id);
 	}
 
+	/**
+	 * Opens a request that ends the endpoint which begins to answer it.
+	 * @param gateway index of the gateway that gets it
+	 * @return its story
+	 */
+	RequestStory openCrashing(int gateway) {
+		String id = "r" + this.nextId.incrementAndGet();
+		RequestKind kind = RequestKind.DRAFT;
+		return open(new EmulatedRequest(kind.method(), kind.prefix() + id, id, kind.stagePieces(), EmulatedSettings.KEY,
+				Prompts.crashing(id)), kind, gateway);
+	}
+
 	private RequestStory open(RequestKind kind, String prefix, String key, int gateway, String id) {
-		EmulatedRequest request = new EmulatedRequest(kind.method(), prefix + id, id, kind.stagePieces(), key);
+		String prompt = kind.isStream() ? Prompts.sound(id) : "";
+		return open(new EmulatedRequest(kind.method(), prefix + id, id, kind.stagePieces(), key, prompt), kind,
+				gateway);
+	}
+
+	private RequestStory open(EmulatedRequest request, RequestKind kind, int gateway) {
 		RequestStory story = new RequestStory(kind, request, gateway, now());
 		add(story);
 		return story;
@@ -108,6 +127,25 @@
 		return this.drainedSince;
 	}
 
+	/**
+	 * Notes that an endpoint ended because of a part of a prompt.
+	 */
+	void crashed() {
+		crashedAt(now());
+	}
+
+	void crashedAt(long millis) {
+		this.crashes.add(millis);
+	}
+
+	/**
+	 * Returns when endpoints ended because of a part of a prompt.
+	 * @return the times in their order
+	 */
+	List<Long> crashes() {
+		return this.crashes;
+	}
+
 	/**
 	 * Returns what endpoints said of further work.
 	 * @return the notices in the order in which they were given
--- a/src/main/java/org/magnoliahub/soak/PromiseChecks.java
+++ b/src/main/java/org/magnoliahub/soak/PromiseChecks.java
@@ -72,6 +72,7 @@
 		checks.checkDraining();
 		checks.checkNotices();
 		checks.findings.addAll(RequestRateCheck.check(ledger));
+		checks.findings.addAll(CrashingPromptCheck.check(ledger));
 		checks.findings.addAll(ledger.configurations().check(ledger.disturbances()));
 		checks.checkBudget("plain");
 		checks.checkBudget("model");
@@ -154,7 +155,8 @@
 	}
 
 	private void checkShares() {
-		addIfMany(Promise.ATTEMPTS, (story) -> story.runs().size() > story.kind().attempts(), TOLERATED);
+		addIfMany(Promise.ATTEMPTS, (story) -> !story.isCrashing() && story.runs().size() > story.kind().attempts(),
+				TOLERATED);
 		addIfMany(Promise.ANSWER_IN_TIME, this::isLate, TOLERATED);
 		List<RequestStory> left = this.ledger.stories().stream().filter(this::wouldGoOn).toList();
 		addIfMany(Promise.CANCELLATION, (story) -> wouldGoOn(story) && wentOn(story),
@@ -307,7 +309,8 @@
 		List<RequestStory> stories = this.ledger.stories()
 			.stream()
 			.filter((story) -> story.sentMillis() >= recovery.fromMillis() && story.sentMillis() < recovery.toMillis())
-			.filter((story) -> !story.isAbandoned() && !(story.isProbe() && story.isDenied()))
+			.filter((story) -> !story.isAbandoned() && !story.isCrashing())
+			.filter((story) -> !(story.isProbe() && story.isDenied()))
 			.toList();
 		long served = stories.stream().filter(RequestStory::isServed).count();
 		if (stories.isEmpty() || served < RECOVERED_SHARE * stories.size()) {
--- a/src/main/java/org/magnoliahub/soak/RequestStory.java
+++ b/src/main/java/org/magnoliahub/soak/RequestStory.java
@@ -42,6 +42,14 @@
 		this.sentMillis = sentMillis;
 	}
 
+	/**
+	 * Returns whether the request ends the endpoint that begins to answer it.
+	 * @return whether its prompt has the part
+	 */
+	boolean isCrashing() {
+		return Prompts.isCrashing(this.request.prompt());
+	}
+
 	RequestKind kind() {
 		return this.kind;
 	}
--- a/src/main/java/org/magnoliahub/soak/Soak.java
+++ b/src/main/java/org/magnoliahub/soak/Soak.java
@@ -47,6 +47,8 @@
 
 	private final List<SoakCaller> callers = new ArrayList<>();
 
+	private final List<CrashingCaller> crashingCallers = new ArrayList<>();
+
 	private final List<VersionProbe> probes = new ArrayList<>();
 
 	private final List<Thread> threads = new ArrayList<>();
@@ -142,6 +144,12 @@
 			this.callers.add(caller);
 			start(caller);
 		}
+		if (this.plan.crashesFromMillis() >= 0) {
+			CrashingCaller caller = new CrashingCaller(this.gateways, this.ledger, this.plan.seed(),
+					this.plan.crashesFromMillis());
+			this.crashingCallers.add(caller);
+			start(caller);
+		}
 		for (int index = 0; index < this.gateways.size(); index++) {
 			for (VersionProbe.Kind kind : VersionProbe.Kind.values()) {
 				VersionProbe probe = new VersionProbe(kind, index, this.gateways.get(index), this.ledger);
@@ -199,6 +207,7 @@
 
 	private void stopLoad() throws InterruptedException {
 		this.callers.forEach(SoakCaller::stop);
+		this.crashingCallers.forEach(CrashingCaller::stop);
 		this.probes.forEach(VersionProbe::stop);
 		for (Thread thread : this.threads) {
 			thread.join(FAULTS_END_LIMIT_MILLIS);
--- a/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
+++ b/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
@@ -13,6 +13,7 @@
 import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.emulator.EmulatedSettings;
 import org.magnoliahub.platform.emulator.EndpointEmulator;
+import org.magnoliahub.platform.emulator.LoopbackListener;
 import org.magnoliahub.platform.emulator.RawServer;
 import org.magnoliahub.platform.emulator.StageEmulator;
 import org.magnoliahub.platform.emulator.StoreEmulator;
@@ -27,6 +28,9 @@
 
 	private static final int LIMIT = 8;
 
+	/** Time from the crash of an endpoint to the start of the next one in its place. */
+	private static final long REPLACEMENT_MILLIS = 1_200;
+
 	private static final long STAGE_CALL_MILLIS = 15;
 
 	private final StoreEmulator store;
@@ -43,6 +47,8 @@
 
 	private final AtomicInteger nextWrite = new AtomicInteger();
 
+	private volatile boolean closed;
+
 	private SoakEndpoints(StoreEmulator store, Ledger ledger) {
 		this.store = store;
 		this.ledger = ledger;
@@ -98,6 +104,8 @@
 		if (REQUEST_SERVICES.contains(place.service)) {
 			EndpointEmulator emulator = EndpointEmulator.start(id, LIMIT, this.ledger);
 			server = emulator;
+			emulator.setCrashTrigger(
+					new EndpointEmulator.CrashTrigger(Prompts.CRASHING_PART, () -> replaceCrashed(place, id)));
 			address = emulator.address();
 			place.emulator = emulator;
 		}
@@ -110,6 +118,31 @@
 		list(place.service, place.occupant(), "ready");
 	}
 
+	private void replaceCrashed(Place place, String id) {
+		this.ledger.crashed();
+		Disturbances.Span span = this.ledger.disturbances().beginEndpoint(id);
+		place.closeProxy();
+		LoopbackListener.daemon(() -> {
+			try {
+				Thread.sleep(REPLACEMENT_MILLIS);
+				synchronized (place) {
+					if (!this.closed && place.endpoint().equals(id)) {
+						restart(place);
+					}
+				}
+			}
+			catch (IOException ex) {
+				this.ledger.found(Finding.Promise.PROCESS_LIFE, "no endpoint in place of " + id + ": " + ex);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+			finally {
+				span.end();
+			}
+		});
+	}
+
 	private synchronized void list(String service, Occupant occupant, String state) {
 		this.states.put(occupant.id, new Entry(service, occupant, state));
 		EmulatedSettings.Write write = new EmulatedSettings.Write(occupant.bornMillis,
@@ -194,6 +227,7 @@
 
 	@Override
 	public void close() throws IOException {
+		this.closed = true;
 		for (Place place : this.places) {
 			place.occupant().close();
 		}
@@ -236,6 +270,16 @@
 			return present;
 		}
 
+		// Connections to a crashed endpoint are refused, as without the proxy.
+		private void closeProxy() {
+			try {
+				occupant().proxy.close();
+			}
+			catch (IOException ex) {
+				// It is closed already.
+			}
+		}
+
 		LoopbackProxy proxy() {
 			return occupant().proxy;
 		}
