Split the emulated endpoint: what it does, what ends it, how it answers without end

EmulatedWork holds what a sound endpoint does with a request, CrashTrigger what ends it, EndlessAnswer writes itself. No behaviour has changed.

--- a/src/main/java/org/magnoliahub/platform/emulator/EndlessAnswer.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndlessAnswer.java
@@ -1,5 +1,8 @@
 package org.magnoliahub.platform.emulator;
 
+import java.io.IOException;
+import java.net.Socket;
+
 /**
  * Ways in which a server can send bytes without end instead of an answer.
  */
@@ -41,6 +44,8 @@
 	/** A stream in which no event ends. */
 	EVENTS_WITHOUT_END(EndlessAnswer.CHUNKED_HEAD, "8\r\ndata: x\n\r\n");
 
+	private static final int PARTS_AT_ONCE = 200;
+
 	private static final String OWN_HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {signature}\r\n";
 
 	private static final String CHUNKED_HEAD = OWN_HEAD
@@ -73,4 +78,23 @@
 		return this.part;
 	}
 
+	static EndlessAnswer of(String requestId) {
+		return values()[Math.floorMod(requestId.hashCode(), values().length)];
+	}
+
+	/**
+	 * Sends the answer until the connection is closed.
+	 * @param socket the connection
+	 * @param requestId id of the request
+	 * @param signature signature of the endpoint
+	 * @throws IOException if the connection is broken
+	 */
+	void writeTo(Socket socket, String requestId, String signature) throws IOException {
+		RawServer.write(socket, start(requestId, signature));
+		String parts = part().repeat(PARTS_AT_ONCE);
+		while (!socket.isClosed()) {
+			RawServer.write(socket, parts);
+		}
+	}
+
 }
--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -16,10 +16,6 @@
  */
 public final class EndpointEmulator implements Closeable {
 
-	private static final int LONG_RUN_SHARE = 8;
-
-	private static final int LONG_RUN_MILLIS = 1_100;
-
 	/** One in this number of requests is refused in {@link Mode#ADDS_ANSWERS}. */
 	private static final int REFUSAL_SHARE = 3;
 
@@ -28,19 +24,8 @@
 	 */
 	private static final int UNTIL_CLOSE_SHARE = 5;
 
-	private static final int SHORTEST_LONG_MILLIS = 2_000;
-
-	private static final int LONG_SPAN_MILLIS = 4_000;
-
 	private static final int SLOW_FACTOR = 6;
 
-	private static final int EVENT_MILLIS = 30;
-
-	/** Parts of an endless answer that are sent at once. */
-	private static final int ENDLESS_PARTS = 200;
-
-	private static final int MAXIMUM_EVENTS = 10;
-
 	private static final long PAUSE_MILLIS = 1_800;
 
 	private static final double REQUESTS_PER_SECOND = 1;
@@ -119,25 +104,6 @@
 		this.leaving = true;
 	}
 
-	/**
-	 * Returns how many events the stream of a request has.
-	 * @param requestId id of the request
-	 * @return number of events, at least 2
-	 */
-	public static int eventCount(String requestId) {
-		return 2 + Math.floorMod(requestId.hashCode(), MAXIMUM_EVENTS - 1);
-	}
-
-	/**
-	 * Returns an event of the stream of a request.
-	 * @param requestId id of the request
-	 * @param number number of the event, from 1
-	 * @return its text
-	 */
-	public static String event(String requestId, int number) {
-		return "id: " + number + "\ndata: " + requestId + "/" + number + "\n\n";
-	}
-
 	private void handle(RawServer.Request request, Socket socket) throws IOException {
 		EndpointRequest arrived = new EndpointRequest(this.id, request.header("Request-Id"), request.method(),
 				request.target(), request.body(), request.header("Tenant"), request.header("Last-Event-Id"),
@@ -216,7 +182,7 @@
 				crash(run, socket);
 			}
 			else if (this.mode == Mode.ENDLESS) {
-				endless(run, socket);
+				EndlessAnswer.of(request.requestId()).writeTo(socket, request.requestId(), run.signature());
 			}
 			else if (isStream(request)) {
 				stream(run, socket);
@@ -240,48 +206,18 @@
 		this.crashTrigger.onCrash().run();
 	}
 
-	private static void endless(EndpointRun run, Socket socket) throws IOException {
-		String requestId = run.request().requestId();
-		EndlessAnswer[] kinds = EndlessAnswer.values();
-		EndlessAnswer kind = kinds[Math.floorMod(requestId.hashCode(), kinds.length)];
-		RawServer.write(socket, kind.start(requestId, run.signature()));
-		String part = kind.part().repeat(ENDLESS_PARTS);
-		while (!socket.isClosed()) {
-			RawServer.write(socket, part);
-		}
-	}
-
 	private static boolean isStream(EndpointRequest request) {
 		return request.target().startsWith("/draft/") || request.target().startsWith("/once/")
 				|| request.target().startsWith("/staged/");
 	}
 
-	/**
-	 * Returns how long a sound endpoint works on a request.
-	 * @param requestId id of the request
-	 * @param stream whether its answer is a stream
-	 * @return time from its start to the end of its answer, in milliseconds
-	 */
-	public static long expectedMillis(String requestId, boolean stream) {
-		return stream ? soundMillis(requestId) / 2 + (long) EVENT_MILLIS * eventCount(requestId)
-				: soundMillis(requestId);
-	}
-
-	private static long soundMillis(String requestId) {
-		int hash = Math.floorMod(requestId.hashCode() * 31, 1_000);
-		return (hash % LONG_RUN_SHARE == 0) ? LONG_RUN_MILLIS : 10 + hash / 20;
-	}
-
 	private long millis(EndpointRequest request) {
 		boolean isLong = request.target().startsWith("/long/");
-		long sound = isLong ? longMillis(request.requestId()) : soundMillis(request.requestId());
+		long sound = isLong ? EmulatedWork.longMillis(request.requestId())
+				: EmulatedWork.soundMillis(request.requestId());
 		return (this.mode == Mode.SLOW) ? SLOW_FACTOR * sound : sound;
 	}
 
-	private static long longMillis(String requestId) {
-		return SHORTEST_LONG_MILLIS + Math.floorMod(requestId.hashCode() * 31, LONG_SPAN_MILLIS);
-	}
-
 	private void answer(EndpointRun run, Socket socket) throws IOException {
 		if (!work(socket, millis(run.request()))) {
 			return;
@@ -354,15 +290,15 @@
 		RawServer.write(socket,
 				"HTTP/1.1 200 OK\r\n" + notice(run.request()) + "Request-Id: " + requestId + "\r\nResponse-Signature: "
 						+ run.signature() + "\r\nContent-Type: text/event-stream\r\n" + framing.header() + "\r\n");
-		for (int number = next; number <= eventCount(requestId); number++) {
-			String event = event(requestId, number);
-			if (breaksOffStreams() && number > eventCount(requestId) / 2) {
+		for (int number = next; number <= EmulatedWork.eventCount(requestId); number++) {
+			String event = EmulatedWork.event(requestId, number);
+			if (breaksOffStreams() && number > EmulatedWork.eventCount(requestId) / 2) {
 				RawServer.write(socket, framing.cut(event));
 				socket.close();
 				return;
 			}
 			RawServer.write(socket, framing.whole(event));
-			if (!work(socket, EVENT_MILLIS)) {
+			if (!work(socket, EmulatedWork.EVENT_MILLIS)) {
 				return;
 			}
 		}
@@ -406,24 +342,6 @@
 		this.server.close();
 	}
 
-	/**
-	 * What ends the endpoint.
-	 *
-	 * @param part id of the part of a prompt, empty for none
-	 * @param onCrash called after its end
-	 */
-	public record CrashTrigger(String part, Runnable onCrash) {
-
-		/** Nothing ends the endpoint. */
-		public static final CrashTrigger NONE = new CrashTrigger("", () -> {
-		});
-
-		private boolean isPartOf(String prompt) {
-			return !this.part.isEmpty() && prompt.contains(this.part + ":");
-		}
-
-	}
-
 	/**
 	 * Ways to answer.
 	 */
--- a/src/main/java/org/magnoliahub/soak/Ledger.java
+++ b/src/main/java/org/magnoliahub/soak/Ledger.java
@@ -10,7 +10,7 @@
 
 import org.magnoliahub.platform.emulator.EmulatedRequest;
 import org.magnoliahub.platform.emulator.EmulatedSettings;
-import org.magnoliahub.platform.emulator.EndpointEmulator;
+import org.magnoliahub.platform.emulator.EmulatedWork;
 import org.magnoliahub.platform.emulator.EndpointRequest;
 import org.magnoliahub.platform.emulator.EndpointRun;
 import org.magnoliahub.platform.emulator.RunObserver;
@@ -65,7 +65,7 @@
 	 */
 	RequestStory openShort(String prefix, String key, int gateway) {
 		String id = "r" + this.nextId.incrementAndGet();
-		while (EndpointEmulator.expectedMillis(id, false) > SHORT_RUN_MILLIS) {
+		while (EmulatedWork.expectedMillis(id, false) > SHORT_RUN_MILLIS) {
 			id = "r" + this.nextId.incrementAndGet();
 		}
 		return open(RequestKind.LOOK, prefix, key, gateway, id);
--- a/src/main/java/org/magnoliahub/soak/PromiseChecks.java
+++ b/src/main/java/org/magnoliahub/soak/PromiseChecks.java
@@ -13,7 +13,7 @@
 import org.magnoliahub.platform.emulator.CallerAnswer;
 import org.magnoliahub.platform.emulator.EmulatedRequest;
 import org.magnoliahub.platform.emulator.EmulatedSettings;
-import org.magnoliahub.platform.emulator.EndpointEmulator;
+import org.magnoliahub.platform.emulator.EmulatedWork;
 import org.magnoliahub.platform.emulator.EndpointRequest;
 import org.magnoliahub.soak.Finding.Promise;
 
@@ -144,8 +144,8 @@
 	private void checkStream(RequestStory story, CallerAnswer answer) {
 		String id = story.request().id();
 		StringBuilder whole = new StringBuilder();
-		for (int number = 1; number <= EndpointEmulator.eventCount(id); number++) {
-			whole.append(EndpointEmulator.event(id, number));
+		for (int number = 1; number <= EmulatedWork.eventCount(id); number++) {
+			whole.append(EmulatedWork.event(id, number));
 		}
 		boolean sound = answer.complete() ? whole.toString().equals(answer.body())
 				: whole.toString().startsWith(answer.body());
@@ -182,7 +182,7 @@
 		}
 		long until = story.endedMillis() + CANCEL_MILLIS;
 		RequestStory.Run first = story.runs().get(0);
-		long expected = EndpointEmulator.expectedMillis(story.request().id(), story.kind().isStream());
+		long expected = EmulatedWork.expectedMillis(story.request().id(), story.kind().isStream());
 		return first.startedMillis() < story.endedMillis() && first.startedMillis() + expected > until
 				&& this.ledger.disturbances().isUndisturbed(story.sentMillis(), until);
 	}
--- a/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
+++ b/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
@@ -11,6 +11,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.platform.StoreFormat;
+import org.magnoliahub.platform.emulator.CrashTrigger;
 import org.magnoliahub.platform.emulator.EmulatedSettings;
 import org.magnoliahub.platform.emulator.EndpointEmulator;
 import org.magnoliahub.platform.emulator.LoopbackListener;
@@ -104,8 +105,7 @@
 		if (REQUEST_SERVICES.contains(place.service)) {
 			EndpointEmulator emulator = EndpointEmulator.start(id, LIMIT, this.ledger);
 			server = emulator;
-			emulator.setCrashTrigger(
-					new EndpointEmulator.CrashTrigger(Prompts.CRASHING_PART, () -> replaceCrashed(place, id)));
+			emulator.setCrashTrigger(new CrashTrigger(Prompts.CRASHING_PART, () -> replaceCrashed(place, id)));
 			address = emulator.address();
 			place.emulator = emulator;
 		}
--- a/src/test/java/org/magnoliahub/entry/CrashingEngines.java
+++ b/src/test/java/org/magnoliahub/entry/CrashingEngines.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.magnoliahub.platform.StoreFormat;
+import org.magnoliahub.platform.emulator.CrashTrigger;
 import org.magnoliahub.platform.emulator.EndpointEmulator;
 import org.magnoliahub.platform.emulator.EndpointRequest;
 import org.magnoliahub.platform.emulator.EndpointRun;
@@ -48,7 +49,7 @@
 	private void add() throws IOException {
 		String id = "e-" + this.nextId.incrementAndGet();
 		EndpointEmulator engine = EndpointEmulator.start(id, SLOTS, this);
-		engine.setCrashTrigger(new EndpointEmulator.CrashTrigger(PART, () -> onEnd(id, true)));
+		engine.setCrashTrigger(new CrashTrigger(PART, () -> onEnd(id, true)));
 		this.engines.add(engine);
 		this.fixture.listEndpoint(id, "model", engine.address(), "ready");
 	}
--- a/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
+++ b/src/test/java/org/magnoliahub/entry/StreamContinuationTests.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.platform.emulator.CallerAnswer;
+import org.magnoliahub.platform.emulator.EmulatedWork;
 import org.magnoliahub.platform.emulator.EndpointEmulator;
 import org.magnoliahub.platform.emulator.EndpointRequest;
 import org.magnoliahub.platform.emulator.EndpointRun;
@@ -327,10 +328,10 @@
 	void emulatedAnswerThatDoesNotContinueIsNotWrittenIntoStream(UnresumedAnswer kind) throws Exception {
 		String id = IntStream.range(0, 1_000)
 			.mapToObj((number) -> "r" + number)
-			.filter((candidate) -> UnresumedAnswer.of(candidate) == kind && EndpointEmulator.eventCount(candidate) > 3)
+			.filter((candidate) -> UnresumedAnswer.of(candidate) == kind && EmulatedWork.eventCount(candidate) > 3)
 			.findFirst()
 			.orElseThrow();
-		int half = EndpointEmulator.eventCount(id) / 2;
+		int half = EmulatedWork.eventCount(id) / 2;
 		try (EndpointEmulator first = EndpointEmulator.start("m-1", 8, new RunIgnorer());
 				EndpointEmulator second = EndpointEmulator.start("m-2", 8, new RunIgnorer())) {
 			first.setMode(EndpointEmulator.Mode.REJECTS_RESUMED);
@@ -341,7 +342,7 @@
 			CallerAnswer answer = this.fixture.send("POST", "/draft/1", id);
 			assertThat(answer.complete()).isFalse();
 			assertThat(answer.body()).isEqualTo(IntStream.rangeClosed(1, half)
-				.mapToObj((number) -> EndpointEmulator.event(id, number))
+				.mapToObj((number) -> EmulatedWork.event(id, number))
 				.collect(Collectors.joining()));
 		}
 	}
--- a/src/test/java/org/magnoliahub/platform/emulator/EndpointEmulatorTests.java
+++ b/src/test/java/org/magnoliahub/platform/emulator/EndpointEmulatorTests.java
@@ -68,7 +68,7 @@
 							+ "\r\nTarget-Instance: " + ENDPOINT + "\r\n\r\n");
 					CallerAnswer answer = CallerAnswer.read(new BufferedInputStream(socket.getInputStream()));
 					assertThat(answer.complete()).isEqualTo(framing != StreamFraming.CHUNKS);
-					assertThat(answer.body()).startsWith(EndpointEmulator.event(id, 1)).doesNotEndWith("\n\n");
+					assertThat(answer.body()).startsWith(EmulatedWork.event(id, 1)).doesNotEndWith("\n\n");
 				}
 			}
 		}
--- a/src/test/java/org/magnoliahub/soak/PromiseChecksTests.java
+++ b/src/test/java/org/magnoliahub/soak/PromiseChecksTests.java
@@ -13,7 +13,7 @@
 import org.magnoliahub.platform.emulator.CallerAnswer;
 import org.magnoliahub.platform.emulator.EmulatedRequest;
 import org.magnoliahub.platform.emulator.EmulatedSettings;
-import org.magnoliahub.platform.emulator.EndpointEmulator;
+import org.magnoliahub.platform.emulator.EmulatedWork;
 import org.magnoliahub.platform.emulator.EndpointRequest;
 import org.magnoliahub.platform.emulator.EndpointRun;
 import org.magnoliahub.soak.Finding.Promise;
@@ -58,10 +58,10 @@
 		}), broken(Promise.OWN_ANSWER, (t) -> t.answer(t.send(RequestKind.LOOK), 200, "forged", BODY, true)),
 				broken(Promise.STREAM_ORDER, (t) -> {
 					RequestStory story = t.send(RequestKind.DRAFT);
-					t.answer(story, 200, t.run(story, "a"), EndpointEmulator.event(story.request().id(), 1), true);
+					t.answer(story, 200, t.run(story, "a"), EmulatedWork.event(story.request().id(), 1), true);
 				}), broken(Promise.STREAM_ORDER, (t) -> {
 					RequestStory story = t.send(RequestKind.DRAFT);
-					t.answer(story, 200, t.run(story, "a"), EndpointEmulator.event(story.request().id(), 2), false);
+					t.answer(story, 200, t.run(story, "a"), EmulatedWork.event(story.request().id(), 2), false);
 				}), broken(Promise.UNCHANGED_REQUEST, (t) -> {
 					RequestStory story = t.send(RequestKind.LOOK);
 					story.arrived(new EndpointRequest("e", story.request().id(), "GET", "/look/other", "",
@@ -121,7 +121,7 @@
 		answer(look, 200, run(look, "b"), BODY, true);
 		answer(send(RequestKind.ORDER), 503, "", "", true);
 		RequestStory draft = send(RequestKind.DRAFT);
-		answer(draft, 200, run(draft, "a"), EndpointEmulator.event(draft.request().id(), 1), false);
+		answer(draft, 200, run(draft, "a"), EmulatedWork.event(draft.request().id(), 1), false);
 		assertThat(check()).isEmpty();
 	}
 
