--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -40,16 +40,6 @@
 	/** Longer events are treated as unterminated. */
 	private static final int MAXIMUM_EVENT_BYTES = 262_144;
 
-	/** The response timeout as a multiple of the expected time to the first response. */
-	private static final double RESPONSE_TIMEOUT_FACTOR = 4;
-
-	private static final long MINIMUM_RESPONSE_TIMEOUT_MILLIS = 250;
-
-	private static final long MINIMUM_FIRST_EVENT_TIMEOUT_MILLIS = 600;
-
-	/** Response timeout between the events of a stream. */
-	private static final long EVENT_TIMEOUT_MILLIS = 1_000;
-
 	/** Time after the first event in which the answer still counts as beginning. */
 	private static final long ANSWER_BEGIN_MILLIS = 1_000;
 
@@ -169,10 +159,9 @@
 
 	private long responseTimeoutMillis() {
 		if (this.head != null && this.streaming && this.flow.streamPosition() != null) {
-			return EVENT_TIMEOUT_MILLIS;
+			return ResponseTimeout.betweenEventsMillis();
 		}
-		long minimum = this.streaming ? MINIMUM_FIRST_EVENT_TIMEOUT_MILLIS : MINIMUM_RESPONSE_TIMEOUT_MILLIS;
-		return Math.max(minimum, (long) (RESPONSE_TIMEOUT_FACTOR * this.choice.expectedMillis()));
+		return ResponseTimeout.beforeResponseMillis(this.streaming, this.choice.expectedMillis());
 	}
 
 	private void checkTimeout() {
--- a/src/main/java/org/magnoliahub/entry/MemberTable.java
+++ b/src/main/java/org/magnoliahub/entry/MemberTable.java
@@ -131,7 +131,9 @@
 			return;
 		}
 		Set<String> listed = new HashSet<>(this.unconfirmed);
-		rows.forEach((row) -> listed.add(row.key()));
+		for (StoredRow row : rows) {
+			listed.add(row.key());
+		}
 		this.members.keySet().retainAll(listed);
 		this.membershipTracker.retainAll(this.members.keySet());
 		onChanges(rows);
@@ -189,7 +191,9 @@
 	@Override
 	public void onChanges(List<StoredRow> rows) {
 		boolean wasListed = this.membershipTracker.containsSelf();
-		rows.forEach(this::apply);
+		for (StoredRow row : rows) {
+			apply(row);
+		}
 		this.listener.accept(this.members);
 		if (wasListed && !this.membershipTracker.containsSelf()) {
 			write();
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -17,13 +17,11 @@
 import org.magnoliahub.serving.CallerRequest;
 import org.magnoliahub.serving.EndpointChoice;
 import org.magnoliahub.serving.EndpointRecord;
-import org.magnoliahub.serving.PieceResult;
 import org.magnoliahub.serving.PromptSegment;
 import org.magnoliahub.serving.RendezvousHash;
 import org.magnoliahub.serving.Route;
 import org.magnoliahub.serving.ServiceDefinition;
 import org.magnoliahub.serving.ServingConfiguration;
-import org.magnoliahub.serving.StageAdmission;
 import org.magnoliahub.serving.WorkspaceKey;
 
 /**
@@ -54,10 +52,14 @@
 	/** Limit on the sends of one request, including those that an endpoint rejected. */
 	private static final int MAXIMUM_SENDS = 4;
 
-	private static final String NO_CAPACITY = "no_capacity";
+	/** Reason when the stages cannot run in time. */
+	static final String NO_CAPACITY = "no_capacity";
+
+	/** Reason when results of stages were lost again. */
+	static final String INPUTS_GONE = "inputs_gone";
 
 	/** Reason when all endpoints of the service have requested a pause. */
-	private static final String PAUSED = "endpoints_paused";
+	static final String PAUSED = "endpoints_paused";
 
 	/** Reason when endpoints end under a part of the prompt. */
 	private static final String PROMPT_BLOCKED = "prompt_crashes_endpoints";
@@ -95,7 +97,7 @@
 
 	private boolean engineService;
 
-	private @Nullable StageExecution stageExecution;
+	private @Nullable RequestStages requestStages;
 
 	private @Nullable Attempt attempt;
 
@@ -107,8 +109,6 @@
 
 	private int possibleExecutions;
 
-	private boolean stagesRetried;
-
 	private boolean triesBlockedPrompt;
 
 	private @Nullable StreamPosition streamPosition;
@@ -199,7 +199,11 @@
 		startStages(matched);
 	}
 
-	private void startStages(Route matched) {
+	/**
+	 * Runs the stages, if there are any, and then sends the request.
+	 * @param matched the route
+	 */
+	void startStages(Route matched) {
 		if (endIfPromptBlocked()) {
 			return;
 		}
@@ -209,21 +213,13 @@
 		}
 		String zone = this.engineService
 				? this.context.selector().expectedEngineZone(this.serviceName, this.request, this.context.now()) : "";
-		long expiresAt = stagesExpireAt(matched);
-		StageExecution execution = new StageExecution(this.context, this.stages, matched, this.request,
-				this.exchange.arrivedMillis(), expiresAt, zone, new StageListener());
-		this.stageExecution = execution;
-		if (this.context.directory().pausedMillis(this.serviceName, this.context.now()) > execution
-			.minimumChainMillis()) {
-			endUnanswered(PAUSED);
-			return;
-		}
-		// Admission applies only to the first run of the stages.
-		if (this.sendCount > 0 || this.stagesRetried || mayStartStages(matched, execution, expiresAt)) {
-			execution.start();
-			return;
+		RequestStages present = this.requestStages;
+		if (present == null) {
+			present = new RequestStages(this.context, this.stages, this, matched, this.request, this.telemetry,
+					this.exchange.arrivedMillis());
+			this.requestStages = present;
 		}
-		endUnanswered(NO_CAPACITY);
+		present.start(zone, stagesExpireAt(matched), this.sendCount == 0);
 	}
 
 	// The time for the first event does not limit stages that run again for a stream that
@@ -236,25 +232,25 @@
 		return Math.min(this.deadlineMillis, firstEventDeadline);
 	}
 
-	private boolean mayStartStages(Route matched, StageExecution execution, long expiresAt) {
-		long now = this.context.now();
-		StageAdmission.Estimate estimate = new StageAdmission.Estimate(execution.expectedWaitMillis(),
-				execution.chainMillis(), execution.minimumChainMillis(),
-				this.exchange.arrivedMillis() + matched.latencyObjectiveMillis() - now, expiresAt - now,
-				matched.priority());
-		boolean admitted = StageAdmission.isAdmitted(estimate);
-		this.telemetry.stagesDecided(estimate, admitted);
-		return admitted;
+	/**
+	 * Returns how long all endpoints of the service accept no request.
+	 * @return milliseconds, zero if one accepts it
+	 */
+	long pausedMillis() {
+		return this.context.directory().pausedMillis(this.serviceName, this.context.now());
 	}
 
-	private void dispatch() {
+	/**
+	 * Sends the request to an endpoint.
+	 */
+	void dispatch() {
 		if (this.ended || endIfPromptBlocked()) {
 			return;
 		}
 		long now = this.context.now();
 		Optional<EndpointChoice> choice = selectEndpoint(now);
 		if (choice.isEmpty()) {
-			endUnanswered((this.context.directory().pausedMillis(this.serviceName, now) > 0) ? PAUSED : "no_endpoint");
+			endUnanswered((pausedMillis() > 0) ? PAUSED : "no_endpoint");
 			return;
 		}
 		if (this.deadlineMillis - now < MINIMUM_ATTEMPT_MILLIS) {
@@ -287,7 +283,7 @@
 		if (!this.engineService) {
 			return this.context.selector().selectEndpoint(this.serviceName, this.triedEndpoints, now);
 		}
-		Map<String, Long> inputBytesByZone = (this.stageExecution != null) ? this.stageExecution.inputBytesByZone()
+		Map<String, Long> inputBytesByZone = (this.requestStages != null) ? this.requestStages.inputBytesByZone()
 				: Map.of();
 		return this.context.selector()
 			.selectEngine(this.serviceName, this.request, inputBytesByZone, this.triedEndpoints, now);
@@ -304,7 +300,7 @@
 		StreamPosition position = this.streamPosition;
 		String lastEventId = (position != null && position.lastEventId() != null) ? position.lastEventId()
 				: this.request.lastEventId();
-		List<String> inputs = (this.stageExecution != null) ? this.stageExecution.requestInputs() : List.of();
+		List<String> inputs = (this.requestStages != null) ? this.requestStages.requestInputs() : List.of();
 		HttpHeaders headers = PlatformHeaders.endpointHeaders(this.exchange.headers(), id, this.deadlineMillis - now,
 				this.workspace, inputs, lastEventId);
 		Attempt next = new Attempt(this.context, this, choice, isStreaming(), isRetryable());
@@ -351,7 +347,7 @@
 		if (silent == null) {
 			return;
 		}
-		if (this.stageExecution != null && this.stageExecution.areRequestInputsReleased()) {
+		if (this.requestStages != null && this.requestStages.areRequestInputsReleased()) {
 			// The stages take longer than both attempts may overlap.
 			silent.cancel();
 		}
@@ -423,18 +419,19 @@
 	 * Called when an endpoint reported that stage results are no longer available.
 	 */
 	void onInputsLost() {
-		reportFailedAttempt("inputs_gone", false, this.stagesRetried ? "give up" : "repeat stages");
+		RequestStages present = this.requestStages;
+		boolean repeated = present != null && present.areRepeated();
+		reportFailedAttempt(INPUTS_GONE, false, repeated ? "give up" : "repeat stages");
 		this.attempt = null;
 		if (resumeSilentAttempt()) {
 			return;
 		}
 		Route matched = this.route;
-		if (this.stagesRetried || matched == null || this.stageExecution == null || !hasTimeForAttempt()) {
-			endUnanswered("inputs_gone");
+		if (matched == null || present == null || repeated || !hasTimeForAttempt()) {
+			endUnanswered(INPUTS_GONE);
 			return;
 		}
-		this.stagesRetried = true;
-		this.stageExecution.cancel();
+		present.prepareRepeat();
 		this.triedEndpoints.clear();
 		startStages(matched);
 	}
@@ -458,7 +455,7 @@
 		if (position != null) {
 			this.telemetry.resumed(position.lastEventId());
 		}
-		if (this.stageExecution != null && this.stageExecution.areRequestInputsReleased() && this.route != null) {
+		if (this.requestStages != null && this.requestStages.areRequestInputsReleased() && this.route != null) {
 			startStages(this.route);
 			return;
 		}
@@ -490,7 +487,7 @@
 	 * executed, and refuses it otherwise.
 	 * @param reason the reason to report
 	 */
-	private void endUnanswered(String reason) {
+	void endUnanswered(String reason) {
 		if (this.ended || resumeSilentAttempt()) {
 			return;
 		}
@@ -506,8 +503,8 @@
 	}
 
 	private long retryAfterMillis(String reason) {
-		long paused = this.context.directory().pausedMillis(this.serviceName, this.context.now());
-		long stagesPaused = (this.stageExecution != null) ? this.stageExecution.pausedMillis() : 0;
+		long paused = pausedMillis();
+		long stagesPaused = (this.requestStages != null) ? this.requestStages.pausedMillis() : 0;
 		long minimum = reason.equals(NO_CAPACITY) ? CAPACITY_RETRY_AFTER_MILLIS : RETRY_AFTER_MILLIS;
 		long blocked = reason.equals(PROMPT_BLOCKED)
 				? this.context.crashingPrompts().retryAfterMillis(this.request.promptSegments()) : 0;
@@ -640,8 +637,8 @@
 			this.firstEventMillis = this.telemetry.ageMillis();
 			this.context.metrics().firstEvent(this.firstEventMillis);
 			this.exchange.startStream(status, PlatformHeaders.callerHeaders(headers));
-			if (this.stageExecution != null) {
-				this.stageExecution.releaseRequestInputs();
+			if (this.requestStages != null) {
+				this.requestStages.releaseRequestInputs();
 			}
 		}
 		releaseSilentAttempt();
@@ -707,8 +704,8 @@
 			this.attempt.cancel();
 			this.attempt = null;
 		}
-		if (this.stageExecution != null) {
-			this.stageExecution.cancel();
+		if (this.requestStages != null) {
+			this.requestStages.cancel();
 		}
 	}
 
@@ -732,42 +729,4 @@
 		}
 	}
 
-	private final class StageListener implements StageExecution.Listener {
-
-		@Override
-		public void execute(Runnable step) {
-			RequestFlow.this.faultBarrier.run(step);
-		}
-
-		@Override
-		public void onStageEnd(String stageService, int pieces, long startedMillis, PieceResult lastResult) {
-			RequestFlow.this.telemetry.stageEnded(stageService, pieces, startedMillis, lastResult);
-		}
-
-		@Override
-		public void onComplete() {
-			dispatch();
-		}
-
-		@Override
-		public void onFailed(String reason) {
-			endUnanswered(reason);
-		}
-
-		@Override
-		public void onInputLost() {
-			Route matched = RequestFlow.this.route;
-			if (RequestFlow.this.stagesRetried || matched == null) {
-				endUnanswered("inputs_gone");
-				return;
-			}
-			RequestFlow.this.stagesRetried = true;
-			if (RequestFlow.this.stageExecution != null) {
-				RequestFlow.this.stageExecution.cancel();
-			}
-			startStages(matched);
-		}
-
-	}
-
 }
--- a/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
@@ -100,7 +100,9 @@
 	 */
 	public void replaceAll(Collection<EndpointRecord> records, long now) {
 		this.loaded = true;
-		records.forEach(this::addOrUpdate);
+		for (EndpointRecord record : records) {
+			addOrUpdate(record);
+		}
 		removeUnlisted(records, now);
 	}
 
@@ -143,7 +145,9 @@
 	// Returns the number of known endpoints that are not in the list.
 	private int removeUnlisted(Collection<EndpointRecord> records, long now) {
 		Set<String> listed = new HashSet<>();
-		records.forEach((record) -> listed.add(record.id()));
+		for (EndpointRecord record : records) {
+			listed.add(record.id());
+		}
 		int unlisted = 0;
 		for (String id : List.copyOf(this.endpoints.keySet())) {
 			if (!listed.contains(id)) {
