--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -58,8 +58,6 @@
 
 	private static final int SERVER_ERROR = 500;
 
-	private static final int UNAVAILABLE = 503;
-
 	private final EntryContext context;
 
 	private final RequestFlow flow;
@@ -135,7 +133,7 @@
 				caller.target(), requestHeaders, caller.body(),
 				this.retryable ? RETRYABLE_IDLE_MILLIS : NON_RETRYABLE_IDLE_MILLIS, CONNECT_TIMEOUT_MILLIS,
 				Long.MAX_VALUE, request.requestId(),
-				this.context.endpointNotices().interceptor(this.choice.endpoint(), Attempt::isFromEndpoint));
+				this.context.endpointNotices().interceptor(this.choice.endpoint(), ResponseHead::isFromEndpoint));
 		this.exchange = this.context.httpClient()
 			.send(httpCall, new GuardedResponseListener(this, this.flow.faultBarrier()));
 		if (this.retryable && !this.ended) {
@@ -143,12 +141,6 @@
 		}
 	}
 
-	// A response with neither signature nor proof of non-execution may come from a
-	// process that is not the endpoint.
-	private static boolean isFromEndpoint(ResponseHead head) {
-		return head.signed() || head.notExecuted() || head.status() == UNAVAILABLE;
-	}
-
 	private void scheduleTimeoutCheck() {
 		long timeoutMillis = responseTimeoutMillis();
 		long wait = Math.max(MINIMUM_CHECK_INTERVAL_MILLIS,
@@ -297,7 +289,7 @@
 			onNotExecuted(responseHead, now);
 			return;
 		}
-		if (responseHead.status() >= SERVER_ERROR || impliesNotExecuted(responseHead.status())) {
+		if (responseHead.status() >= SERVER_ERROR || responseHead.impliesNotExecuted()) {
 			onErrorResponse(responseHead, endpointHeaders, now);
 			return;
 		}
@@ -347,7 +339,7 @@
 
 	private void onErrorResponse(ResponseHead responseHead, HttpHeaders endpointHeaders, long now) {
 		this.choice.endpoint().recordFailure(now, false);
-		boolean unproven = impliesNotExecuted(responseHead.status());
+		boolean unproven = responseHead.impliesNotExecuted();
 		if (this.resuming || this.flow.mayRetryUnknownOutcome() || unproven || !responseHead.signed()) {
 			// A status that implies "not executed" is not relayed without the proof, and
 			// no status is relayed after events.
@@ -357,10 +349,6 @@
 		this.flow.onResponse(responseHead.status(), endpointHeaders, ByteBufUtil.getBytes(this.body));
 	}
 
-	private static boolean impliesNotExecuted(int status) {
-		return status == 408 || status == MISDIRECTED || status == 429 || status == 503;
-	}
-
 	@Override
 	public void onFailure(boolean sent, String reason) {
 		if (this.ended) {
--- a/src/main/java/org/magnoliahub/entry/CrashingPrompts.java
+++ b/src/main/java/org/magnoliahub/entry/CrashingPrompts.java
@@ -79,6 +79,14 @@
 		return calm ? new TableWatcher.PollTiming(0, IDLE_POLL_MILLIS) : alerted;
 	}
 
+	/**
+	 * Returns the number of parts that are blocked, for metrics.
+	 * @return the number
+	 */
+	int blockedCount() {
+		return this.blocklist.blockedParts().size();
+	}
+
 	void setOthers(Collection<String> names) {
 		this.blocklist.setOthers(names, this.timers.milliTime());
 	}
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -41,25 +41,6 @@
  */
 public final class EntryGateway {
 
-	/**
-	 * Long poll timeout of the configuration as a share of the time within which a change
-	 * must be adopted.
-	 */
-	private static final double CONFIGURATION_POLL_SHARE = 0.75;
-
-	private static final long MINIMUM_CONFIGURATION_POLL_MILLIS = 2_000;
-
-	/** Time for a new connection, reading and adoption within the contact bound. */
-	private static final long ADOPTION_MILLIS = 700;
-
-	/**
-	 * Polls of the endpoint table within the time in which a draining endpoint must stop
-	 * getting requests.
-	 */
-	private static final int ENDPOINT_POLLS_PER_DRAIN = 3;
-
-	private static final long MAXIMUM_ENDPOINT_INTERVAL_MILLIS = 1_300;
-
 	private static final TableWatcher.PollTiming STARTUP_MEMBER_TIMING = new TableWatcher.PollTiming(3_000, 0);
 
 	/**
@@ -197,8 +178,8 @@
 	private void startOnLoop() {
 		this.log.start();
 		this.era.subscribe(this::onEra);
-		TableWatcher.PollTiming configurationTiming = configurationTiming();
-		TableWatcher.PollTiming endpointTiming = endpointTiming();
+		TableWatcher.PollTiming configurationTiming = PollTimings.configuration(this.settings.bounds());
+		TableWatcher.PollTiming endpointTiming = PollTimings.endpoints(this.settings.bounds());
 		long startupEnd = this.timers.milliTime() + STARTUP_MILLIS;
 		startWatcher(StoreFormat.CONFIGURATION_TABLE, configurationTiming, this.configurationTable);
 		startWatcher(StoreFormat.ENDPOINT_TABLE, endpointTiming,
@@ -230,12 +211,6 @@
 		loader.start();
 	}
 
-	private TableWatcher.PollTiming configurationTiming() {
-		long longPoll = (long) (CONFIGURATION_POLL_SHARE * this.settings.bounds().configurationMillis());
-		return TableWatcher.PollTiming.continuous(Math.max(MINIMUM_CONFIGURATION_POLL_MILLIS, longPoll),
-				this.settings.bounds().contactMillis() - ADOPTION_MILLIS);
-	}
-
 	private void onObjectCall(boolean reachable, String reason) {
 		if (Boolean.valueOf(reachable).equals(this.objectsReachable)) {
 			return;
@@ -248,13 +223,6 @@
 			.write();
 	}
 
-	// Endpoints rewrite their rows all the time, so that a long poll would return at
-	// once.
-	private TableWatcher.PollTiming endpointTiming() {
-		long interval = this.settings.bounds().drainMillis() / ENDPOINT_POLLS_PER_DRAIN;
-		return new TableWatcher.PollTiming(Math.min(MAXIMUM_ENDPOINT_INTERVAL_MILLIS, interval), 0);
-	}
-
 	private void logStart(long startedNanos) {
 		this.log.event(EntryEvent.STARTED)
 			.field("node", this.settings.nodeName())
@@ -309,6 +277,7 @@
 		this.metrics.gauge("entry.endpoints.leaving",
 				() -> this.directory.all().stream().filter(EndpointState::isDraining).count());
 		this.metrics.gauge("entry.endpoints.paused", this::pausedEndpoints);
+		this.metrics.gauge("entry.prompts.blocked", this.context.crashingPrompts()::blockedCount);
 	}
 
 	private long pausedEndpoints() {
@@ -325,7 +294,7 @@
 
 	private void followPromptEvidence() {
 		CrashingPrompts crashingPrompts = this.context.crashingPrompts();
-		TableWatcher.PollTiming alerted = configurationTiming();
+		TableWatcher.PollTiming alerted = PollTimings.configuration(this.settings.bounds());
 		crashingPrompts.setWatcher(startWatcher(StoreFormat.PROMPT_EVIDENCE_TABLE,
 				() -> crashingPrompts.pollTiming(alerted), crashingPrompts.publishTo(this.store)));
 	}
--- a/src/main/java/org/magnoliahub/serving/ResponseHead.java
+++ b/src/main/java/org/magnoliahub/serving/ResponseHead.java
@@ -24,6 +24,24 @@
 		boolean contentEncoded, boolean closesConnection, boolean endsWithConnection, long keepAliveMillis,
 		@Nullable EndpointLoad load, EndpointNotice notice) {
 
+	/**
+	 * Returns whether the status tells a caller that its request was not executed and
+	 * will not be.
+	 * @return whether the status must not be relayed without a proof
+	 */
+	public boolean impliesNotExecuted() {
+		return this.status == 408 || this.status == 421 || this.status == 429 || this.status == 503;
+	}
+
+	/**
+	 * Returns whether the response comes from an endpoint. One with neither signature nor
+	 * proof of non-execution may come from another process.
+	 * @return whether its notices count
+	 */
+	public boolean isFromEndpoint() {
+		return this.signed || this.notExecuted || this.status == 503;
+	}
+
 	/**
 	 * Returns whether the response is successful.
 	 * @return whether the status is 2xx
