--- a/src/main/java/org/magnoliahub/entry/CrashingPrompts.java
+++ b/src/main/java/org/magnoliahub/entry/CrashingPrompts.java
@@ -24,7 +24,7 @@
 	/**
 	 * Time after the last end in which the evidence is polled within the contact bound.
 	 */
-	private static final long ALERT_MILLIS = 60_000;
+	private static final long ALERT_MILLIS = 15_000;
 
 	private final EventLoopGroup group;
 
