Let an emulated endpoint end beside a stream that has just ended

Traced: close() resets the streams that end with their connection, and one had closed its socket by itself and was not yet out of the set. Such a socket is skipped.

--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -3,6 +3,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.List;
 import java.util.Map;
@@ -337,7 +338,12 @@
 	@Override
 	public void close() throws IOException {
 		for (Socket socket : this.untilClose) {
-			RawServer.reset(socket);
+			try {
+				RawServer.reset(socket);
+			}
+			catch (SocketException ex) {
+				// Its stream has ended in this moment.
+			}
 		}
 		this.server.close();
 	}
