--- a/review/standin/RestartedGateway.java
+++ b/review/standin/RestartedGateway.java
@@ -85,7 +85,7 @@
 		Gateway victim = null;
 		for (Gateway gateway : gateways) {
 			request(gateway).join();
-			if (!Files.readString(gateway.log()).contains("owner=" + gateway.name())) {
+			if (!Files.readString(gateway.log()).contains("\"owner\":\"" + gateway.name() + "\"")) {
 				victim = gateway;
 			}
 		}
