--- a/review/standin/LateEntry.java
+++ b/review/standin/LateEntry.java
@@ -10,7 +10,7 @@
 
 /**
  * A server writes its entry, and the store performs one of these writes seconds later, when
- * the server has already been removed from the list. Usage: FOLDER TROUBLE
+ * the server has already been removed from the list. Usage: RECORD TROUBLE
  */
 public final class LateEntry {
 
@@ -65,7 +65,7 @@
 	public static void main(String[] arguments) throws Exception {
 		int result = 2;
 		try {
-			RunRecord record = new RunRecord(Path.of(arguments[0]).resolve("record.txt"));
+			RunRecord record = new RunRecord(Path.of(arguments[0]));
 			result = new LateEntry(record, new Store("127.34.0.1")).play(!arguments[1].equals("0"));
 		}
 		catch (Exception ex) {
--- a/review/standin/RestartedGateway.java
+++ b/review/standin/RestartedGateway.java
@@ -6,7 +6,7 @@
 
 /**
  * Two gateways; the one that does not form the stage calls is killed and started again
- * while pieces that it submitted are still in work. Usage: FOLDER TROUBLE
+ * while pieces that it submitted are still in work. Usage: RECORD TROUBLE
  */
 public final class RestartedGateway {
 
@@ -57,8 +57,8 @@
 		System.exit(result);
 	}
 
-	private static int play(Path folder, boolean trouble) throws Exception {
-		RunRecord record = new RunRecord(folder.resolve("record.txt"));
+	private static int play(Path file, boolean trouble) throws Exception {
+		RunRecord record = new RunRecord(file);
 		Path work = Gateway.temporaryFolder();
 		String service = "kafi81c";
 		Store store = new Store("127.31.0.1");
--- a/review/standin/SilentServer.java
+++ b/review/standin/SilentServer.java
@@ -14,8 +14,7 @@
 
 /**
  * A gateway is told to stop while streams run. A model server preempts some of them in the
- * middle and goes on with them a moment later; the other model server is full. Usage: FOLDER
- * TROUBLE
+ * middle and goes on with them a moment later; the other model server is full. Usage: RECORD TROUBLE
  */
 public final class SilentServer {
 
@@ -76,7 +75,7 @@
 	public static void main(String[] arguments) throws Exception {
 		int result = 2;
 		try {
-			RunRecord record = new RunRecord(Path.of(arguments[0]).resolve("record.txt"));
+			RunRecord record = new RunRecord(Path.of(arguments[0]));
 			result = new SilentServer(record, !arguments[1].equals("0")).play();
 		}
 		catch (Exception ex) {
