--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -11,10 +11,13 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** HTTP/1.1 messages over sockets, and a server with a thread for each connection. */
 final class Http {
 
+	private static final Map<String, ServerSocket> LISTENERS = new ConcurrentHashMap<>();
+
 	private Http() {
 	}
 
@@ -121,6 +124,7 @@
 	/** Starts a server on a free port and returns its address. */
 	static String serve(String ip, Handler handler) throws IOException {
 		ServerSocket listener = new ServerSocket(0, 1024, InetAddress.getByName(ip));
+		LISTENERS.put(ip + ":" + listener.getLocalPort(), listener);
 		daemon(() -> {
 			while (true) {
 				Socket socket = listener.accept();
@@ -130,6 +134,11 @@
 		return ip + ":" + listener.getLocalPort();
 	}
 
+	/** Ends a server's listening, as its exit does. */
+	static void close(String address) throws IOException {
+		LISTENERS.get(address).close();
+	}
+
 	private static void connection(Socket socket, Handler handler) throws Exception {
 		try (socket) {
 			socket.setTcpNoDelay(true);
--- a/review/standin/LateEntry.java
+++ b/review/standin/LateEntry.java
@@ -125,6 +125,7 @@
 		}
 		sleepUntil(this.removedAt, EXIT_AFTER_MILLIS);
 		this.exited = true;
+		Http.close(address);
 		for (Socket socket : this.leavingSockets) {
 			socket.close();
 		}
--- a/review/standin/Servers.java
+++ b/review/standin/Servers.java
@@ -38,6 +38,8 @@
 	/** How often each request ran. */
 	private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
 
+	private final Map<String, String> ranAt = new ConcurrentHashMap<>();
+
 	Servers(Store store, RunRecord record, String ip, String zone) {
 		this.store = store;
 		this.record = record;
@@ -71,6 +73,14 @@
 				Http.answer(out, 421, "Instance-Id: " + id + "\r\n", "");
 				return;
 			}
+			if (request.target().equals("/healthz")) {
+				Http.answer(out, 200, "Instance-Id: " + id + "\r\n", "");
+				return;
+			}
+			if (request.header("Request-Id").isEmpty() && !request.target().startsWith("/api/")) {
+				Http.answer(out, 400, "Not-Executed: 1\r\n", "");
+				return;
+			}
 			work.run(request, socket, out);
 		});
 		this.record.write("server %s of %s at %s", id, service, address);
@@ -145,7 +155,7 @@
 		});
 	}
 
-	private static void chunk(OutputStream out, String text) throws IOException {
+	static void chunk(OutputStream out, String text) throws IOException {
 		byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
 		out.write((Integer.toHexString(bytes.length) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.UTF_8));
 		out.flush();
@@ -172,6 +182,31 @@
 		}
 	}
 
+	/** Starts a model server with slots, a queue and a memory of its own. */
+	void engine(String id, String service, int slots, Engine engine) throws IOException {
+		serve(id, service, slots, (request, socket, out) -> {
+			String requestId = request.header("Request-Id");
+			String refusal = "Request-Id: " + requestId + "\r\nNot-Executed: 1\r\n";
+			List<String> inputs = request.header("Inputs").isEmpty() ? List.of()
+					: List.of(request.header("Inputs").split(","));
+			if (inputs.isEmpty() && !request.header("Pieces").isEmpty()) {
+				Http.answer(out, 400, refusal, "");
+				return;
+			}
+			if (!inputs.stream().allMatch(this.results::containsKey)) {
+				Http.answer(out, 409, refusal, "");
+				return;
+			}
+			this.ranAt.put(requestId, id);
+			engine.run(request, socket, out);
+		});
+	}
+
+	/** Returns the model server that a request was sent to last. */
+	String ranAt(String request) {
+		return this.ranAt.getOrDefault(request, "");
+	}
+
 	/** The figures of a stage service, as the manifest states them. */
 	record Pool(int queue, long callMillis, double itemMillis, long handleMillis) {
 	}
@@ -192,10 +227,12 @@
 				return;
 			}
 			try {
+				long arrived = System.nanoTime();
 				working.acquire();
+				long waited = (System.nanoTime() - arrived) / 1_000_000;
 				List<Object> items = Json.list(call.get("items"));
 				Thread.sleep(pool.callMillis() + (long) (items.size() * pool.itemMillis()));
-				String answer = results(id, socket, items);
+				String answer = results(id, socket, items, waited);
 				working.release();
 				Http.daemon(() -> expire(answer, pool.handleMillis()));
 				Http.answer(out, 200, "Content-Type: application/json\r\n", answer);
@@ -206,13 +243,17 @@
 		});
 	}
 
-	private String results(String id, Socket socket, List<Object> items) {
+	private String results(String id, Socket socket, List<Object> items, long waited) {
 		List<String> answers = new ArrayList<>();
 		StringBuilder log = new StringBuilder();
 		for (Object entry : items) {
 			Map<String, Object> item = Json.object(entry);
 			String requestId = (String) item.get("id");
 			List<String> inputs = Json.list(item.get("inputs")).stream().map(String::valueOf).toList();
+			if (item.containsKey("remaining_ms") && Json.number(item.get("remaining_ms")) < waited) {
+				answers.add("{\"reason\":\"late\"}");
+				continue;
+			}
 			if (!inputs.stream().allMatch(this.results::containsKey)) {
 				answers.add("{\"reason\":\"gone\"}");
 				continue;
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -82,8 +82,10 @@
 			Http.answer(out, 200, "Content-Type: application/json\r\n", feed(target));
 		}
 		else if (path.equals("/api/rows-tx")) {
-			boolean done = transact(Json.object(Json.read(request.text())));
-			Http.answer(out, done ? 200 : 412, "Content-Type: application/json\r\n", "{\"rows\":[]," + state() + "}");
+			Map<String, Object> call = Json.object(Json.read(request.text()));
+			int status = transact(call);
+			Http.answer(out, status, "Content-Type: application/json\r\n",
+					(status == 412) ? "{\"rows\":[" + expectedRows(call) + "]," + state() + "}" : "{" + state() + "}");
 		}
 		else if (path.startsWith("/api/blob-")) {
 			object(request, path, out);
@@ -170,13 +172,20 @@
 		}
 	}
 
-	private synchronized boolean transact(Map<String, Object> call) {
+	private synchronized int transact(Map<String, Object> call) {
 		for (Object entry : Json.list(call.get("expected"))) {
 			Map<String, Object> row = Json.object(entry);
 			Row present = this.rows.get(key(row));
 			long known = (present == null || present.removed) ? 0 : present.version;
 			if (known != Json.number(row.get("ver"))) {
-				return false;
+				return 412;
+			}
+		}
+		for (String list : List.of("writes", "remove")) {
+			for (Object entry : Json.list(call.get(list))) {
+				if (List.of("op", "servers").contains(Json.object(entry).get("table"))) {
+					return 403;
+				}
 			}
 		}
 		this.version++;
@@ -190,7 +199,18 @@
 			write((String) row.get("table"), (String) row.getOrDefault("part", ""), (String) row.get("key"), "", true);
 		}
 		notifyAll();
-		return true;
+		return 200;
+	}
+
+	private synchronized String expectedRows(Map<String, Object> call) {
+		List<String> present = new ArrayList<>();
+		for (Object entry : Json.list(call.get("expected"))) {
+			Row row = this.rows.get(key(Json.object(entry)));
+			if (row != null && !row.removed) {
+				present.add(row.json());
+			}
+		}
+		return String.join(",", present);
 	}
 
 	private static String key(Map<String, Object> row) {
