Deliver stage results to the connection that submitted the pieces

A gateway that was killed and restarted sent requests to model servers with results of stages that its earlier process had ordered for other requests.

Cause: the owner of a stage queue knew a submitter by the gateway's name. Jobs of a gateway whose connection had closed went on, and their results went to whatever connection had the same name; the new process numbers its jobs from one again and matched them by number and piece. Cancellations, announcements and the marks of cancelled jobs were matched by name, or by the caller's id alone, in the same way.

Change: a job, an announcement and a cancellation belong to a JobOrigin, the gateway's name with the number that the owner gives to the connection. Results go to that connection only. When it closes, or another one of the same gateway says Hello, the queue cancels its jobs, withdraws its announcements and releases results that still come. A gateway that lives and has lost its connection submits what is left again by itself, so nothing is lost. Nothing changes on the wire. The new event submitter_gone states how many pieces were dropped.

--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -86,6 +86,12 @@
 	/** The link to another gateway changed. */
 	LINK_CHANGED(Importance.HIGH, "member", "state", "reason"),
 
+	/**
+	 * A gateway that submits pieces to this one closed its connection; its pieces are
+	 * cancelled.
+	 */
+	SUBMITTER_GONE(Importance.HIGH, "member", "connection", "pieces"),
+
 	/** A request of a caller was malformed. */
 	REQUEST_MALFORMED(Importance.HIGH, "status"),
 
--- a/src/main/java/org/magnoliahub/entry/PeerServer.java
+++ b/src/main/java/org/magnoliahub/entry/PeerServer.java
@@ -10,16 +10,19 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import org.magnoliahub.serving.JobOrigin;
 
 /**
  * Accepts links of other gateways, for which this one batches stage calls.
  */
 final class PeerServer implements PeerConnection.Listener {
 
-	private final Map<PeerConnection, String> members = new HashMap<>();
+	private final Map<PeerConnection, JobOrigin> origins = new HashMap<>();
 
 	private final Handler handler;
 
+	private long lastConnection;
+
 	PeerServer(Handler handler) {
 		this.handler = handler;
 	}
@@ -34,21 +37,21 @@
 	 * @param heartbeat creates the message, called only if there is a link
 	 */
 	void broadcastHeartbeat(Supplier<PeerMessage.Heartbeat> heartbeat) {
-		if (this.members.isEmpty()) {
+		if (this.origins.isEmpty()) {
 			return;
 		}
 		PeerMessage.Heartbeat message = heartbeat.get();
-		this.members.keySet().forEach((connection) -> connection.send(message));
+		this.origins.keySet().forEach((connection) -> connection.send(message));
 	}
 
 	/**
-	 * Sends a message to another gateway.
-	 * @param member its name
-	 * @param message the message, dropped if that gateway has no link
+	 * Sends a message on the connection of a submitter.
+	 * @param origin the submitter
+	 * @param message the message, dropped if that connection is closed
 	 */
-	void send(String member, PeerMessage message) {
-		for (Map.Entry<PeerConnection, String> entry : this.members.entrySet()) {
-			if (entry.getValue().equals(member)) {
+	void send(JobOrigin origin, PeerMessage message) {
+		for (Map.Entry<PeerConnection, JobOrigin> entry : this.origins.entrySet()) {
+			if (entry.getValue().equals(origin)) {
 				entry.getKey().send(message);
 			}
 		}
@@ -58,28 +61,33 @@
 	public void onMessage(PeerConnection source, PeerMessage message) {
 		if (message instanceof PeerMessage.Hello hello) {
 			closeEarlierConnections(hello.member());
-			this.members.put(source, hello.member());
+			this.lastConnection++;
+			this.origins.put(source, new JobOrigin(hello.member(), this.lastConnection));
 			source.send(this.handler.heartbeat());
 			return;
 		}
-		String member = this.members.get(source);
-		if (member != null) {
-			this.handler.onMessage(member, message);
+		JobOrigin origin = this.origins.get(source);
+		if (origin != null) {
+			this.handler.onMessage(origin, message);
 		}
 	}
 
+	// The other end of such a connection may have vanished without closing it.
 	private void closeEarlierConnections(String member) {
-		for (PeerConnection connection : List.copyOf(this.members.keySet())) {
-			if (member.equals(this.members.get(connection))) {
-				this.members.remove(connection);
-				connection.close();
+		for (Map.Entry<PeerConnection, JobOrigin> entry : List.copyOf(this.origins.entrySet())) {
+			if (entry.getValue().gateway().equals(member)) {
+				onClosed(entry.getKey());
+				entry.getKey().close();
 			}
 		}
 	}
 
 	@Override
 	public void onClosed(PeerConnection source) {
-		this.members.remove(source);
+		JobOrigin origin = this.origins.remove(source);
+		if (origin != null) {
+			this.handler.onClosed(origin);
+		}
 	}
 
 	/**
@@ -95,10 +103,16 @@
 
 		/**
 		 * Called when a gateway has sent a message.
-		 * @param member its name
+		 * @param origin the gateway and its connection
 		 * @param message the message
 		 */
-		void onMessage(String member, PeerMessage message);
+		void onMessage(JobOrigin origin, PeerMessage message);
+
+		/**
+		 * Called once, after all other calls, when the connection of a gateway is closed.
+		 * @param origin the gateway and its connection
+		 */
+		void onClosed(JobOrigin origin);
 
 	}
 
--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoopGroup;
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.platform.MemberRecord;
+import org.magnoliahub.serving.JobOrigin;
 import org.magnoliahub.serving.PieceFailure;
 import org.magnoliahub.serving.PieceResult;
 import org.magnoliahub.serving.ServiceDefinition;
@@ -36,6 +37,8 @@
 
 	private final String selfName;
 
+	private final JobOrigin selfOrigin;
+
 	private final StageEndpointClient stageClient;
 
 	private final PeerServer server = new PeerServer(this);
@@ -55,6 +58,7 @@
 	StageCoordinator(EntryContext context, EventLoopGroup group, String selfName) {
 		this.context = context;
 		this.selfName = selfName;
+		this.selfOrigin = new JobOrigin(selfName, 0);
 		this.owners = new StageOwners(selfName,
 				(member) -> new PeerLink(group, context.timers(), context.log(), selfName, member, this));
 		this.stageClient = new StageEndpointClient(context, this::deliverResult);
@@ -123,7 +127,7 @@
 	 */
 	long submit(String service, StageJob template, PieceListener listener) {
 		long id = this.nextJobId++;
-		StageJob job = template.submittedBy(this.selfName, id);
+		StageJob job = template.submittedBy(this.selfOrigin, id);
 		Submission submission = new Submission(service, job, listener, this.owners.owner(service));
 		this.submissions.put(id, submission);
 		this.context.log()
@@ -149,13 +153,13 @@
 			link.send(announcement);
 			return;
 		}
-		announceLocally(announcement);
+		announceLocally(this.selfOrigin, announcement);
 	}
 
-	private void announceLocally(PeerMessage.Announce announcement) {
+	private void announceLocally(JobOrigin origin, PeerMessage.Announce announcement) {
 		StageQueue queue = queue(announcement.service());
 		if (queue != null) {
-			queue.announce(announcement.requestId(), announcement.stage(), announcement.pieces(),
+			queue.announce(origin, announcement.requestId(), announcement.stage(), announcement.pieces(),
 					announcement.resultBytes(), this.context.now() + announcement.budgetMillis());
 		}
 	}
@@ -194,7 +198,7 @@
 		if (submission.owner.equals(this.selfName) || link == null) {
 			StageQueue queue = this.queues.get(submission.service);
 			if (queue != null) {
-				queue.cancel(this.selfName, jobId);
+				queue.cancel(this.selfOrigin, jobId);
 			}
 			return;
 		}
@@ -251,7 +255,7 @@
 
 	private void deliverResult(String service, StageTask task, PieceResult result) {
 		PeerMessage.Result message = new PeerMessage.Result(service, task.job().jobId(), task.piece(), result);
-		if (task.job().origin().equals(this.selfName)) {
+		if (task.job().origin().equals(this.selfOrigin)) {
 			onResult(message);
 			return;
 		}
@@ -282,17 +286,17 @@
 	}
 
 	@Override
-	public void onMessage(String member, PeerMessage message) {
+	public void onMessage(JobOrigin origin, PeerMessage message) {
 		long now = this.context.now();
 		if (message instanceof PeerMessage.Submit submit) {
-			StageJob job = new StageJob(member, submit.jobId(), submit.requestId(), submit.stage(), submit.pieces(),
+			StageJob job = new StageJob(origin, submit.jobId(), submit.requestId(), submit.stage(), submit.pieces(),
 					submit.pieceKey(), submit.inputs(), submit.largeInputs(), submit.resultBytes(),
 					now + submit.startBudgetMillis(), now + submit.budgetMillis(), submit.priority(),
 					submit.zonePreference());
 			StageQueue queue = queue(submit.service());
 			if (queue == null) {
 				submit.pieces()
-					.forEach((piece) -> this.server.send(member, new PeerMessage.Result(submit.service(),
+					.forEach((piece) -> this.server.send(origin, new PeerMessage.Result(submit.service(),
 							submit.jobId(), piece, PieceResult.failed(PieceFailure.FAILED))));
 				return;
 			}
@@ -300,22 +304,33 @@
 			sendReadyBatches(queue);
 		}
 		else if (message instanceof PeerMessage.Announce announcement) {
-			announceLocally(announcement);
+			announceLocally(origin, announcement);
 		}
 		else if (message instanceof PeerMessage.Cancel cancel) {
 			StageQueue queue = this.queues.get(cancel.service());
 			if (queue != null) {
-				queue.cancel(member, cancel.jobId());
+				queue.cancel(origin, cancel.jobId());
 			}
 		}
 		else if (message instanceof PeerMessage.Release release) {
 			releaseLocally(release.service(), release.handles());
 		}
 		else if (message instanceof PeerMessage.ConfigurationRequest) {
-			this.server.send(member, this.configurationExchange.response());
+			this.server.send(origin, this.configurationExchange.response());
 		}
 	}
 
+	@Override
+	public void onClosed(JobOrigin origin) {
+		int pieces = this.queues.values().stream().mapToInt((queue) -> queue.cancelAll(origin)).sum();
+		this.context.log()
+			.event(EntryEvent.SUBMITTER_GONE)
+			.field("member", origin.gateway())
+			.field("connection", origin.connection())
+			.field("pieces", pieces)
+			.write();
+	}
+
 	@Override
 	public void onConfigurationVersion(PeerLink link, long version) {
 		this.configurationExchange.onVersion(link, version);
--- a/src/main/java/org/magnoliahub/entry/StageExecution.java
+++ b/src/main/java/org/magnoliahub/entry/StageExecution.java
@@ -7,6 +7,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.serving.CallerRequest;
+import org.magnoliahub.serving.JobOrigin;
 import org.magnoliahub.serving.PieceFailure;
 import org.magnoliahub.serving.PieceResult;
 import org.magnoliahub.serving.Route;
@@ -161,10 +162,11 @@
 	private void submit(int stage) {
 		RouteStage definition = this.route.stages().get(stage);
 		List<String> inputs = this.stageProgress.stageInputs(stage);
-		StageJob job = new StageJob("", 0, this.request.requestId(), stage, this.stageProgress.missingPieces(stage),
-				inputs.isEmpty() ? this.request.pieceKey() : null, inputs, this.chain.hasLargeInputs(stage),
-				definition.resultBytes(), this.latencyDeadlineMillis - this.chain.remainingMillis(stage),
-				this.expiresAt, this.route.priority(), zonePreference(stage, inputs.isEmpty()));
+		StageJob job = new StageJob(JobOrigin.NONE, 0, this.request.requestId(), stage,
+				this.stageProgress.missingPieces(stage), inputs.isEmpty() ? this.request.pieceKey() : null, inputs,
+				this.chain.hasLargeInputs(stage), definition.resultBytes(),
+				this.latencyDeadlineMillis - this.chain.remainingMillis(stage), this.expiresAt, this.route.priority(),
+				zonePreference(stage, inputs.isEmpty()));
 		this.submittedMillis.put(stage, this.context.now());
 		this.jobIds.put(stage, this.coordinator.submit(definition.service(), job, this));
 	}
--- a/src/main/java/org/magnoliahub/serving/AnnouncedPieces.java
+++ b/src/main/java/org/magnoliahub/serving/AnnouncedPieces.java
@@ -13,23 +13,33 @@
 
 	/**
 	 * Adds an announcement, which replaces an earlier one for the same stage.
+	 * @param origin submitter of the announcement
 	 * @param requestId id that the caller assigned to the request
 	 * @param stage index of the stage
 	 * @param pieces number of pieces
 	 * @param bytes total size of their results, in bytes
 	 * @param expiresAt monotonic time at which the announcement expires, in milliseconds
 	 */
-	void add(String requestId, int stage, int pieces, long bytes, long expiresAt) {
-		this.announcements.put(new Key(requestId, stage), new Announcement(pieces, bytes, expiresAt));
+	void add(JobOrigin origin, String requestId, int stage, int pieces, long bytes, long expiresAt) {
+		this.announcements.put(new Key(origin, requestId, stage), new Announcement(pieces, bytes, expiresAt));
 	}
 
 	/**
 	 * Removes an announcement because the pieces were submitted or will not be.
+	 * @param origin submitter of the announcement
 	 * @param requestId id that the caller assigned to the request
 	 * @param stage index of the stage
 	 */
-	void remove(String requestId, int stage) {
-		this.announcements.remove(new Key(requestId, stage));
+	void remove(JobOrigin origin, String requestId, int stage) {
+		this.announcements.remove(new Key(origin, requestId, stage));
+	}
+
+	/**
+	 * Removes all announcements of a submitter.
+	 * @param origin the submitter
+	 */
+	void removeAll(JobOrigin origin) {
+		this.announcements.keySet().removeIf((key) -> key.origin().equals(origin));
 	}
 
 	/**
@@ -52,7 +62,7 @@
 		return this.announcements.values().stream().mapToLong(Announcement::bytes).sum();
 	}
 
-	private record Key(String requestId, int stage) {
+	private record Key(JobOrigin origin, String requestId, int stage) {
 	}
 
 	private record Announcement(int pieces, long bytes, long expiresAt) {
--- a/src/main/java/org/magnoliahub/serving/CancelledJobs.java
+++ b/src/main/java/org/magnoliahub/serving/CancelledJobs.java
@@ -14,10 +14,10 @@
 
 	/**
 	 * Adds a job.
-	 * @param origin name of the gateway that submitted the job
-	 * @param jobId id of the job at that gateway
+	 * @param origin submitter of the job
+	 * @param jobId id of the job at its submitter
 	 */
-	void add(String origin, long jobId) {
+	void add(JobOrigin origin, long jobId) {
 		this.keys.add(new Key(origin, jobId));
 	}
 
@@ -35,7 +35,7 @@
 		this.keys.retainAll(live);
 	}
 
-	private record Key(String origin, long jobId) {
+	private record Key(JobOrigin origin, long jobId) {
 
 		private static Key of(StageTask task) {
 			return new Key(task.job().origin(), task.job().jobId());
--- a/src/main/java/org/magnoliahub/serving/StageJob.java
+++ b/src/main/java/org/magnoliahub/serving/StageJob.java
@@ -8,7 +8,7 @@
  * Pieces of one stage of one request, which the gateway that handles the request submits
  * to the owner of the stage service's queue.
  *
- * @param origin name of the gateway that handles the request
+ * @param origin submitter of the job
  * @param jobId id of the job, unique at its origin
  * @param requestId id that the caller assigned to the request
  * @param stage index of the stage in its route
@@ -24,7 +24,7 @@
  * @param priority priority of the route, zero is the most urgent
  * @param zonePreference zone that holds the inputs or in which the results are needed
  */
-public record StageJob(String origin, long jobId, String requestId, int stage, List<Integer> pieces,
+public record StageJob(JobOrigin origin, long jobId, String requestId, int stage, List<Integer> pieces,
 		@Nullable String pieceKey, List<String> inputs, boolean largeInputs, long resultBytes, long startDeadline,
 		long expiresAt, int priority, ZonePreference zonePreference) {
 
@@ -38,12 +38,12 @@
 
 	/**
 	 * Returns this job as submitted by a gateway.
-	 * @param gateway name of the gateway
-	 * @param id id of the job, unique at the gateway
+	 * @param submitter the submitter
+	 * @param id id of the job, unique at the submitter
 	 * @return the job
 	 */
-	public StageJob submittedBy(String gateway, long id) {
-		return new StageJob(gateway, id, this.requestId, this.stage, this.pieces, this.pieceKey, this.inputs,
+	public StageJob submittedBy(JobOrigin submitter, long id) {
+		return new StageJob(submitter, id, this.requestId, this.stage, this.pieces, this.pieceKey, this.inputs,
 				this.largeInputs, this.resultBytes, this.startDeadline, this.expiresAt, this.priority,
 				this.zonePreference);
 	}
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -87,7 +87,7 @@
 	 * @param now monotonic time, in milliseconds
 	 */
 	public void add(StageJob job, long now) {
-		this.announcedPieces.remove(job.requestId(), job.stage());
+		this.announcedPieces.remove(job.origin(), job.requestId(), job.stage());
 		for (int piece : job.pieces()) {
 			this.queued.add(new StageTask(job, piece, 0, now, now));
 			this.retryBudget.recordRequest(this.service, now);
@@ -97,15 +97,33 @@
 	/**
 	 * Cancels a job. Queued pieces are removed; pieces of running batches are marked as
 	 * cancelled, and their results must be released when they arrive.
-	 * @param origin name of the gateway that submitted the job
-	 * @param jobId id of the job at that gateway
+	 * @param origin submitter of the job
+	 * @param jobId id of the job at its submitter
 	 */
-	public void cancel(String origin, long jobId) {
-		Predicate<StageTask> isOfJob = (task) -> task.job().jobId() == jobId && task.job().origin().equals(origin);
-		this.queued.removeIf(isOfJob);
-		if (this.running.values().stream().anyMatch((batch) -> batch.tasks().stream().anyMatch(isOfJob))) {
-			this.cancelled.add(origin, jobId);
-		}
+	public void cancel(JobOrigin origin, long jobId) {
+		cancel((task) -> task.job().jobId() == jobId && task.job().origin().equals(origin));
+	}
+
+	/**
+	 * Cancels all jobs and announcements of a submitter that has gone.
+	 * @param origin the submitter
+	 * @return number of its pieces that were queued or running
+	 */
+	public int cancelAll(JobOrigin origin) {
+		this.announcedPieces.removeAll(origin);
+		return cancel((task) -> task.job().origin().equals(origin));
+	}
+
+	private int cancel(Predicate<StageTask> isCancelledTask) {
+		int queuedBefore = this.queued.size();
+		this.queued.removeIf(isCancelledTask);
+		List<StageTask> started = this.running.values()
+			.stream()
+			.flatMap((batch) -> batch.tasks().stream())
+			.filter(isCancelledTask)
+			.toList();
+		started.forEach((task) -> this.cancelled.add(task.job().origin(), task.job().jobId()));
+		return queuedBefore - this.queued.size() + started.size();
 	}
 
 	/**
@@ -336,18 +354,19 @@
 	/**
 	 * Announces pieces that will be submitted when earlier stages of their request are
 	 * complete. They count as queued until they are submitted.
+	 * @param origin submitter of the pieces
 	 * @param requestId id that the caller assigned to the request
 	 * @param stage index of the stage
 	 * @param pieces number of pieces; zero withdraws an earlier announcement
 	 * @param resultBytes approximate size of one result, in bytes
 	 * @param expiresAt monotonic time at which the announcement expires, in milliseconds
 	 */
-	public void announce(String requestId, int stage, int pieces, long resultBytes, long expiresAt) {
+	public void announce(JobOrigin origin, String requestId, int stage, int pieces, long resultBytes, long expiresAt) {
 		if (pieces == 0) {
-			this.announcedPieces.remove(requestId, stage);
+			this.announcedPieces.remove(origin, requestId, stage);
 			return;
 		}
-		this.announcedPieces.add(requestId, stage, pieces, pieces * resultBytes, expiresAt);
+		this.announcedPieces.add(origin, requestId, stage, pieces, pieces * resultBytes, expiresAt);
 	}
 
 	/**
--- a/src/test/java/org/magnoliahub/entry/EntryFixture.java
+++ b/src/test/java/org/magnoliahub/entry/EntryFixture.java
@@ -153,6 +153,16 @@
 		return socket;
 	}
 
+	/**
+	 * Connects to the port of a gateway for other gateways.
+	 */
+	Socket connectAsPeer(int gateway) throws IOException {
+		EmulatedSettings.Node node = this.nodes.get(gateway);
+		Socket socket = node.connect(node.internalPort());
+		socket.setSoTimeout(8_000);
+		return socket;
+	}
+
 	CallerAnswer send(String method, String target, String id, String... headers) throws IOException {
 		return sendTo(0, method, target, id, headers);
 	}
--- a/src/test/java/org/magnoliahub/platform/StageCallFormatTests.java
+++ b/src/test/java/org/magnoliahub/platform/StageCallFormatTests.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.magnoliahub.serving.JobOrigin;
 import org.magnoliahub.serving.PieceFailure;
 import org.magnoliahub.serving.PieceResult;
 import org.magnoliahub.serving.StageJob;
@@ -28,11 +29,10 @@
 
 	@Test
 	void pieceHasEitherItsKeyOrItsInputs() {
-		StageTask first = new StageTask(
-				new StageJob("g", 1, "r1", 0, List.of(2), "k", List.of(), false, 10, 50, 1_000, 0, ZonePreference.NONE),
-				2, 0, 0, 0);
-		StageTask second = new StageTask(new StageJob("g", 2, "r2", 1, List.of(0), null, List.of("10.0.0.1:80/a"), true,
-				10, 50, 1_000, 0, ZonePreference.NONE), 0, 0, 0, 0);
+		StageTask first = new StageTask(new StageJob(new JobOrigin("g", 1), 1, "r1", 0, List.of(2), "k", List.of(),
+				false, 10, 50, 1_000, 0, ZonePreference.NONE), 2, 0, 0, 0);
+		StageTask second = new StageTask(new StageJob(new JobOrigin("g", 1), 2, "r2", 1, List.of(0), null,
+				List.of("10.0.0.1:80/a"), true, 10, 50, 1_000, 0, ZonePreference.NONE), 0, 0, 0, 0);
 		assertThat(new String(this.format.run(List.of(first, second), 100), StandardCharsets.UTF_8))
 			.isEqualTo("{\"items\":[{\"id\":\"r1\",\"stage\":0,\"piece\":2,\"remaining_ms\":900,\"key\":\"k\"},"
 					+ "{\"id\":\"r2\",\"stage\":1,\"piece\":0,\"remaining_ms\":900,\"inputs\":[\"10.0.0.1:80/a\"]}]}");
--- a/src/test/java/org/magnoliahub/serving/BurstAdmissionTests.java
+++ b/src/test/java/org/magnoliahub/serving/BurstAdmissionTests.java
@@ -77,9 +77,10 @@
 		}
 		this.admitted++;
 		remainingPieces.put(jobId, PIECES);
-		queue.add(new StageJob("gateway", jobId, "request-" + jobId, 0, IntStream.range(0, PIECES).boxed().toList(),
-				"key", List.of(), false, 1, now + OBJECTIVES[requestClass] - 340, now + 4 * OBJECTIVES[requestClass],
-				PRIORITIES[requestClass], ZonePreference.NONE), now);
+		queue.add(new StageJob(ServingFixtures.ORIGIN, jobId, "request-" + jobId, 0,
+				IntStream.range(0, PIECES).boxed().toList(), "key", List.of(), false, 1,
+				now + OBJECTIVES[requestClass] - 340, now + 4 * OBJECTIVES[requestClass], PRIORITIES[requestClass],
+				ZonePreference.NONE), now);
 	}
 
 	private void complete(StageQueue queue, PriorityQueue<Running> running, long now,
--- a/src/test/java/org/magnoliahub/serving/ServingFixtures.java
+++ b/src/test/java/org/magnoliahub/serving/ServingFixtures.java
@@ -8,6 +8,8 @@
  */
 final class ServingFixtures {
 
+	static final JobOrigin ORIGIN = new JobOrigin("gateway", 1);
+
 	static final StageLimits LIMITS = new StageLimits(1, 10, 240, 10, 10_000, 4_000);
 
 	private ServingFixtures() {
@@ -29,7 +31,7 @@
 	}
 
 	static StageJob job(long jobId, int pieces, long startDeadline, long resultBytes) {
-		return new StageJob("gateway", jobId, "request-" + jobId, 0, IntStream.range(0, pieces).boxed().toList(), "key",
+		return new StageJob(ORIGIN, jobId, "request-" + jobId, 0, IntStream.range(0, pieces).boxed().toList(), "key",
 				List.of(), false, resultBytes, startDeadline, 100_000, 0, ZonePreference.NONE);
 	}
 
--- a/src/test/java/org/magnoliahub/serving/StageCapacityTests.java
+++ b/src/test/java/org/magnoliahub/serving/StageCapacityTests.java
@@ -95,7 +95,7 @@
 			before = (round == 0) ? this.queue.load(now).capacityWaitMillis() : before;
 			now += 2_500;
 			this.queue.releaseResults(stored, now);
-			this.queue.cancel("gateway", this.jobId);
+			this.queue.cancel(ServingFixtures.ORIGIN, this.jobId);
 		}
 		add(10, 1_000, now);
 		StageBatch batch = this.queue.nextBatch(now).orElseThrow();
@@ -106,9 +106,9 @@
 
 	@Test
 	void withdrawnAnnouncementDoesNotCount() {
-		this.queue.announce("request-1", 0, 30, 10, 5_000);
+		this.queue.announce(ServingFixtures.ORIGIN, "request-1", 0, 30, 10, 5_000);
 		assertThat(this.queue.expectedWaitMillis(0)).isPositive();
-		this.queue.announce("request-1", 0, 0, 10, 5_000);
+		this.queue.announce(ServingFixtures.ORIGIN, "request-1", 0, 0, 10, 5_000);
 		assertThat(this.queue.expectedWaitMillis(0)).isZero();
 	}
 
--- a/src/test/java/org/magnoliahub/serving/StageChainSimulation.java
+++ b/src/test/java/org/magnoliahub/serving/StageChainSimulation.java
@@ -354,8 +354,8 @@
 			submitReady();
 			for (int stage = 0; stage < this.requestClass.stages().size(); stage++) {
 				if (!this.submitted.contains(stage) && this.progress.pieceCount(stage) > 0) {
-					service(stage).queue.announce("request-" + System.identityHashCode(this), stage,
-							this.progress.pieceCount(stage), this.requestClass.stages().get(stage).resultBytes(),
+					service(stage).queue.announce(ServingFixtures.ORIGIN, "request-" + System.identityHashCode(this),
+							stage, this.progress.pieceCount(stage), this.requestClass.stages().get(stage).resultBytes(),
 							StageChainSimulation.this.now + ANNOUNCEMENT_MILLIS);
 				}
 			}
@@ -372,7 +372,7 @@
 			long id = StageChainSimulation.this.nextId++;
 			List<String> inputs = this.progress.stageInputs(stage);
 			RouteStage definition = this.requestClass.stages().get(stage);
-			StageJob job = new StageJob("gateway", id, "request-" + System.identityHashCode(this), stage,
+			StageJob job = new StageJob(ServingFixtures.ORIGIN, id, "request-" + System.identityHashCode(this), stage,
 					this.progress.missingPieces(stage), inputs.isEmpty() ? "key" : null, inputs,
 					this.chain.hasLargeInputs(stage), definition.resultBytes(),
 					this.startedAt + this.requestClass.objectiveMillis() - this.chain.remainingMillis(stage),
@@ -435,7 +435,7 @@
 			this.ended = true;
 			this.jobs.forEach((id, job) -> {
 				StageChainSimulation.this.requestsByJob.remove(id);
-				service(job.stage()).queue.cancel("gateway", id);
+				service(job.stage()).queue.cancel(ServingFixtures.ORIGIN, id);
 			});
 			IntStream.range(0, this.requestClass.stages().size()).forEach(this::release);
 		}
--- a/src/test/java/org/magnoliahub/serving/StageQueueTests.java
+++ b/src/test/java/org/magnoliahub/serving/StageQueueTests.java
@@ -55,8 +55,8 @@
 
 	@Test
 	void latePieceWithLargeInputsIsNotDeferred() {
-		StageJob late = new StageJob("gateway", 1, "request-1", 1, List.of(0), null, List.of("10.0.0.1:80/x"), true, 10,
-				50, 100_000, 0, ZonePreference.NONE);
+		StageJob late = new StageJob(ServingFixtures.ORIGIN, 1, "request-1", 1, List.of(0), null,
+				List.of("10.0.0.1:80/x"), true, 10, 50, 100_000, 0, ZonePreference.NONE);
 		this.queue.add(late, 0);
 		this.queue.add(ServingFixtures.job(2, 10, 900, 10), 0);
 		assertThat(this.queue.nextBatch(100).orElseThrow().tasks().get(0).job().jobId()).isEqualTo(1);
@@ -64,8 +64,8 @@
 
 	@Test
 	void latePieceWithSmallInputsDoesNotDelayPiecesThatCanMeetTheirObjective() {
-		StageJob late = new StageJob("gateway", 1, "request-1", 1, List.of(0), null, List.of("10.0.0.1:80/x"), false,
-				10, 50, 100_000, 0, ZonePreference.NONE);
+		StageJob late = new StageJob(ServingFixtures.ORIGIN, 1, "request-1", 1, List.of(0), null,
+				List.of("10.0.0.1:80/x"), false, 10, 50, 100_000, 0, ZonePreference.NONE);
 		this.queue.add(late, 0);
 		this.queue.add(ServingFixtures.job(2, 10, 900, 10), 0);
 		assertThat(this.queue.nextBatch(100).orElseThrow().tasks()).allMatch((task) -> task.job().jobId() == 2);
@@ -122,7 +122,7 @@
 	@Test
 	void cancelledPiecesDoNotStart() {
 		this.queue.add(ServingFixtures.job(1, 2, 500, 10), 0);
-		this.queue.cancel("gateway", 1);
+		this.queue.cancel(ServingFixtures.ORIGIN, 1);
 		assertThat(this.queue.nextBatch(0)).isEmpty();
 	}
 
@@ -130,14 +130,46 @@
 	void runningPieceOfACancelledJobIsMarked() {
 		this.queue.add(ServingFixtures.job(1, 1, 500, 10), 0);
 		StageBatch batch = this.queue.nextBatch(0).orElseThrow();
-		this.queue.cancel("gateway", 1);
+		this.queue.cancel(ServingFixtures.ORIGIN, 1);
 		assertThat(this.queue.isCancelled(batch.tasks().get(0))).isTrue();
 	}
 
+	/**
+	 * Guards against jobs of a restarted gateway that are taken for those of its earlier
+	 * process, whose numbers they have again.
+	 */
+	@Test
+	void jobsOfAGoneConnectionAreCancelledAndThoseOfItsSuccessorAreKept() {
+		JobOrigin successor = new JobOrigin(ServingFixtures.ORIGIN.gateway(), 2);
+		this.queue.add(ServingFixtures.job(1, 2, 500, 10), 0);
+		StageBatch batch = this.queue.nextBatch(0).orElseThrow();
+		this.queue.add(ServingFixtures.job(2, 1, 500, 10), 0);
+		this.queue.add(ServingFixtures.job(1, 1, 500, 10).submittedBy(successor, 1), 0);
+		assertThat(this.queue.cancelAll(ServingFixtures.ORIGIN)).isEqualTo(3);
+		assertThat(batch.tasks()).allMatch(this.queue::isCancelled);
+		assertThat(this.queue.complete(batch, results(batch), 300)).hasSize(2);
+		StageBatch next = this.queue.nextBatch(300).orElseThrow();
+		assertThat(next.tasks()).singleElement().satisfies((task) -> {
+			assertThat(task.job().origin()).isEqualTo(successor);
+			assertThat(this.queue.isCancelled(task)).isFalse();
+		});
+	}
+
+	@Test
+	void announcementsOfAGoneConnectionAreWithdrawnAndThoseOfItsSuccessorAreKept() {
+		JobOrigin successor = new JobOrigin(ServingFixtures.ORIGIN.gateway(), 2);
+		this.queue.announce(ServingFixtures.ORIGIN, "request-1", 0, 30, 10, 5_000);
+		double announced = this.queue.expectedWaitMillis(0);
+		this.queue.announce(successor, "request-1", 0, 30, 10, 5_000);
+		assertThat(this.queue.expectedWaitMillis(0)).isGreaterThan(announced);
+		this.queue.cancelAll(ServingFixtures.ORIGIN);
+		assertThat(this.queue.expectedWaitMillis(0)).isEqualTo(announced);
+	}
+
 	@Test
 	void expiredPiecesAreRemoved() {
-		StageJob work = new StageJob("gateway", 1, "request-1", 0, List.of(0), "key", List.of(), false, 10, 50, 300, 0,
-				ZonePreference.NONE);
+		StageJob work = new StageJob(ServingFixtures.ORIGIN, 1, "request-1", 0, List.of(0), "key", List.of(), false, 10,
+				50, 300, 0, ZonePreference.NONE);
 		this.queue.add(work, 0);
 		assertThat(this.queue.removeExpired(0)).isEmpty();
 		assertThat(this.queue.removeExpired(100)).hasSize(1);
@@ -164,12 +196,12 @@
 
 	@Test
 	void announcedPiecesCountUntilTheyAreSubmittedOrExpire() {
-		this.queue.announce("request-1", 0, 30, 10, 5_000);
+		this.queue.announce(ServingFixtures.ORIGIN, "request-1", 0, 30, 10, 5_000);
 		double announced = this.queue.expectedWaitMillis(0);
 		assertThat(announced).isGreaterThan(900);
 		this.queue.add(ServingFixtures.job(1, 30, 500, 10), 0);
 		assertThat(this.queue.expectedWaitMillis(0)).isEqualTo(announced);
-		this.queue.announce("request-2", 0, 30, 10, 5_000);
+		this.queue.announce(ServingFixtures.ORIGIN, "request-2", 0, 30, 10, 5_000);
 		assertThat(this.queue.expectedWaitMillis(5_001)).isEqualTo(announced);
 	}
 
@@ -220,21 +252,21 @@
 		StageQueue other = twoZones();
 		other.add(jobInZone(1, "z2", 5_000), 0);
 		assertThat(other.nextBatch(0)).isPresent();
-		other.add(new StageJob("gateway", 2, "request-2", 1, List.of(0), null, List.of("10.0.0.1:80/x"), true, 10,
-				5_000, 100_000, 0, new ZonePreference("z2", 8_000)), 0);
+		other.add(new StageJob(ServingFixtures.ORIGIN, 2, "request-2", 1, List.of(0), null, List.of("10.0.0.1:80/x"),
+				true, 10, 5_000, 100_000, 0, new ZonePreference("z2", 8_000)), 0);
 		assertThat(other.nextBatch(0)).isPresent();
 	}
 
 	@Test
 	void pieceWithALargeResultDoesNotWaitForAZoneWithoutCapacity() {
 		StageQueue other = twoZones();
-		StageJob large = new StageJob("gateway", 1, "request-1", 0, List.of(0), "key", List.of(), false, 10_000, 5_000,
-				100_000, 0, new ZonePreference("z2", 1_000_000));
+		StageJob large = new StageJob(ServingFixtures.ORIGIN, 1, "request-1", 0, List.of(0), "key", List.of(), false,
+				10_000, 5_000, 100_000, 0, new ZonePreference("z2", 1_000_000));
 		other.add(large, 0);
 		StageBatch batch = other.nextBatch(0).orElseThrow();
 		other.complete(batch, results(batch), 300);
-		other.add(new StageJob("gateway", 2, "request-2", 0, List.of(0), "key", List.of(), false, 10_000, 5_000,
-				100_000, 0, new ZonePreference("z2", 1_000_000)), 300);
+		other.add(new StageJob(ServingFixtures.ORIGIN, 2, "request-2", 0, List.of(0), "key", List.of(), false, 10_000,
+				5_000, 100_000, 0, new ZonePreference("z2", 1_000_000)), 300);
 		assertThat(other.nextBatch(300).orElseThrow().endpoint().record().availabilityZone()).isEqualTo("z1");
 	}
 
@@ -252,8 +284,8 @@
 	}
 
 	private static StageJob jobInZone(long jobId, String zone, long startDeadline) {
-		return new StageJob("gateway", jobId, "request-" + jobId, 1, List.of(0), null, List.of("10.0.0.1:80/x"), true,
-				10, startDeadline, 100_000, 0, new ZonePreference(zone, 1_000_000));
+		return new StageJob(ServingFixtures.ORIGIN, jobId, "request-" + jobId, 1, List.of(0), null,
+				List.of("10.0.0.1:80/x"), true, 10, startDeadline, 100_000, 0, new ZonePreference(zone, 1_000_000));
 	}
 
 	/**
@@ -279,8 +311,8 @@
 
 	@Test
 	void pieceWithoutCapacityIsRemovedWhenItsRequestExpires() {
-		this.queue.add(new StageJob("gateway", 1, "request-1", 0, List.of(0), "key", List.of(), false, 10, 500, 1_000,
-				0, ZonePreference.NONE), 0);
+		this.queue.add(new StageJob(ServingFixtures.ORIGIN, 1, "request-1", 0, List.of(0), "key", List.of(), false, 10,
+				500, 1_000, 0, ZonePreference.NONE), 0);
 		StageBatch batch = this.queue.nextBatch(0).orElseThrow();
 		assertThat(this.queue.complete(batch, noCapacityResults(batch), 1)).isEmpty();
 		assertThat(this.queue.removeExpired(900)).hasSize(1);
