Ignore records of endpoints that were written before what is known

What callers saw: about 50 orders reached a server 2.5 to 6 s after its removal from the list (DRAIN), and one or two that were at work when it exited were answered 502. The store had performed one of the server's writes 5.9 s late, behind the removal.

Cause: the directory applied every valid record except in the first list after a restoration of the store. It kept the state of removed endpoints and knew their last sequence number, but compared it on that path only. EndpointState took a record with an earlier start for that of a new process and forgot that the present one drains.

Evidence: EndpointDirectoryTests with the judgement taken out, so that each record counts as before: 10 of the 12 new tests failed (record from before a removal, of an earlier process, with an older address, service or grace period). All pass now. EndpointRestoreTests, StoreRestorationModelTests and StoreRollbackTests pass unchanged.

Change: RecordOrder decides for changes, lists and restorations alike. In one process the sequence number decides; a removed endpoint needs a higher one. A later start is a new process at once. A record of an earlier process, or without a start, counts when the process has written twice with nothing of the present one between: a live process writes again, a late write is not repeated. So a server whose clock runs behind is used one heartbeat late. A removed endpoint with a higher number may have written before its removal, too: until its second write it is used only if its service has no other endpoint. One whose record lapsed in an outage of the store is back at once, as before. Ignored records are logged as endpoint_changed with state outdated.

--- a/src/main/java/org/magnoliahub/entry/EndpointTable.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointTable.java
@@ -68,10 +68,13 @@
 				this.directory.remove(row.key(), now);
 				continue;
 			}
+			if (!this.directory.update(record.get())) {
+				logChange(row, record.get().service(), "outdated");
+				continue;
+			}
 			if (record.get().draining() && this.draining.add(row.key())) {
 				logChange(row, record.get().service(), "draining");
 			}
-			this.directory.update(record.get());
 		}
 	}
 
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -42,7 +42,7 @@
 	/** A timer task ended with an unexpected exception. */
 	TASK_FAILED(Importance.HIGH, "reason"),
 
-	/** An endpoint was listed, is draining, or entered its grace period. */
+	/** An endpoint is draining or gone, or a record of it is outdated and ignored. */
 	ENDPOINT_CHANGED(Importance.HIGH, "endpoint", "service", "state", "revision"),
 
 	/**
--- a/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Endpoints that the store lists, each with the state that this gateway tracks for it.
  * <p>
@@ -17,7 +19,8 @@
  * grace period of {@value #RELISTING_GRACE_MILLIS} ms after the outage, because a live
  * endpoint writes its record again within that time. The same applies after the store was
  * restored from an older backup. The state of a removed endpoint is kept, so that an
- * outdated record does not make it available again.
+ * outdated record does not make it available again; {@link RecordOrder} decides for all
+ * sources of records which ones count.
  */
 public final class EndpointDirectory {
 
@@ -68,6 +71,7 @@
 		this.hasGracePeriods = false;
 		for (EndpointState endpoint : List.copyOf(this.endpoints.values())) {
 			if (endpoint.isExpired(now)) {
+				endpoint.recordOrder().lapsed();
 				moveToDeparted(endpoint);
 			}
 			else {
@@ -101,7 +105,7 @@
 	public void replaceAll(Collection<EndpointRecord> records, long now) {
 		this.loaded = true;
 		for (EndpointRecord record : records) {
-			addOrUpdate(record);
+			update(record);
 		}
 		removeUnlisted(records, now);
 	}
@@ -119,13 +123,15 @@
 		this.graceUntil = now + RELISTING_GRACE_MILLIS;
 		int outdated = 0;
 		for (EndpointRecord record : records) {
-			EndpointState state = this.endpoints.getOrDefault(record.id(), this.departed.get(record.id()));
-			if (state == null || supersedes(record, state)) {
-				addOrUpdate(record);
+			EndpointState state = known(record.id());
+			RecordOrder.Judgement judgement = (state != null)
+					? state.recordOrder().judgeRestored(record, state.record()) : RecordOrder.Judgement.CURRENT;
+			if (judgement != RecordOrder.Judgement.OUTDATED) {
+				apply(record, judgement);
 				continue;
 			}
 			outdated++;
-			if (this.endpoints.containsKey(record.id()) && !record.isSameProcess(state.record())) {
+			if (state != null && this.endpoints.containsKey(record.id()) && !record.isSameProcess(state.record())) {
 				startGracePeriod(state);
 			}
 		}
@@ -135,11 +141,9 @@
 		return new RestoreSummary(records.size(), outdated, unlisted - dropped, dropped);
 	}
 
-	// A record of a removed process may predate the removal even if it is newer than the
-	// last record that was read. If the process is alive, it soon writes again.
-	private boolean supersedes(EndpointRecord record, EndpointState state) {
-		boolean departed = !this.endpoints.containsKey(record.id());
-		return !record.isOlderThan(state.record()) && !(departed && record.isSameProcess(state.record()));
+	private @Nullable EndpointState known(String id) {
+		EndpointState listed = this.endpoints.get(id);
+		return (listed != null) ? listed : this.departed.get(id);
 	}
 
 	// Returns the number of known endpoints that are not in the list.
@@ -159,11 +163,19 @@
 	}
 
 	/**
-	 * Adds an endpoint or updates its record.
+	 * Adds an endpoint or updates its record, unless the record is outdated.
 	 * @param record the new or changed record
+	 * @return whether the record counts
 	 */
-	public void update(EndpointRecord record) {
-		addOrUpdate(record);
+	public boolean update(EndpointRecord record) {
+		EndpointState state = known(record.id());
+		RecordOrder.Judgement judgement = (state != null) ? state.recordOrder().judge(record, state.record())
+				: RecordOrder.Judgement.CURRENT;
+		if (judgement == RecordOrder.Judgement.OUTDATED) {
+			return false;
+		}
+		apply(record, judgement);
+		return true;
 	}
 
 	/**
@@ -176,21 +188,21 @@
 	}
 
 	/**
-	 * Returns the endpoints of a service that accept new work. Endpoints in their grace
-	 * period are returned only if no listed endpoint is available.
+	 * Returns the endpoints of a service that accept new work. Endpoints that may have
+	 * gone are returned only if no other one is available.
 	 * @param service name of the service
 	 * @param now monotonic time, in milliseconds
 	 * @return endpoints in no particular order
 	 */
 	public List<EndpointState> availableEndpoints(String service, long now) {
 		List<EndpointState> listed = new ArrayList<>();
-		List<EndpointState> inGracePeriod = new ArrayList<>();
+		List<EndpointState> doubtful = new ArrayList<>();
 		for (EndpointState endpoint : this.endpointsByService.getOrDefault(service, List.of())) {
 			if (endpoint.isAvailable(now)) {
-				(endpoint.isInGracePeriod() ? inGracePeriod : listed).add(endpoint);
+				(endpoint.isDoubtful() ? doubtful : listed).add(endpoint);
 			}
 		}
-		return listed.isEmpty() ? inGracePeriod : listed;
+		return listed.isEmpty() ? doubtful : listed;
 	}
 
 	/**
@@ -247,29 +259,29 @@
 		return this.endpoints.size();
 	}
 
-	private void addOrUpdate(EndpointRecord record) {
+	private void apply(EndpointRecord record, RecordOrder.Judgement judgement) {
 		EndpointState known = this.endpoints.get(record.id());
 		if (known == null) {
-			add(record);
+			add(record, judgement);
 			return;
 		}
 		boolean moved = !known.record().service().equals(record.service());
 		if (moved) {
 			removeFromService(known);
 		}
-		known.update(record);
+		known.update(record, judgement);
 		if (moved) {
 			addToService(known);
 		}
 	}
 
-	private void add(EndpointRecord record) {
+	private void add(EndpointRecord record, RecordOrder.Judgement judgement) {
 		EndpointState state = this.departed.remove(record.id());
 		if (state == null) {
 			state = new EndpointState(record);
 		}
 		else {
-			state.update(record);
+			state.update(record, judgement);
 		}
 		this.endpoints.put(record.id(), state);
 		addToService(state);
@@ -284,6 +296,7 @@
 			startGracePeriod(endpoint);
 			return;
 		}
+		endpoint.recordOrder().removed();
 		moveToDeparted(endpoint);
 	}
 
--- a/src/main/java/org/magnoliahub/serving/EndpointRecord.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointRecord.java
@@ -30,16 +30,12 @@
 	}
 
 	/**
-	 * Returns whether this record was written before another one. The store returns such
-	 * records after its restoration from an older backup.
+	 * Returns whether this record states a later start of its process than another one.
 	 * @param known another record with the same id
-	 * @return whether this record is outdated
+	 * @return whether it is of a process that replaced that of the other record
 	 */
-	boolean isOlderThan(EndpointRecord known) {
-		if (isSameProcess(known)) {
-			return this.sequence < known.sequence;
-		}
-		return this.processStartMillis != 0 && this.processStartMillis < known.processStartMillis;
+	boolean isOfLaterProcess(EndpointRecord known) {
+		return this.processStartMillis > known.processStartMillis;
 	}
 
 }
--- a/src/main/java/org/magnoliahub/serving/EndpointState.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointState.java
@@ -35,6 +35,10 @@
 
 	private EndpointRecord record;
 
+	private final RecordOrder recordOrder = new RecordOrder();
+
+	private boolean doubtful;
+
 	private long expiresAt = Long.MAX_VALUE;
 
 	private boolean draining;
@@ -84,7 +88,22 @@
 		return this.record;
 	}
 
-	void update(EndpointRecord newRecord) {
+	/**
+	 * Returns what decides which records of the endpoint count.
+	 * @return the order of its records
+	 */
+	RecordOrder recordOrder() {
+		return this.recordOrder;
+	}
+
+	/**
+	 * Applies a record that counts.
+	 * @param newRecord the record
+	 * @param judgement why it counts
+	 */
+	void update(EndpointRecord newRecord, RecordOrder.Judgement judgement) {
+		this.recordOrder.applied(judgement);
+		this.doubtful = judgement == RecordOrder.Judgement.DOUBTFUL;
 		boolean restarted = !newRecord.isSameProcess(this.record) || !newRecord.address().equals(this.record.address());
 		if (!newRecord.isSameProcess(this.record)) {
 			this.draining = false;
@@ -205,6 +224,15 @@
 		return this.expiresAt != Long.MAX_VALUE;
 	}
 
+	/**
+	 * Returns whether the endpoint may have gone: its record is missing, or may have been
+	 * written before its removal.
+	 * @return whether other endpoints are preferred
+	 */
+	boolean isDoubtful() {
+		return this.doubtful || isInGracePeriod();
+	}
+
 	boolean isExpired(long now) {
 		return now >= this.expiresAt;
 	}
