Keep a silent stream at its server until another one has taken it

What callers saw: a stream with stages that its server had preempted, and would have gone on with, was cut (LOST beside a planned stop). After 1 s of silence the gateway closed it, ran its stages again, was refused by the other server, which was full, and had nothing left.

Cause: an attempt that is silent is kept beside the next one for 250 ms, because two servers must not work on one request for longer. When the results of the stages had been released, so from the first event on, the attempt was cancelled at once instead, since stages take longer than that. Whether the stages succeed and another server takes the stream was known only afterwards.

Cut were streams whose other server refused, whose stages failed when they ran again, and that went on meanwhile; the connection to a server that stayed silent was closed before another one had the request.

Change: the overlap begins when the request is sent to another server, not when the stages begin again. A kept attempt goes on if it responds first, if the stages fail, or if the other servers refuse; stages that run for its replacement are then cancelled and their results released. It gets the whole timeout again before the stages are repeated once more, so a server that stays silent costs one run of the stages a second at most, within the retry budget. A hung server is left as soon as before.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -170,10 +170,15 @@
 	}
 
 	/**
-	 * Waits for the response again after the request was sent to another endpoint.
+	 * Waits for the response again after another endpoint was tried.
+	 * @param anew whether the timeout begins again, so that stages that fail are not
+	 * repeated at once
 	 */
-	void continueWaiting() {
+	void continueWaiting(boolean anew) {
 		this.timeoutCheck.dispose();
+		if (anew) {
+			this.lastReceivedMillis = this.context.now();
+		}
 		scheduleTimeoutCheck();
 	}
 
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -305,6 +305,9 @@
 				this.workspace, inputs, lastEventId);
 		Attempt next = new Attempt(this.context, this, choice, isStreaming(), isRetryable());
 		this.attempt = next;
+		if (this.silentAttempt != null) {
+			this.silentAttempt.limitOverlap();
+		}
 		next.send(this.exchange, this.request, headers, now);
 	}
 
@@ -339,21 +342,17 @@
 	}
 
 	/**
-	 * Sends the request to another endpoint because the current attempt is silent. The
-	 * silent attempt continues if it responds first or the other endpoints refuse.
+	 * Sends the request to another endpoint because the current attempt is silent, after
+	 * its stages have run again if their results were released. The silent attempt
+	 * continues if it responds first, the stages fail or the other endpoints refuse.
 	 */
 	void replaceSilentAttempt() {
 		Attempt silent = this.attempt;
 		if (silent == null) {
 			return;
 		}
-		if (this.requestStages != null && this.requestStages.areRequestInputsReleased()) {
-			// The stages take longer than both attempts may overlap.
-			silent.cancel();
-		}
-		else {
-			silentAttempt().keep(silent);
-		}
+		boolean repeatsStages = this.requestStages != null && this.requestStages.areRequestInputsReleased();
+		silentAttempt().keep(silent, repeatsStages);
 		onOutcomeUnknown("silent");
 	}
 
@@ -382,20 +381,33 @@
 			return false;
 		}
 		this.possibleExecutions--;
-		resume(silent);
+		continueWith(silent);
 		return true;
 	}
 
 	/**
-	 * Continues with an attempt that was replaced because it was silent.
+	 * Continues with an attempt that was replaced because it was silent, and responds
+	 * now.
 	 * @param silent the attempt
 	 */
 	void resume(Attempt silent) {
 		if (this.attempt != null) {
 			this.attempt.cancel();
 		}
+		else {
+			// No other endpoint has got the request yet.
+			this.possibleExecutions--;
+		}
+		continueWith(silent);
+	}
+
+	private void continueWith(Attempt silent) {
 		this.attempt = silent;
-		silent.continueWaiting();
+		boolean stagesRepeated = silentAttempt().areStagesRepeated();
+		if (stagesRepeated && this.requestStages != null) {
+			this.requestStages.cancel();
+		}
+		silent.continueWaiting(stagesRepeated);
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/SilentAttempt.java
+++ b/src/main/java/org/magnoliahub/entry/SilentAttempt.java
@@ -7,8 +7,9 @@
 import org.magnoliahub.time.Timers;
 
 /**
- * Keeps the silent attempt of a request while the request is sent to another endpoint, so
- * that the silent one can continue if the other one refuses.
+ * Keeps the silent attempt of a request until another endpoint has taken the request, so
+ * that the silent one can continue if the other one refuses or the stages fail that the
+ * other one needs.
  */
 final class SilentAttempt {
 
@@ -25,6 +26,8 @@
 
 	private @Nullable Attempt attempt;
 
+	private boolean stagesRepeated;
+
 	private Disposable timer = Disposable.disposed();
 
 	/**
@@ -38,13 +41,33 @@
 	}
 
 	/**
-	 * Keeps an attempt until it is taken or released, at most for the permitted overlap.
-	 * An attempt that was kept before is cancelled.
+	 * Keeps an attempt until it is taken or released. An attempt that was kept before is
+	 * cancelled.
 	 * @param silent the attempt
+	 * @param repeatsStages whether the stages run again before the request is sent to
+	 * another endpoint
 	 */
-	void keep(Attempt silent) {
+	void keep(Attempt silent, boolean repeatsStages) {
 		release();
 		this.attempt = silent;
+		this.stagesRepeated = repeatsStages;
+	}
+
+	/**
+	 * Returns whether the stages run again, or have, for the attempt that replaces the
+	 * latest kept one.
+	 * @return whether the kept attempt needs none of their results
+	 */
+	boolean areStagesRepeated() {
+		return this.stagesRepeated;
+	}
+
+	/**
+	 * Called when the request is sent to another endpoint. A kept attempt is cancelled
+	 * after the permitted overlap.
+	 */
+	void limitOverlap() {
+		this.timer.dispose();
 		this.timer = this.timers.schedule(Duration.ofMillis(MAXIMUM_OVERLAP_MILLIS), this::release);
 	}
 
--- a/src/main/java/org/magnoliahub/entry/StageExecution.java
+++ b/src/main/java/org/magnoliahub/entry/StageExecution.java
@@ -150,7 +150,7 @@
 	}
 
 	boolean areRequestInputsReleased() {
-		return this.requestInputsReleased;
+		return this.requestInputsReleased || this.cancelled;
 	}
 
 	private void submitReady() {
