Bound the memory for bodies of all connections together

Cause: each answer is bounded (4 MiB, an event 256 KiB) and so is each request, but not their sum.

Change: BodyMemory counts the bodies that are kept. Incomplete answers may take an eighth of the heap together. Beyond it the largest answer of the endpoint that holds most is given up like any broken answer: 502 if the request may not be repeated, another endpoint if it may. Bodies of requests may take a fifth. Beyond it the incomplete request that lacks most is refused with 503 and Retry-After 1 s, since it was not passed on and has cost its caller least; requests that were passed on are counted and never refused.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.serving.BodyMemory;
 import org.magnoliahub.serving.CallerRequest;
 import org.magnoliahub.serving.EndpointCall;
 import org.magnoliahub.serving.EndpointChoice;
@@ -20,7 +21,7 @@
  * One attempt to have an endpoint execute a request. Evaluates the response and reports
  * the outcome to the {@link RequestFlow}.
  */
-final class Attempt implements ResponseListener {
+final class Attempt implements ResponseListener, BodyMemory.Holder {
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
@@ -234,6 +235,7 @@
 				return;
 			}
 			this.body.writeBytes(data);
+			holdMemory(this.body.readableBytes());
 			return;
 		}
 		this.lastReceivedMillis = this.context.now();
@@ -243,11 +245,17 @@
 			rejectResponse("event too large");
 			return;
 		}
-		if (events.length > 0) {
+		holdMemory(this.splitter.incompleteBytes());
+		if (events.length > 0 && !this.ended) {
 			relayEvents(events, this.head, this.headers);
 		}
 	}
 
+	// May end this attempt, or others that hold more.
+	private void holdMemory(long bytes) {
+		this.context.responseMemory().hold(this, endpointId(), bytes, bytes);
+	}
+
 	private void relayEvents(byte[] events, ResponseHead responseHead, HttpHeaders endpointHeaders) {
 		if (this.call != null) {
 			this.call.recordFirstResponse(this.lastReceivedMillis);
@@ -399,8 +407,14 @@
 		}
 	}
 
+	@Override
+	public void evict() {
+		this.flow.faultBarrier().run(() -> rejectResponse("no memory for its answer"));
+	}
+
 	private void finish() {
 		this.ended = true;
+		this.context.responseMemory().release(this);
 		this.timeoutCheck.dispose();
 		if (this.call != null) {
 			this.call.end();
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/BodyLimits.java
@@ -0,0 +1,25 @@
+package org.magnoliahub.entry;
+
+/**
+ * Limits on the total size of the bodies that a gateway keeps in memory.
+ *
+ * @param requestBytes limit for requests, incomplete ones and those in progress
+ * @param responseBytes limit for incomplete responses
+ */
+record BodyLimits(long requestBytes, long responseBytes) {
+
+	/** Buffers grow by doubling, so a body may take twice its size. */
+	private static final long HEAP_SHARE_OF_REQUESTS = 5;
+
+	private static final long HEAP_SHARE_OF_RESPONSES = 8;
+
+	/**
+	 * Returns limits that leave room for everything else.
+	 * @param heapBytes maximum size of the heap, in bytes
+	 * @return the limits
+	 */
+	static BodyLimits ofHeap(long heapBytes) {
+		return new BodyLimits(heapBytes / HEAP_SHARE_OF_REQUESTS, heapBytes / HEAP_SHARE_OF_RESPONSES);
+	}
+
+}
--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -31,6 +31,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.serving.BodyMemory;
 
 /**
  * A connection of a caller. Reads one complete request at a time and writes its response.
@@ -47,12 +48,17 @@
 	 */
 	private static final Duration READ_TIME = Duration.ofMillis(20);
 
+	/** Retry-After of a request whose body has no room, about the time of an upload. */
+	private static final long NO_MEMORY_RETRY_AFTER_MILLIS = 1_000;
+
 	private static final byte[] EMPTY_BODY = new byte[0];
 
 	private final CallerServer server;
 
 	private final Channel channel;
 
+	private final BodyMemory.Holder bodyHolder = this::refuseBody;
+
 	private final Deque<Object> queuedMessages = new ArrayDeque<>();
 
 	private @Nullable HttpRequest head;
@@ -187,12 +193,21 @@
 				this.body = Unpooled.buffer(content.content().readableBytes());
 			}
 			this.body.writeBytes(content.content());
+			this.server.bodyMemory().hold(this.bodyHolder, this, size, missingBytes(size));
 		}
-		if (content instanceof LastHttpContent) {
+		if (content instanceof LastHttpContent && !this.closing) {
 			completeRequest();
 		}
 	}
 
+	// Requests that lack most are refused first: they have cost their callers least, and
+	// those that are nearly complete soon make room.
+	private long missingBytes(long received) {
+		long maximum = this.server.limits().maximumBodyBytes();
+		long expected = (this.head != null) ? HttpUtil.getContentLength(this.head, maximum) : maximum;
+		return Math.max(0, expected - received);
+	}
+
 	private void completeRequest() {
 		HttpRequest request = this.head;
 		if (request == null) {
@@ -205,6 +220,7 @@
 		}
 		this.head = null;
 		this.body = Unpooled.EMPTY_BUFFER;
+		this.server.bodyMemory().complete(this.bodyHolder);
 		Exchange exchange = new Exchange(request, bytes, this.server.timers().milliTime());
 		this.currentExchange = exchange;
 		try {
@@ -217,17 +233,36 @@
 	}
 
 	private void reject(HttpResponseStatus status) {
-		this.closing = true;
+		rejectWith(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status));
+		this.server.logMalformedRequest(status.code());
+	}
+
+	// The request was not passed on, since it is incomplete.
+	private void refuseBody() {
+		HttpResponseStatus status = HttpResponseStatus.SERVICE_UNAVAILABLE;
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+		response.headers().set(HttpHeaderNames.RETRY_AFTER, Double.toString(NO_MEMORY_RETRY_AFTER_MILLIS / 1_000.0));
+		rejectWith(response);
+		this.server.logRefusedBody(status.code(), NO_MEMORY_RETRY_AFTER_MILLIS);
+	}
+
+	private void rejectWith(FullHttpResponse response) {
+		this.closing = true;
+		dropBody();
 		response.headers()
 			.set(HttpHeaderNames.CONTENT_LENGTH, 0)
 			.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		this.channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
-		this.server.logMalformedRequest(status.code());
+	}
+
+	private void dropBody() {
+		this.body = Unpooled.EMPTY_BUFFER;
+		this.server.bodyMemory().release(this.bodyHolder);
 	}
 
 	private void onResponseEnd(boolean close) {
 		this.currentExchange = null;
+		dropBody();
 		this.lastActiveMillis = this.server.timers().milliTime();
 		if (close) {
 			this.closing = true;
@@ -251,6 +286,7 @@
 	public void channelInactive(ChannelHandlerContext context) {
 		this.closing = true;
 		this.timeoutCheck.dispose();
+		dropBody();
 		releaseQueued();
 		this.server.onConnectionClosed(this);
 		Exchange exchange = this.currentExchange;
--- a/src/main/java/org/magnoliahub/entry/CallerServer.java
+++ b/src/main/java/org/magnoliahub/entry/CallerServer.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.serving.BodyMemory;
 import org.magnoliahub.serving.CallerLimits;
 import org.magnoliahub.time.Timers;
 
@@ -41,6 +42,8 @@
 
 	private final EntryMetrics metrics;
 
+	private final BodyMemory bodyMemory;
+
 	private final Set<CallerConnection> connections = new HashSet<>();
 
 	private @Nullable Channel listener;
@@ -50,12 +53,13 @@
 	private boolean closingIdle;
 
 	CallerServer(Timers timers, Supplier<CallerLimits> limits, Consumer<CallerExchange> handler, EntryLog log,
-			EntryMetrics metrics) {
+			EntryMetrics metrics, BodyMemory bodyMemory) {
 		this.timers = timers;
 		this.limits = limits;
 		this.handler = handler;
 		this.log = log;
 		this.metrics = metrics;
+		this.bodyMemory = bodyMemory;
 	}
 
 	/**
@@ -87,6 +91,10 @@
 		return this.limits.get();
 	}
 
+	BodyMemory bodyMemory() {
+		return this.bodyMemory;
+	}
+
 	boolean isDraining() {
 		return this.draining;
 	}
@@ -135,6 +143,14 @@
 		RequestFaultBarrier.report(this.log, this.metrics, "", cause);
 	}
 
+	void logRefusedBody(int status, long retryAfterMillis) {
+		this.log.event(EntryEvent.REQUEST_REFUSED)
+			.field("status", status)
+			.field("reason", "no_memory")
+			.field("retry_after_ms", retryAfterMillis)
+			.write();
+	}
+
 	void logMalformedRequest(int status) {
 		this.log.event(EntryEvent.REQUEST_MALFORMED).field("status", status).write();
 	}
--- a/src/main/java/org/magnoliahub/entry/EntryContext.java
+++ b/src/main/java/org/magnoliahub/entry/EntryContext.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.magnoliahub.gateway.RequestRecorder;
+import org.magnoliahub.serving.BodyMemory;
 import org.magnoliahub.serving.EndpointDirectory;
 import org.magnoliahub.serving.EndpointSelector;
 import org.magnoliahub.serving.GatewayGroup;
@@ -26,14 +27,15 @@
  * @param crashingPrompts keeps requests from engines that they would crash
  * @param configurationTable holds the current configuration
  * @param gracefulShutdown decides which requests are accepted during a graceful shutdown
+ * @param responseMemory bounds the answers that are not yet complete
  * @param requestRecorder records ended requests for the daily report
  * @param gatewayName the name of this gateway
  */
 record EntryContext(Timers timers, EntryLog log, EntryMetrics metrics, HttpClient httpClient,
 		EndpointNoticeHandler endpointNotices, GatewayGroup gateways, EndpointDirectory directory,
 		EndpointSelector selector, WindowedRetryBudget retryBudget, CrashingPrompts crashingPrompts,
-		ConfigurationTable configurationTable, GracefulShutdown gracefulShutdown, RequestRecorder requestRecorder,
-		String gatewayName) {
+		ConfigurationTable configurationTable, GracefulShutdown gracefulShutdown, BodyMemory responseMemory,
+		RequestRecorder requestRecorder, String gatewayName) {
 
 	long now() {
 		return this.timers.milliTime();
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -24,6 +24,7 @@
 import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.platform.PlatformHeaders;
 import org.magnoliahub.platform.StoreFormat;
+import org.magnoliahub.serving.BodyMemory;
 import org.magnoliahub.serving.CallerLimits;
 import org.magnoliahub.serving.EndpointDirectory;
 import org.magnoliahub.serving.EndpointSelector;
@@ -116,7 +117,8 @@
 
 	private final GracefulShutdown gracefulShutdown;
 
-	private EntryGateway(NodeSettings settings, Duration recordInterval, Consumer<String> output) {
+	private EntryGateway(NodeSettings settings, Duration recordInterval, Consumer<String> output,
+			BodyLimits bodyLimits) {
 		this.settings = settings;
 		this.group = new NioEventLoopGroup(1);
 		this.timers = new EventLoopTimers(this.group.next(), this::onFailedTask);
@@ -140,13 +142,15 @@
 				new EndpointNoticeHandler(this.timers, this.log, this.metrics, httpClient, gateways), gateways,
 				this.directory, selector, retryBudget,
 				new CrashingPrompts(this.group, this.timers, this.log, settings.nodeName()), this.configurationTable,
-				this.gracefulShutdown, this.requestRecorder, settings.nodeName());
+				this.gracefulShutdown, new BodyMemory(bodyLimits.responseBytes()), this.requestRecorder,
+				settings.nodeName());
 		this.stageCoordinator = new StageCoordinator(this.context, this.group, settings.nodeName());
 		MemberRecord self = new MemberRecord(settings.nodeName(), settings.ip() + ":" + settings.internalPort(),
 				incarnation);
 		this.memberTable = new MemberTable(this.store, this.timers, this.log, self, this.restorationReport,
 				this.stageCoordinator::setMembers);
-		this.callerServer = new CallerServer(this.timers, this::limits, this::accept, this.log, this.metrics);
+		this.callerServer = new CallerServer(this.timers, this::limits, this::accept, this.log, this.metrics,
+				new BodyMemory(bodyLimits.requestBytes()));
 	}
 
 	/**
@@ -157,8 +161,21 @@
 	 * @return the running gateway
 	 */
 	public static EntryGateway start(NodeSettings settings, Duration recordInterval, Consumer<String> output) {
+		return start(settings, recordInterval, output, BodyLimits.ofHeap(Runtime.getRuntime().maxMemory()));
+	}
+
+	/**
+	 * Starts a gateway with limits on the memory for bodies.
+	 * @param settings its settings
+	 * @param recordInterval time between two objects with request records
+	 * @param output receives log lines, must not block
+	 * @param bodyLimits the limits
+	 * @return the running gateway
+	 */
+	static EntryGateway start(NodeSettings settings, Duration recordInterval, Consumer<String> output,
+			BodyLimits bodyLimits) {
 		long started = System.nanoTime();
-		EntryGateway gateway = new EntryGateway(settings, recordInterval, output);
+		EntryGateway gateway = new EntryGateway(settings, recordInterval, output, bodyLimits);
 		gateway.group.next().submit(gateway::startOnLoop).syncUninterruptibly();
 		// Binding waits for the event loop, so it must not run on it.
 		try {
--- a/src/test/java/org/magnoliahub/entry/EntryFixture.java
+++ b/src/test/java/org/magnoliahub/entry/EntryFixture.java
@@ -53,9 +53,16 @@
 	 * Starts one gateway with configuration version 1 and no endpoints.
 	 */
 	static EntryFixture start() throws IOException, PlatformFormatException {
+		return start(BodyLimits.ofHeap(Runtime.getRuntime().maxMemory()));
+	}
+
+	/**
+	 * Starts one gateway that keeps bodies within limits.
+	 */
+	static EntryFixture start(BodyLimits bodyLimits) throws IOException, PlatformFormatException {
 		EntryFixture fixture = new EntryFixture();
 		fixture.putConfiguration(1);
-		fixture.addGateway();
+		fixture.addGateway(fixture.store.address(), bodyLimits);
 		fixture.awaitReady(0);
 		return fixture;
 	}
@@ -78,11 +85,15 @@
 	 * Starts a gateway that reaches the store at another address.
 	 */
 	int addGateway(String storeAddress) throws IOException, PlatformFormatException {
+		return addGateway(storeAddress, BodyLimits.ofHeap(Runtime.getRuntime().maxMemory()));
+	}
+
+	private int addGateway(String storeAddress, BodyLimits bodyLimits) throws IOException, PlatformFormatException {
 		int index = this.gateways.size();
 		EmulatedSettings.Node node = EmulatedSettings.Node.withFreePorts("gateway-" + index, "127.0.0.1");
 		NodeSettings settings = NodeSettingsReader
 			.parse(EmulatedSettings.gateway(node, new EmulatedSettings.Budget(0.2, 58), storeAddress));
-		this.gateways.add(EntryGateway.start(settings, RECORD_INTERVAL, this::onOutput));
+		this.gateways.add(EntryGateway.start(settings, RECORD_INTERVAL, this::onOutput, bodyLimits));
 		this.nodes.add(node);
 		return index;
 	}
--- a/src/test/java/org/magnoliahub/entry/RequestFaultTests.java
+++ b/src/test/java/org/magnoliahub/entry/RequestFaultTests.java
@@ -17,6 +17,7 @@
 import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.StoredRow;
 import org.magnoliahub.platform.emulator.EmulatedSettings;
+import org.magnoliahub.serving.BodyMemory;
 import org.magnoliahub.serving.EndpointDirectory;
 import org.magnoliahub.serving.EndpointSelector;
 import org.magnoliahub.serving.GatewayGroup;
@@ -105,7 +106,7 @@
 				new EndpointSelector(directory, "z1", RandomGenerator.getDefault()),
 				new WindowedRetryBudget(0.2, 10, 10_000),
 				new CrashingPrompts(this.group, this.timers, this.log, "gateway"), table, new GracefulShutdown(8_000),
-				recorder, "gateway");
+				new BodyMemory(Long.MAX_VALUE), recorder, "gateway");
 		return new RequestFlow(context, new StageCoordinator(context, this.group, "gateway"), exchange,
 				(flow) -> this.ended.incrementAndGet());
 	}
