--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -31,6 +31,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.platform.PlatformHeaders;
 import org.magnoliahub.serving.BodyMemory;
 
 /**
@@ -240,10 +241,13 @@
 	// The request was not passed on, since it is incomplete.
 	private void refuseBody() {
 		HttpResponseStatus status = HttpResponseStatus.SERVICE_UNAVAILABLE;
+		String requestId = (this.head != null) ? PlatformHeaders.callerRequest(this.head.headers()).requestId() : "";
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
-		response.headers().set(HttpHeaderNames.RETRY_AFTER, Double.toString(NO_MEMORY_RETRY_AFTER_MILLIS / 1_000.0));
+		response.headers()
+			.set(PlatformHeaders.ownAnswerHeaders(requestId))
+			.set(HttpHeaderNames.RETRY_AFTER, Double.toString(NO_MEMORY_RETRY_AFTER_MILLIS / 1_000.0));
 		rejectWith(response);
-		this.server.logRefusedBody(status.code(), NO_MEMORY_RETRY_AFTER_MILLIS);
+		this.server.logRefusedBody(requestId, status.code(), NO_MEMORY_RETRY_AFTER_MILLIS);
 	}
 
 	private void rejectWith(FullHttpResponse response) {
--- a/src/main/java/org/magnoliahub/entry/CallerServer.java
+++ b/src/main/java/org/magnoliahub/entry/CallerServer.java
@@ -143,8 +143,9 @@
 		RequestFaultBarrier.report(this.log, this.metrics, "", cause);
 	}
 
-	void logRefusedBody(int status, long retryAfterMillis) {
+	void logRefusedBody(String requestId, int status, long retryAfterMillis) {
 		this.log.event(EntryEvent.REQUEST_REFUSED)
+			.field("id", requestId)
 			.field("status", status)
 			.field("reason", "no_memory")
 			.field("retry_after_ms", retryAfterMillis)
--- a/src/test/java/org/magnoliahub/entry/BodyMemoryLimitTests.java
+++ b/src/test/java/org/magnoliahub/entry/BodyMemoryLimitTests.java
@@ -131,6 +131,7 @@
 			try (Socket incomplete = upload("r2", UPLOAD)) {
 				CallerAnswer refusal = read(incomplete);
 				assertThat(refusal.status()).isEqualTo(503);
+				assertThat(refusal.requestId()).isEqualTo("r2");
 				assertThat(refusal.headers().get("retry-after")).isEqualTo("1.0");
 			}
 			this.mayEnd.countDown();
