Play late writes of rows and kills amid slow stages in the soak

Stage calls took 15 ms, so no piece outlived a restart of its gateway, and job numbers meet only if a process dies with its first jobs in work. Rows were written in order.

GATEWAY_KILL_AMID_STAGES makes stage calls take 0.5 s and kills a gateway twice; its second process gets 14 requests with stages and dies 0.3 s later, and the third one gets 14 more. ENDPOINT_WRITES_LATE removes the row of an endpoint that serves on, and performs an earlier write of the row 1.5 s later. The request on a connection of its own is a class that the caller of crashing prompts uses, too.

--- a/src/main/java/org/magnoliahub/platform/emulator/StageEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/StageEmulator.java
@@ -20,6 +20,9 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
+	/** Shorter than the time after which gateways give up a call. */
+	private static final long SLOW_CALL_MILLIS = 500;
+
 	private final long callMillis;
 
 	private final int inputCount;
@@ -32,6 +35,8 @@
 
 	private final AtomicInteger next = new AtomicInteger();
 
+	private volatile boolean slow;
+
 	/**
 	 * Creates endpoints that hold nothing.
 	 * @param callMillis how long a call takes
@@ -50,6 +55,14 @@
 		return (request, socket) -> handle(request, socket, "127.0.0.1:" + socket.getLocalPort());
 	}
 
+	/**
+	 * Lets calls take much longer, so that pieces queue at gateways.
+	 * @param newSlow whether they do from now on
+	 */
+	public void setSlow(boolean newSlow) {
+		this.slow = newSlow;
+	}
+
 	/**
 	 * Returns what was wrong with pieces.
 	 * @return texts for people
@@ -89,7 +102,7 @@
 	private ObjectNode run(JsonNode items, String address) throws IOException {
 		this.largest.accumulateAndGet(items.size(), Math::max);
 		try {
-			Thread.sleep(this.callMillis);
+			Thread.sleep(this.slow ? SLOW_CALL_MILLIS : this.callMillis);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/src/main/java/org/magnoliahub/soak/CrashingCaller.java
+++ b/src/main/java/org/magnoliahub/soak/CrashingCaller.java
@@ -1,24 +1,16 @@
 package org.magnoliahub.soak;
 
-import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.net.Socket;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 
-import org.magnoliahub.platform.emulator.CallerAnswer;
-import org.magnoliahub.platform.emulator.RawServer;
-
 /**
  * A caller whose requests end the endpoint that begins to answer them. They come at any
  * gateway, from a while after the start of the load to its end.
  */
 final class CrashingCaller implements Runnable {
 
-	private static final int PATIENCE_MILLIS = 3_000;
-
 	private static final int SHORTEST_PAUSE_MILLIS = 100;
 
 	private static final int LONGEST_PAUSE_MILLIS = 700;
@@ -67,18 +59,8 @@
 
 	private void send() {
 		int gateway = this.random.nextInt(this.gateways.size());
-		try (Socket socket = this.gateways.get(gateway).connect()) {
-			socket.setSoTimeout((int) RequestKind.DRAFT.timeoutMillis() + PATIENCE_MILLIS);
-			RequestStory story = this.ledger.openCrashing(gateway);
-			CallerAnswer answer = new CallerAnswer(0, Map.of(), "", false);
-			try {
-				RawServer.write(socket, story.request().text(RequestKind.DRAFT.timeoutMillis() + PATIENCE_MILLIS));
-				story.writtenAt(Ledger.now());
-				answer = CallerAnswer.read(new BufferedInputStream(socket.getInputStream()));
-			}
-			finally {
-				story.answered(answer, Ledger.now());
-			}
+		try {
+			SingleRequest.send(this.gateways.get(gateway), () -> this.ledger.openCrashing(gateway));
 		}
 		catch (IOException ex) {
 			// The gateway is disturbed; the next request may meet another one.
--- a/src/main/java/org/magnoliahub/soak/FaultInjector.java
+++ b/src/main/java/org/magnoliahub/soak/FaultInjector.java
@@ -92,6 +92,7 @@
 		this.actions.put(FaultKind.GATEWAY_KILL, (fault) -> this.processes.kill(index(fault)));
 		this.actions.put(FaultKind.GATEWAYS_KILL, (fault) -> this.processes.killAll());
 		this.actions.put(FaultKind.GATEWAY_KILL_AFTER_CHANGE, (fault) -> this.processes.killAfterChange(index(fault)));
+		this.actions.put(FaultKind.GATEWAY_KILL_AMID_STAGES, this::killAmidStages);
 		this.actions.put(FaultKind.GATEWAY_RELOAD, (fault) -> this.processes.reload(index(fault)));
 	}
 
@@ -112,6 +113,7 @@
 		this.actions.put(FaultKind.ENDPOINT_ENDLESS, (fault) -> mode(fault, EndpointEmulator.Mode.ENDLESS));
 		this.actions.put(FaultKind.ENDPOINT_RESTART, this::restart);
 		this.actions.put(FaultKind.ENDPOINT_DRAIN, this::drain);
+		this.actions.put(FaultKind.ENDPOINT_WRITES_LATE, this::writeLate);
 	}
 
 	/**
@@ -188,6 +190,22 @@
 		span.end();
 	}
 
+	private void killAmidStages(PlannedFault fault) throws IOException, InterruptedException {
+		Disturbances.Span span = this.ledger.disturbances().beginEndpoint("of stages");
+		this.endpoints.stages().setSlow(true);
+		this.processes.killAmidStages(index(fault));
+		this.endpoints.stages().setSlow(false);
+		span.end();
+	}
+
+	// A write that the server sent before it left is performed after its removal.
+	private void writeLate(PlannedFault fault) throws IOException, InterruptedException {
+		SoakEndpoints.Place place = this.endpoints.place(fault.target());
+		SoakEndpoints.Leaving leaving = this.endpoints.removeAndWriteLate(place);
+		Thread.sleep(LEAVING_MILLIS);
+		leaving.end();
+	}
+
 	private void leave(PlannedFault fault) throws IOException, InterruptedException {
 		SoakEndpoints.Place place = this.endpoints.answeringPlace(fault.target());
 		Disturbances.Span span = this.ledger.disturbances().beginEndpoint(place.endpoint());
--- a/src/main/java/org/magnoliahub/soak/FaultKind.java
+++ b/src/main/java/org/magnoliahub/soak/FaultKind.java
@@ -62,6 +62,12 @@
 	/** A gateway is killed when a change of the configuration was acknowledged. */
 	GATEWAY_KILL_AFTER_CHANGE(Scope.GATEWAY),
 
+	/**
+	 * Stage endpoints are slow, and a gateway is killed twice, the second time while the
+	 * first pieces of its process are in work.
+	 */
+	GATEWAY_KILL_AMID_STAGES(Scope.GATEWAY),
+
 	/** A gateway is told to read its settings again. */
 	GATEWAY_RELOAD(Scope.PLANNED),
 
@@ -113,6 +119,11 @@
 	/** An endpoint drains and leaves, and another one starts. */
 	ENDPOINT_DRAIN(Scope.PLANNED),
 
+	/**
+	 * An endpoint's row is removed, and the store then performs an earlier write of it.
+	 */
+	ENDPOINT_WRITES_LATE(Scope.ENDPOINT),
+
 	/** A new configuration adds a route and removes an older one. */
 	CONFIGURATION_CHANGE(Scope.PLANNED);
 
--- a/src/main/java/org/magnoliahub/soak/GatewayFaults.java
+++ b/src/main/java/org/magnoliahub/soak/GatewayFaults.java
@@ -16,6 +16,10 @@
 
 	private static final long TURN_MILLIS = 1_000;
 
+	private static final int STAGED_REQUESTS = 14;
+
+	private static final long JOBS_SUBMITTED_MILLIS = 300;
+
 	private final List<GatewayChild> gateways;
 
 	private final ConfigurationOperator operator;
@@ -118,6 +122,40 @@
 		}
 	}
 
+	/**
+	 * Kills a gateway twice, each time starts it again, and sends it requests with stages
+	 * as soon as it is ready: the second process dies with its first jobs in work, whose
+	 * numbers the third one gives out again.
+	 * @param index index of the gateway
+	 * @throws IOException if it does not become ready again
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	void killAmidStages(int index) throws IOException, InterruptedException {
+		kill(index);
+		List<Thread> requests = new ArrayList<>(sendStaged(index));
+		Thread.sleep(JOBS_SUBMITTED_MILLIS);
+		kill(index);
+		requests.addAll(sendStaged(index));
+		join(requests);
+	}
+
+	private List<Thread> sendStaged(int index) {
+		List<Thread> threads = new ArrayList<>();
+		for (int request = 0; request < STAGED_REQUESTS; request++) {
+			threads.add(start(() -> sendOneStaged(index)));
+		}
+		return threads;
+	}
+
+	private void sendOneStaged(int index) {
+		try {
+			SingleRequest.send(this.gateways.get(index), () -> this.ledger.open(RequestKind.STAGED, index));
+		}
+		catch (IOException ex) {
+			// The gateway is killed, or another fault disturbs it.
+		}
+	}
+
 	/**
 	 * Kills all gateways at the same moment and starts them again.
 	 * @throws InterruptedException if the wait is interrupted
--- a/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
+++ b/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
@@ -32,6 +32,12 @@
 	/** Time from the crash of an endpoint to the start of the next one in its place. */
 	private static final long REPLACEMENT_MILLIS = 1_200;
 
+	/** Time in which gateways read a row. */
+	private static final long SEEN_MILLIS = 1_200;
+
+	/** Time from the removal of a row to the late write. */
+	private static final long LATE_WRITE_MILLIS = 1_500;
+
 	private static final long STAGE_CALL_MILLIS = 15;
 
 	private final StoreEmulator store;
@@ -145,10 +151,13 @@
 
 	private synchronized void list(String service, Occupant occupant, String state) {
 		this.states.put(occupant.id, new Entry(service, occupant, state));
+		this.store.put(StoreFormat.ENDPOINT_TABLE, occupant.id, nextRow(service, occupant, state));
+	}
+
+	private String nextRow(String service, Occupant occupant, String state) {
 		EmulatedSettings.Write write = new EmulatedSettings.Write(occupant.bornMillis,
 				this.nextWrite.incrementAndGet());
-		this.store.put(StoreFormat.ENDPOINT_TABLE, occupant.id,
-				EmulatedSettings.endpoint(service, occupant.proxy.address(), LIMIT, state, write));
+		return EmulatedSettings.endpoint(service, occupant.proxy.address(), LIMIT, state, write);
 	}
 
 	private synchronized void unlist(Occupant occupant) {
@@ -203,6 +212,35 @@
 		}
 	}
 
+	/**
+	 * Removes the row of an endpoint, starts another one in its place, and then lets the
+	 * store perform an earlier write of the row. The endpoint serves on until it is
+	 * closed.
+	 * @param place the place
+	 * @return closes the endpoint
+	 * @throws IOException if the new endpoint cannot listen
+	 * @throws InterruptedException if the wait is interrupted
+	 */
+	Leaving removeAndWriteLate(Place place) throws IOException, InterruptedException {
+		Occupant old;
+		String late;
+		synchronized (place) {
+			old = place.occupant();
+			late = nextRow(place.service, old, "ready");
+			list(place.service, old, "ready");
+			fill(place);
+		}
+		Thread.sleep(SEEN_MILLIS);
+		unlist(old);
+		this.ledger.drained(old.id);
+		Thread.sleep(LATE_WRITE_MILLIS);
+		this.store.put(StoreFormat.ENDPOINT_TABLE, old.id, late);
+		return () -> {
+			unlist(old);
+			old.close();
+		};
+	}
+
 	/**
 	 * Lets an endpoint say in its answers that it leaves, and starts another one in its
 	 * place. The row of the old one stays as it is, and it serves on until it is closed.
