--- a/src/main/java/org/magnoliahub/soak/FaultInjector.java
+++ b/src/main/java/org/magnoliahub/soak/FaultInjector.java
@@ -201,9 +201,12 @@
 	// A write that the server sent before it left is performed after its removal.
 	private void writeLate(PlannedFault fault) throws IOException, InterruptedException {
 		SoakEndpoints.Place place = this.endpoints.place(fault.target());
+		String endpoint = place.endpoint();
 		SoakEndpoints.Leaving leaving = this.endpoints.removeAndWriteLate(place);
 		Thread.sleep(LEAVING_MILLIS);
+		Disturbances.Span span = this.ledger.disturbances().beginPlannedEnd(endpoint);
 		leaving.end();
+		span.end();
 	}
 
 	private void leave(PlannedFault fault) throws IOException, InterruptedException {
--- a/src/main/java/org/magnoliahub/soak/FaultKind.java
+++ b/src/main/java/org/magnoliahub/soak/FaultKind.java
@@ -120,9 +120,10 @@
 	ENDPOINT_DRAIN(Scope.PLANNED),
 
 	/**
-	 * An endpoint's row is removed, and the store then performs an earlier write of it.
+	 * An endpoint's row is removed, and the store then performs an earlier write of it,
+	 * which excuses nobody who has read the removal.
 	 */
-	ENDPOINT_WRITES_LATE(Scope.ENDPOINT),
+	ENDPOINT_WRITES_LATE(Scope.PLANNED),
 
 	/** A new configuration adds a route and removes an older one. */
 	CONFIGURATION_CHANGE(Scope.PLANNED);
--- a/src/main/java/org/magnoliahub/soak/FaultPlan.java
+++ b/src/main/java/org/magnoliahub/soak/FaultPlan.java
@@ -94,6 +94,7 @@
 		FaultKind stop = random.nextBoolean() ? FaultKind.GATEWAYS_STOP_IN_TURN : FaultKind.GATEWAY_STOP;
 		faults.add(new PlannedFault(FaultKind.CONFIGURATION_CHANGE, 1_000, 0, 0));
 		faults.add(new PlannedFault(FaultKind.ENDPOINT_DRAIN, 1_500, 0, random.nextInt(TARGETS)));
+		faults.add(new PlannedFault(FaultKind.ENDPOINT_WRITES_LATE, 1_800, 0, random.nextInt(TARGETS)));
 		faults.add(new PlannedFault(stop, 800, 0, random.nextInt(TARGETS)));
 		faults.add(new PlannedFault(FaultKind.GATEWAY_RELOAD, 7_000, 0, random.nextInt(TARGETS)));
 	}
--- a/src/main/java/org/magnoliahub/soak/GatewayFaults.java
+++ b/src/main/java/org/magnoliahub/soak/GatewayFaults.java
@@ -16,9 +16,9 @@
 
 	private static final long TURN_MILLIS = 1_000;
 
-	private static final int STAGED_REQUESTS = 14;
+	private static final int STAGED_REQUESTS = 30;
 
-	private static final long JOBS_SUBMITTED_MILLIS = 300;
+	private static final long JOBS_SUBMITTED_MILLIS = 200;
 
 	private final List<GatewayChild> gateways;
 
--- a/src/main/java/org/magnoliahub/soak/Ledger.java
+++ b/src/main/java/org/magnoliahub/soak/Ledger.java
@@ -26,6 +26,8 @@
 
 	private final Map<String, Long> drainedSince = new ConcurrentHashMap<>();
 
+	private final Map<String, Long> removedSince = new ConcurrentHashMap<>();
+
 	private final List<Long> crashes = new CopyOnWriteArrayList<>();
 
 	private final List<Notice> notices = new CopyOnWriteArrayList<>();
@@ -127,6 +129,19 @@
 		return this.drainedSince;
 	}
 
+	/**
+	 * Notes that the row of an endpoint was removed, and that an earlier write of it
+	 * follows.
+	 * @param endpoint id of the endpoint
+	 */
+	void removed(String endpoint) {
+		this.removedSince.put(endpoint, now());
+	}
+
+	Map<String, Long> removedSince() {
+		return this.removedSince;
+	}
+
 	/**
 	 * Notes that an endpoint ended because of a part of a prompt.
 	 */
--- a/src/main/java/org/magnoliahub/soak/PromiseChecks.java
+++ b/src/main/java/org/magnoliahub/soak/PromiseChecks.java
@@ -69,7 +69,9 @@
 		checks.findings.addAll(ledger.found());
 		ledger.stories().forEach(checks::checkStory);
 		checks.checkShares();
-		checks.checkDraining();
+		checks.checkDraining(ledger.drainedSince(), List.of());
+		// A process that has started since knows only the late row.
+		checks.checkDraining(ledger.removedSince(), work.stops());
 		checks.checkNotices();
 		checks.findings.addAll(RequestRateCheck.check(ledger));
 		checks.findings.addAll(CrashingPromptCheck.check(ledger));
@@ -191,19 +193,23 @@
 		return story.runs().stream().anyMatch((run) -> run.endedMillis() > story.endedMillis() + CANCEL_MILLIS);
 	}
 
-	private void checkDraining() {
-		Map<String, Long> drained = this.ledger.drainedSince();
+	private void checkDraining(Map<String, Long> gone, List<PlannedWork.Stop> restarts) {
 		for (RequestStory story : this.ledger.stories()) {
 			for (RequestStory.Arrival arrival : story.arrivals()) {
-				Long since = drained.get(arrival.request().endpoint());
+				Long since = gone.get(arrival.request().endpoint());
 				if (since != null && arrival.millis() > since + DRAIN_MILLIS + SLACK_MILLIS
+						&& restarts.stream().noneMatch((stop) -> isBetween(stop, story.gateway(), since, arrival))
 						&& this.ledger.disturbances().isCalm(story.gateway(), since, arrival.millis())) {
-					add(Promise.DRAINING, story + ": " + arrival + ", draining since " + since);
+					add(Promise.DRAINING, story + ": " + arrival + ", gone since " + since);
 				}
 			}
 		}
 	}
 
+	private static boolean isBetween(PlannedWork.Stop stop, int gateway, long since, RequestStory.Arrival arrival) {
+		return stop.gateway() == gateway && stop.endedMillis() > since && stop.endedMillis() < arrival.millis();
+	}
+
 	private void checkNotices() {
 		Map<String, Long> leaving = new HashMap<>();
 		for (Ledger.Notice notice : this.ledger.notices()) {
--- a/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
+++ b/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
@@ -232,7 +232,7 @@
 		}
 		Thread.sleep(SEEN_MILLIS);
 		unlist(old);
-		this.ledger.drained(old.id);
+		this.ledger.removed(old.id);
 		Thread.sleep(LATE_WRITE_MILLIS);
 		this.store.put(StoreFormat.ENDPOINT_TABLE, old.id, late);
 		return () -> {
