--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -172,12 +172,12 @@
 
 	/**
 	 * Waits for the response again after another endpoint was tried.
-	 * @param anew whether the timeout begins again, so that stages that fail are not
-	 * repeated at once
+	 * @param restartsTimeout whether the timeout begins again, so that stages that fail
+	 * are not repeated at once
 	 */
-	void continueWaiting(boolean anew) {
+	void continueWaiting(boolean restartsTimeout) {
 		this.timeoutCheck.dispose();
-		if (anew) {
+		if (restartsTimeout) {
 			this.lastReceivedMillis = this.context.now();
 		}
 		scheduleTimeoutCheck();
--- a/src/main/java/org/magnoliahub/entry/BodyLimits.java
+++ b/src/main/java/org/magnoliahub/entry/BodyLimits.java
@@ -8,10 +8,10 @@
  */
 record BodyLimits(long requestBytes, long responseBytes) {
 
-	/** Buffers grow by doubling, so a body may take twice its size. */
-	private static final long HEAP_SHARE_OF_REQUESTS = 5;
+	/** Small shares, because buffers grow by doubling: a body may take twice its size. */
+	private static final long REQUEST_HEAP_DIVISOR = 5;
 
-	private static final long HEAP_SHARE_OF_RESPONSES = 8;
+	private static final long RESPONSE_HEAP_DIVISOR = 8;
 
 	/**
 	 * Returns limits that leave room for everything else.
@@ -19,7 +19,7 @@
 	 * @return the limits
 	 */
 	static BodyLimits ofHeap(long heapBytes) {
-		return new BodyLimits(heapBytes / HEAP_SHARE_OF_REQUESTS, heapBytes / HEAP_SHARE_OF_RESPONSES);
+		return new BodyLimits(heapBytes / REQUEST_HEAP_DIVISOR, heapBytes / RESPONSE_HEAP_DIVISOR);
 	}
 
 }
--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -287,21 +287,8 @@
 
 	@Override
 	public void onMessage(JobOrigin origin, PeerMessage message) {
-		long now = this.context.now();
 		if (message instanceof PeerMessage.Submit submit) {
-			StageJob job = new StageJob(origin, submit.jobId(), submit.requestId(), submit.stage(), submit.pieces(),
-					submit.pieceKey(), submit.inputs(), submit.largeInputs(), submit.resultBytes(),
-					now + submit.startBudgetMillis(), now + submit.budgetMillis(), submit.priority(),
-					submit.zonePreference());
-			StageQueue queue = queue(submit.service());
-			if (queue == null) {
-				submit.pieces()
-					.forEach((piece) -> this.server.send(origin, new PeerMessage.Result(submit.service(),
-							submit.jobId(), piece, PieceResult.failed(PieceFailure.FAILED))));
-				return;
-			}
-			queue.add(job, now);
-			sendReadyBatches(queue);
+			addSubmitted(origin, submit);
 		}
 		else if (message instanceof PeerMessage.Announce announcement) {
 			announceLocally(origin, announcement);
@@ -320,6 +307,22 @@
 		}
 	}
 
+	private void addSubmitted(JobOrigin origin, PeerMessage.Submit submit) {
+		StageQueue queue = queue(submit.service());
+		if (queue == null) {
+			submit.pieces()
+				.forEach((piece) -> this.server.send(origin, new PeerMessage.Result(submit.service(), submit.jobId(),
+						piece, PieceResult.failed(PieceFailure.FAILED))));
+			return;
+		}
+		long now = this.context.now();
+		queue.add(new StageJob(origin, submit.jobId(), submit.requestId(), submit.stage(), submit.pieces(),
+				submit.pieceKey(), submit.inputs(), submit.largeInputs(), submit.resultBytes(),
+				now + submit.startBudgetMillis(), now + submit.budgetMillis(), submit.priority(),
+				submit.zonePreference()), now);
+		sendReadyBatches(queue);
+	}
+
 	@Override
 	public void onClosed(JobOrigin origin) {
 		int pieces = this.queues.values().stream().mapToInt((queue) -> queue.cancelAll(origin)).sum();
