--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -38,7 +38,7 @@
  * A connection of a caller. Reads one complete request at a time and writes its response.
  * Pipelined requests wait in a bounded queue.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements BodyMemory.Holder {
 
 	private static final int MAXIMUM_QUEUED_MESSAGES = 64;
 
@@ -58,8 +58,6 @@
 
 	private final Channel channel;
 
-	private final BodyMemory.Holder bodyHolder = this::refuseBody;
-
 	private final Deque<Object> queuedMessages = new ArrayDeque<>();
 
 	private @Nullable HttpRequest head;
@@ -194,7 +192,7 @@
 				this.body = Unpooled.buffer(content.content().readableBytes());
 			}
 			this.body.writeBytes(content.content());
-			this.server.bodyMemory().hold(this.bodyHolder, this, size, missingBytes(size));
+			this.server.bodyMemory().hold(this, this, size, missingBytes(size));
 		}
 		if (content instanceof LastHttpContent && !this.closing) {
 			completeRequest();
@@ -221,7 +219,7 @@
 		}
 		this.head = null;
 		this.body = Unpooled.EMPTY_BUFFER;
-		this.server.bodyMemory().complete(this.bodyHolder);
+		this.server.bodyMemory().complete(this);
 		Exchange exchange = new Exchange(request, bytes, this.server.timers().milliTime());
 		this.currentExchange = exchange;
 		try {
@@ -239,7 +237,8 @@
 	}
 
 	// The request was not passed on, since it is incomplete.
-	private void refuseBody() {
+	@Override
+	public void evict() {
 		HttpResponseStatus status = HttpResponseStatus.SERVICE_UNAVAILABLE;
 		String requestId = (this.head != null) ? PlatformHeaders.callerRequest(this.head.headers()).requestId() : "";
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
@@ -261,7 +260,7 @@
 
 	private void dropBody() {
 		this.body = Unpooled.EMPTY_BUFFER;
-		this.server.bodyMemory().release(this.bodyHolder);
+		this.server.bodyMemory().release(this);
 	}
 
 	private void onResponseEnd(boolean close) {
