Load fewer classes at the start again

Four classes were loaded for evidence that a calm gateway does not have, and for jobs before there are stages.

--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -37,8 +37,6 @@
 
 	private final String selfName;
 
-	private final JobOrigin selfOrigin;
-
 	private final StageEndpointClient stageClient;
 
 	private final PeerServer server = new PeerServer(this);
@@ -58,7 +56,6 @@
 	StageCoordinator(EntryContext context, EventLoopGroup group, String selfName) {
 		this.context = context;
 		this.selfName = selfName;
-		this.selfOrigin = new JobOrigin(selfName, 0);
 		this.owners = new StageOwners(selfName,
 				(member) -> new PeerLink(group, context.timers(), context.log(), selfName, member, this));
 		this.stageClient = new StageEndpointClient(context, this::deliverResult);
@@ -127,7 +124,7 @@
 	 */
 	long submit(String service, StageJob template, PieceListener listener) {
 		long id = this.nextJobId++;
-		StageJob job = template.submittedBy(this.selfOrigin, id);
+		StageJob job = template.submittedBy(selfOrigin(), id);
 		Submission submission = new Submission(service, job, listener, this.owners.owner(service));
 		this.submissions.put(id, submission);
 		this.context.log()
@@ -153,7 +150,12 @@
 			link.send(announcement);
 			return;
 		}
-		announceLocally(this.selfOrigin, announcement);
+		announceLocally(selfOrigin(), announcement);
+	}
+
+	// Created when there are stages, because a start loads as few classes as possible.
+	private JobOrigin selfOrigin() {
+		return new JobOrigin(this.selfName, 0);
 	}
 
 	private void announceLocally(JobOrigin origin, PeerMessage.Announce announcement) {
@@ -198,7 +200,7 @@
 		if (submission.owner.equals(this.selfName) || link == null) {
 			StageQueue queue = this.queues.get(submission.service);
 			if (queue != null) {
-				queue.cancel(this.selfOrigin, jobId);
+				queue.cancel(selfOrigin(), jobId);
 			}
 			return;
 		}
@@ -255,7 +257,7 @@
 
 	private void deliverResult(String service, StageTask task, PieceResult result) {
 		PeerMessage.Result message = new PeerMessage.Result(service, task.job().jobId(), task.piece(), result);
-		if (task.job().origin().equals(this.selfOrigin)) {
+		if (task.job().origin().equals(selfOrigin())) {
 			onResult(message);
 			return;
 		}
--- a/src/main/java/org/magnoliahub/serving/OwnPromptEvidence.java
+++ b/src/main/java/org/magnoliahub/serving/OwnPromptEvidence.java
@@ -118,6 +118,9 @@
 	 * @return whether something was dropped
 	 */
 	boolean expire(long time, Set<Long> blocked) {
+		if (this.entries.isEmpty()) {
+			return false;
+		}
 		boolean changed = false;
 		for (Map.Entry<Long, Entry> item : this.entries.entrySet()) {
 			if (!blocked.contains(item.getKey())) {
@@ -128,6 +131,9 @@
 	}
 
 	void setBlocked(Set<Long> parts) {
+		if (this.entries.isEmpty()) {
+			return;
+		}
 		this.entries.forEach((part, entry) -> entry.blocked = parts.contains(part) && !entry.ends.isEmpty());
 	}
 
