Release the second result of a piece whose owner was lost

What callers saw: nothing directly; a stage endpoint held a result nobody fetches until it expired, so later pieces found no room.

Cause: when an owner of a stage queue is lost, the pieces left are submitted again. If both owners deliver a piece, the second result was dropped without a release as long as other pieces of the job were pending; it was released only when the job was complete. An owner that has lost the connection cancels the job now, so this needs an owner of an earlier version or one that misbehaves.

Evidence: LostOwnerTests on: secondResultOfAPieceIsReleased failed, resultThatComesAfterItsRequestIsReleased passed. Both pass now.

Change: a result that is not the first one of its piece is released, unless it has the handle that is in use.

--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -349,22 +350,26 @@
 	@Override
 	public void onResult(PeerMessage.Result result) {
 		Submission submission = this.submissions.get(result.jobId());
-		if (submission == null) {
-			String handle = result.result().handle();
-			if (handle != null) {
-				release(result.service(), List.of(handle));
-			}
-			return;
-		}
-		if (!submission.pendingPieces.remove(result.piece())) {
+		if (submission == null || !submission.pendingPieces.remove(result.piece())) {
+			releaseUnused(submission, result);
 			return;
 		}
+		submission.handles.put(result.piece(), result.result().handle());
 		if (submission.pendingPieces.isEmpty()) {
 			this.submissions.remove(result.jobId());
 		}
 		submission.listener.onPiece(submission.job.stage(), result.piece(), result.result());
 	}
 
+	// A piece has two results if its owner was lost and both owners completed it.
+	private void releaseUnused(@Nullable Submission submission, PeerMessage.Result result) {
+		String handle = result.result().handle();
+		boolean used = submission != null && Objects.equals(handle, submission.handles.get(result.piece()));
+		if (handle != null && !used) {
+			release(result.service(), List.of(handle));
+		}
+	}
+
 	@Override
 	public void onLost(String member) {
 		for (Submission submission : List.copyOf(this.submissions.values())) {
@@ -408,6 +413,9 @@
 
 		private final Set<Integer> pendingPieces;
 
+		/** Handles of the results by piece, without a handle for one that failed. */
+		private final Map<Integer, @Nullable String> handles = new HashMap<>();
+
 		private Submission(String service, StageJob job, PieceListener listener, String owner) {
 			this.service = service;
 			this.job = job;
