--- a/src/test/java/org/magnoliahub/entry/RestartedSubmitterTests.java
+++ b/src/test/java/org/magnoliahub/entry/RestartedSubmitterTests.java
@@ -108,6 +108,22 @@
 			.until(() -> this.released.stream().anyMatch((handles) -> handles.contains("/earlier")));
 	}
 
+	/**
+	 * Guards against the same when the earlier process was stopped, and says Hello after
+	 * its successor.
+	 */
+	@Test
+	void processThatSaysHelloLateGetsNoResultOfItsSuccessor() throws Exception {
+		try (PeerClient present = connect()) {
+			submitAndAwaitStart(present, "present");
+			try (PeerClient earlier = connect()) {
+				earlier.submit(1, "earlier");
+				this.mayEnd.countDown();
+				assertThat(earlier.awaitResult().result().handle()).endsWith("/earlier");
+			}
+		}
+	}
+
 	/**
 	 * Guards against the same when the connection of the earlier process is still open.
 	 */
--- a/src/test/java/org/magnoliahub/serving/StageQueueTests.java
+++ b/src/test/java/org/magnoliahub/serving/StageQueueTests.java
@@ -155,6 +155,22 @@
 		});
 	}
 
+	@Test
+	void cancellationAndWithdrawalOfAnotherConnectionChangeNothing() {
+		JobOrigin successor = new JobOrigin(ServingFixtures.ORIGIN.gateway(), 2);
+		this.queue.add(ServingFixtures.job(1, 1, 500, 10), 0);
+		StageBatch batch = this.queue.nextBatch(0).orElseThrow();
+		this.queue.add(ServingFixtures.job(2, 1, 500, 10), 0);
+		this.queue.announce(ServingFixtures.ORIGIN, "request-9", 0, 30, 10, 5_000);
+		double expected = this.queue.expectedWaitMillis(0);
+		this.queue.cancel(successor, 1);
+		this.queue.cancel(successor, 2);
+		this.queue.announce(successor, "request-9", 0, 0, 10, 5_000);
+		assertThat(this.queue.isCancelled(batch.tasks().get(0))).isFalse();
+		assertThat(this.queue.size()).isEqualTo(1);
+		assertThat(this.queue.expectedWaitMillis(0)).isEqualTo(expected);
+	}
+
 	@Test
 	void announcementsOfAGoneConnectionAreWithdrawnAndThoseOfItsSuccessorAreKept() {
 		JobOrigin successor = new JobOrigin(ServingFixtures.ORIGIN.gateway(), 2);
