Choose by a sign of life which attempt of a silent stream is closed

Order of events: the server preempts the stream, and after 1 s of silence the request goes to another server. If that one has not answered 250 ms later, the stream was closed at the first server. The 250 ms began before the connection to the other server was open. The other one then refuses, or stays silent because it has queued the request, and nothing is left.

Cause: a timer decided which attempt to close, and always chose the first server. That is right only if this server is gone.

Evidence: ReplacedStreamTests lets the first server go on only after the other one has refused (after 150 or 700 ms) or has been silent for 700 ms, before the head, before the first event and between events, with one and two other servers, with and without stages. It does not depend on the speed of the machine. On 17 of 25 cases failed: all with a refusal after 700 ms and with silence, and the limit on the overlap; the 8 with a refusal after 150 ms passed. All 25 pass now; SilentEndpointTests, SilentStagedStreamTests and StreamContinuationTests pass (69 tests).

Change: before the first event, and for plain responses, a replaced attempt is kept until another one responds: such requests may be repeated, and no continuation overlaps. Once a stream has begun, one of the two attempts is still closed after 250 ms, because two servers must not work on one stream for 400 ms. It is the first one if its server gives no sign of life, and the other one if the server lives. A sign of life is a response to any call since the silence began, or to a request for the engine's state, which takes no slot. The time counts in steps of 50 ms, so that one pause of the process does not use it up. A server without a sign of life is left as soon as before: the two tests of that case now use servers that do not answer the request for their state either; their bounds are unchanged.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -15,6 +15,7 @@
 import org.magnoliahub.serving.CallerRequest;
 import org.magnoliahub.serving.EndpointCall;
 import org.magnoliahub.serving.EndpointChoice;
+import org.magnoliahub.serving.EndpointState;
 import org.magnoliahub.serving.ResponseHead;
 
 /**
@@ -113,6 +114,26 @@
 		this.resuming = flow.streamPosition() != null;
 	}
 
+	EndpointState endpoint() {
+		return this.choice.endpoint();
+	}
+
+	/**
+	 * Returns when the endpoint last sent a part of the response.
+	 * @return monotonic time in milliseconds, that of the request before the first part
+	 */
+	long lastReceivedMillis() {
+		return this.lastReceivedMillis;
+	}
+
+	/**
+	 * Returns whether the endpoint has begun its answer.
+	 * @return whether the head of the response has arrived
+	 */
+	boolean isAnswerBeginning() {
+		return this.head != null;
+	}
+
 	String endpointId() {
 		return this.choice.endpoint().record().id();
 	}
@@ -185,7 +206,7 @@
 
 	@Override
 	public void onHead(HttpResponse response, ResponseHead responseHead) {
-		this.flow.silentAttempt()
+		this.flow.silentAttempts()
 			.onResponding(this, responseHead.isSuccess() && responseHead.signed() && !responseHead.contentEncoded());
 		if (this.ended) {
 			return;
@@ -239,7 +260,7 @@
 			return;
 		}
 		this.lastReceivedMillis = this.context.now();
-		this.flow.silentAttempt().onResponding(this, true);
+		this.flow.silentAttempts().onResponding(this, true);
 		byte[] events = this.splitter.add(data);
 		if (this.splitter.incompleteBytes() > MAXIMUM_EVENT_BYTES) {
 			rejectResponse("event too large");
@@ -295,7 +316,7 @@
 		if (this.ended || responseHead == null || endpointHeaders == null) {
 			return;
 		}
-		this.flow.silentAttempt().onResponding(this, responseHead.isSuccess());
+		this.flow.silentAttempts().onResponding(this, responseHead.isSuccess());
 		finish();
 		long now = this.context.now();
 		if (responseHead.notExecuted()) {
@@ -376,7 +397,7 @@
 		if (sent || this.choice.endpoint().isAvailable(this.context.now())) {
 			this.choice.endpoint().recordFailure(this.context.now(), true);
 		}
-		if (this.flow.silentAttempt().forget(this)) {
+		if (this.flow.silentAttempts().forget(this)) {
 			return;
 		}
 		if (sent) {
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -101,7 +101,7 @@
 
 	private @Nullable Attempt attempt;
 
-	private @Nullable SilentAttempt silentAttempt;
+	private final SilentAttempts silentAttempts;
 
 	private final Set<String> triedEndpoints = new HashSet<>();
 
@@ -126,6 +126,7 @@
 		this.exchange = exchange;
 		this.request = PlatformHeaders.callerRequest(exchange.headers());
 		this.endCallback = endCallback;
+		this.silentAttempts = new SilentAttempts(context, this);
 		this.telemetry = new RequestTelemetry(context, this.request, exchange.arrivedMillis());
 		this.faultBarrier = new RequestFaultBarrier(context.log(), context.metrics(), this.request.requestId(), this);
 	}
@@ -305,9 +306,7 @@
 				this.workspace, inputs, lastEventId);
 		Attempt next = new Attempt(this.context, this, choice, isStreaming(), isRetryable());
 		this.attempt = next;
-		if (this.silentAttempt != null) {
-			this.silentAttempt.limitOverlap();
-		}
+		this.silentAttempts.limitOverlap();
 		next.send(this.exchange, this.request, headers, now);
 	}
 
@@ -331,6 +330,14 @@
 				&& this.context.retryBudget().availableRetries(this.serviceName, this.context.now()) >= 1;
 	}
 
+	/**
+	 * Returns the attempt that is in progress, besides those that are silent.
+	 * @return the attempt, or {@code null} if the request is not at another endpoint
+	 */
+	@Nullable Attempt currentAttempt() {
+		return this.attempt;
+	}
+
 	/**
 	 * Returns whether a silent attempt can be replaced. An endpoint that is only slow is
 	 * better than one that is ejected or unresponsive, and than none.
@@ -352,42 +359,31 @@
 			return;
 		}
 		boolean repeatsStages = this.requestStages != null && this.requestStages.areRequestInputsReleased();
-		silentAttempt().keep(silent, repeatsStages);
+		this.silentAttempts.keep(silent, repeatsStages);
 		onOutcomeUnknown("silent");
 	}
 
 	/**
-	 * Returns the attempt that was replaced because it is silent.
-	 * @return keeps the attempt, if there is one
+	 * Returns the attempts that were replaced because they are silent.
+	 * @return keeps the attempts
 	 */
-	SilentAttempt silentAttempt() {
-		SilentAttempt present = this.silentAttempt;
-		if (present == null) {
-			present = new SilentAttempt(this.context.timers(), this);
-			this.silentAttempt = present;
-		}
-		return present;
-	}
-
-	private void releaseSilentAttempt() {
-		if (this.silentAttempt != null) {
-			this.silentAttempt.release();
-		}
+	SilentAttempts silentAttempts() {
+		return this.silentAttempts;
 	}
 
 	private boolean resumeSilentAttempt() {
-		Attempt silent = (this.silentAttempt != null) ? this.silentAttempt.take() : null;
+		Attempt silent = this.silentAttempts.take();
 		if (silent == null) {
 			return false;
 		}
 		this.possibleExecutions--;
-		continueWith(silent);
+		continueWith(silent, this.silentAttempts.areStagesRepeated());
 		return true;
 	}
 
 	/**
-	 * Continues with an attempt that was replaced because it was silent, and responds
-	 * now.
+	 * Continues with an attempt that was replaced because it was silent, and cancels the
+	 * one that replaced it.
 	 * @param silent the attempt
 	 */
 	void resume(Attempt silent) {
@@ -398,16 +394,15 @@
 			// No other endpoint has got the request yet.
 			this.possibleExecutions--;
 		}
-		continueWith(silent);
+		continueWith(silent, true);
 	}
 
-	private void continueWith(Attempt silent) {
+	private void continueWith(Attempt silent, boolean restartsTimeout) {
 		this.attempt = silent;
-		boolean stagesRepeated = silentAttempt().areStagesRepeated();
-		if (stagesRepeated && this.requestStages != null) {
+		if (this.silentAttempts.areStagesRepeated() && this.requestStages != null) {
 			this.requestStages.cancel();
 		}
-		silent.continueWaiting(stagesRepeated);
+		silent.continueWaiting(restartsTimeout);
 	}
 
 	/**
@@ -560,7 +555,7 @@
 	 * @param reason the reason to report
 	 */
 	void endEarly(String reason) {
-		releaseSilentAttempt();
+		this.silentAttempts.release();
 		if (this.attempt != null) {
 			this.possibleExecutions++;
 		}
@@ -653,7 +648,7 @@
 				this.requestStages.releaseRequestInputs();
 			}
 		}
-		releaseSilentAttempt();
+		this.silentAttempts.release();
 		position.advance(events);
 		this.telemetry.eventsRelayed();
 		return this.exchange.write(events);
@@ -711,7 +706,7 @@
 		this.endCallback.accept(this);
 		this.deadlineTimer.dispose();
 		this.exchange.setObserver(null);
-		releaseSilentAttempt();
+		this.silentAttempts.release();
 		if (this.attempt != null) {
 			this.attempt.cancel();
 			this.attempt = null;
--- a/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
+++ b/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
@@ -28,6 +28,9 @@
 	/** Path on which the platform asks whether a gateway takes new connections. */
 	public static final String READINESS_PATH = "/api/readyz";
 
+	/** Path on which an engine reports its state without using a slot. */
+	public static final String ENGINE_STATE_PATH = "/api/report";
+
 	private static final String REQUEST_ID = "Request-Id";
 
 	private static final String DEADLINE = "Deadline-Ms";
--- a/src/test/java/org/magnoliahub/entry/EntryFixture.java
+++ b/src/test/java/org/magnoliahub/entry/EntryFixture.java
@@ -16,6 +16,7 @@
 import org.magnoliahub.platform.NodeSettings;
 import org.magnoliahub.platform.NodeSettingsReader;
 import org.magnoliahub.platform.PlatformFormatException;
+import org.magnoliahub.platform.PlatformHeaders;
 import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.emulator.CallerAnswer;
 import org.magnoliahub.platform.emulator.EmulatedSettings;
@@ -41,6 +42,8 @@
 
 	private final List<String> log = Collections.synchronizedList(new ArrayList<>());
 
+	private volatile boolean reportsState = true;
+
 	private final AtomicLong loopPauseMillis = new AtomicLong();
 
 	private final List<EmulatedSettings.Node> nodes = new ArrayList<>();
@@ -124,16 +127,42 @@
 	}
 
 	/**
-	 * Starts a server and lists it in the store as an endpoint.
+	 * Starts a server and lists it in the store as an endpoint. It reports its state
+	 * unless {@link #leaveStateRequestsUnanswered()} was called.
 	 */
 	RawServer addEndpoint(String id, String service, RawServer.Handler handler) throws IOException {
-		RawServer server = RawServer.start(handler);
+		RawServer server = RawServer.start((request, socket) -> {
+			if (request.target().equals(PlatformHeaders.ENGINE_STATE_PATH)) {
+				reportState(socket);
+				return;
+			}
+			handler.handle(request, socket);
+		});
 		this.servers.add(server);
 		this.endpointAddresses.put(id, server.address());
 		listEndpoint(id, service, server.address(), "ready");
 		return server;
 	}
 
+	private void reportState(Socket socket) throws IOException {
+		if (this.reportsState) {
+			RawServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+			return;
+		}
+		// Reads until the gateway closes the connection.
+		while (socket.getInputStream().read() >= 0) {
+			continue;
+		}
+		socket.close();
+	}
+
+	/**
+	 * Lets silent endpoints give no sign of life at all, as if they had lost power.
+	 */
+	void leaveStateRequestsUnanswered() {
+		this.reportsState = false;
+	}
+
 	/**
 	 * Returns the address of an endpoint that was added before.
 	 */
--- a/src/test/java/org/magnoliahub/entry/SilentEndpointTests.java
+++ b/src/test/java/org/magnoliahub/entry/SilentEndpointTests.java
@@ -179,6 +179,7 @@
 
 	@Test
 	void silentAttemptIsCancelledBeforeSlowEndpointsOverlap() throws Exception {
+		this.fixture.leaveStateRequestsUnanswered();
 		AtomicLong resumedNanos = new AtomicLong();
 		AtomicLong closedNanos = new AtomicLong();
 		RawServer.Handler handler = (request, socket) -> {
--- a/src/test/java/org/magnoliahub/entry/SilentStagedStreamTests.java
+++ b/src/test/java/org/magnoliahub/entry/SilentStagedStreamTests.java
@@ -137,6 +137,7 @@
 
 	@Test
 	void endpointThatStaysSilentIsLeftOnceOtherEndpointHasTheRequest() throws Exception {
+		this.fixture.leaveStateRequestsUnanswered();
 		AtomicLong takenNanos = new AtomicLong();
 		AtomicLong closedNanos = new AtomicLong();
 		addModels((request, socket) -> {
