Count only a usable head and a fresh sign of life when a silent stream is moved

- The head of a refusal counted as a beginning answer, so the stream was closed at its live server if head and end of the refusal arrived apart.
Only the head of a signed success counts now (ReplacedStreamTests, REFUSES_IN_PARTS).
- A sign of life could be older than the end of the server: a response to any call since the silence began, or a probe from before the stages ran again.
The probe is sent together with the request to the other server, and nothing else counts.
A server that drains counts as gone.
- A kept attempt whose body became too large, or that was evicted, ended the attempt that had replaced it.
It is only forgotten now (SilentEndpointTests.oversizedBodyOfReplacedAttemptDoesNotEndRequest).
An error whose end came after the replacement did the same.
- A kept attempt whose head came after the usable head of the other one cancelled that one.
It is cancelled itself now, before the first event.
- The steps of the overlap had no limit in time.
They end after 350 ms unless the process was paused.
- The probe passed by a pause that the server had asked for.
It uses the interceptor of all calls now, and a paused server is not asked.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -119,19 +119,15 @@
 	}
 
 	/**
-	 * Returns when the endpoint last sent a part of the response.
-	 * @return monotonic time in milliseconds, that of the request before the first part
+	 * Returns whether the endpoint has begun a usable answer.
+	 * @return whether the head of a signed success has arrived
 	 */
-	long lastReceivedMillis() {
-		return this.lastReceivedMillis;
+	boolean isAnswerBeginning() {
+		return this.head != null && isUsable(this.head);
 	}
 
-	/**
-	 * Returns whether the endpoint has begun its answer.
-	 * @return whether the head of the response has arrived
-	 */
-	boolean isAnswerBeginning() {
-		return this.head != null;
+	private static boolean isUsable(ResponseHead responseHead) {
+		return responseHead.isSuccess() && responseHead.signed() && !responseHead.contentEncoded();
 	}
 
 	String endpointId() {
@@ -206,8 +202,7 @@
 
 	@Override
 	public void onHead(HttpResponse response, ResponseHead responseHead) {
-		this.flow.silentAttempts()
-			.onResponding(this, responseHead.isSuccess() && responseHead.signed() && !responseHead.contentEncoded());
+		this.flow.silentAttempts().onResponding(this, isUsable(responseHead));
 		if (this.ended) {
 			return;
 		}
@@ -240,7 +235,9 @@
 	private void rejectResponse(String reason) {
 		this.choice.endpoint().recordFailure(this.context.now(), true);
 		cancel();
-		this.flow.onOutcomeUnknown(reason);
+		if (!this.flow.silentAttempts().forget(this)) {
+			this.flow.onOutcomeUnknown(reason);
+		}
 	}
 
 	@Override
@@ -261,6 +258,9 @@
 		}
 		this.lastReceivedMillis = this.context.now();
 		this.flow.silentAttempts().onResponding(this, true);
+		if (this.ended) {
+			return;
+		}
 		byte[] events = this.splitter.add(data);
 		if (this.splitter.incompleteBytes() > MAXIMUM_EVENT_BYTES) {
 			rejectResponse("event too large");
@@ -317,6 +317,9 @@
 			return;
 		}
 		this.flow.silentAttempts().onResponding(this, responseHead.isSuccess());
+		if (this.ended) {
+			return;
+		}
 		finish();
 		long now = this.context.now();
 		if (responseHead.notExecuted()) {
--- a/src/main/java/org/magnoliahub/entry/LivenessProbe.java
+++ b/src/main/java/org/magnoliahub/entry/LivenessProbe.java
@@ -6,6 +6,7 @@
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.platform.PlatformHeaders;
 import org.magnoliahub.serving.EndpointRecord;
+import org.magnoliahub.serving.EndpointState;
 import org.magnoliahub.serving.ResponseHead;
 
 /**
@@ -31,20 +32,24 @@
 
 	private boolean answered;
 
+	private boolean misdirected;
+
 	private LivenessProbe() {
 	}
 
 	/**
 	 * Sends a probe.
 	 * @param context the services of the gateway
-	 * @param endpoint the record of the engine
+	 * @param endpoint the engine
 	 * @return the probe
 	 */
-	static LivenessProbe send(EntryContext context, EndpointRecord endpoint) {
+	static LivenessProbe send(EntryContext context, EndpointState endpoint) {
 		LivenessProbe probe = new LivenessProbe();
-		HttpCall call = new HttpCall(endpoint.address(), CONNECTION_GROUP, HttpMethod.GET,
-				PlatformHeaders.ENGINE_STATE_PATH, PlatformHeaders.ownCallHeaders(endpoint.id(), BUDGET_MILLIS),
-				NO_BODY, 0, CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, null, EndpointInterceptor.NONE);
+		EndpointRecord record = endpoint.record();
+		HttpCall call = new HttpCall(record.address(), CONNECTION_GROUP, HttpMethod.GET,
+				PlatformHeaders.ENGINE_STATE_PATH, PlatformHeaders.ownCallHeaders(record.id(), BUDGET_MILLIS), NO_BODY,
+				0, CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, null,
+				context.endpointNotices().interceptor(endpoint, (head) -> true));
 		probe.exchange = context.httpClient().send(call, probe);
 		return probe;
 	}
@@ -55,7 +60,7 @@
 	 * @return whether it answered or ended the call
 	 */
 	boolean isAnswered() {
-		return this.answered;
+		return this.answered && !this.misdirected;
 	}
 
 	void cancel() {
@@ -67,7 +72,8 @@
 	@Override
 	public void onHead(HttpResponse response, ResponseHead head) {
 		// Another server at the address proves that the engine is gone.
-		this.answered = head.status() != MISDIRECTED;
+		this.misdirected = head.status() == MISDIRECTED;
+		this.answered = true;
 	}
 
 	@Override
--- a/src/main/java/org/magnoliahub/entry/SilentAttempts.java
+++ b/src/main/java/org/magnoliahub/entry/SilentAttempts.java
@@ -26,11 +26,20 @@
 	 */
 	private static final Duration OVERLAP_STEP = Duration.ofMillis(50);
 
+	/** Overlap in steps. */
+	private static final int OVERLAP_STEPS = 5;
+
 	/**
-	 * Maximum overlap in steps. A server that works on a stream 400 ms after another one
-	 * has continued it breaks a rule of the platform.
+	 * Overlap after which no further steps are counted. A server that works on a stream
+	 * 400 ms after another one has continued it breaks a rule of the platform.
 	 */
-	private static final int OVERLAP_STEPS = 5;
+	private static final long MAXIMUM_OVERLAP_MILLIS = 350;
+
+	/**
+	 * Delay of a step that shows a pause of the process. Responses that arrived in the
+	 * pause are read before the next step.
+	 */
+	private static final long MAXIMUM_STEP_DELAY_MILLIS = 30;
 
 	private final EntryContext context;
 
@@ -65,7 +74,6 @@
 		this.stagesRepeated = repeatsStages;
 		if (hasStreamBegun()) {
 			release();
-			this.probe = LivenessProbe.send(this.context, silent.endpoint().record());
 		}
 		this.kept.add(silent);
 	}
@@ -88,28 +96,41 @@
 	 * of the two attempts is cancelled after the permitted overlap.
 	 */
 	void limitOverlap() {
-		this.timer.dispose();
-		if (!this.kept.isEmpty() && hasStreamBegun()) {
-			scheduleStep(OVERLAP_STEPS);
+		if (this.kept.isEmpty() || !hasStreamBegun()) {
+			return;
 		}
+		// Asked now, because an earlier sign of life may be older than the end of the
+		// endpoint.
+		stopTimers();
+		this.probe = LivenessProbe.send(this.context, this.kept.get(0).endpoint());
+		scheduleStep(OVERLAP_STEPS, this.context.now());
 	}
 
-	private void scheduleStep(int remainingSteps) {
+	private void scheduleStep(int remainingSteps, long startedMillis) {
+		long scheduledMillis = this.context.now();
 		this.timer = this.context.timers()
-			.schedule(OVERLAP_STEP, () -> this.flow.faultBarrier().run(() -> onStep(remainingSteps - 1)));
+			.schedule(OVERLAP_STEP, () -> this.flow.faultBarrier()
+				.run(() -> onStep(remainingSteps - 1, startedMillis, scheduledMillis)));
 	}
 
-	private void onStep(int remainingSteps) {
-		if (remainingSteps > 0) {
-			scheduleStep(remainingSteps);
+	private void onStep(int remainingSteps, long startedMillis, long scheduledMillis) {
+		long now = this.context.now();
+		boolean delayed = now - scheduledMillis > OVERLAP_STEP.toMillis() + MAXIMUM_STEP_DELAY_MILLIS;
+		boolean due = remainingSteps <= 0 || now - startedMillis >= MAXIMUM_OVERLAP_MILLIS;
+		if (delayed || !due) {
+			scheduleStep(remainingSteps, startedMillis);
 			return;
 		}
+		endOverlap(now);
+	}
+
+	private void endOverlap(long now) {
 		Attempt other = this.flow.currentAttempt();
 		if (this.kept.isEmpty() || other == null) {
 			return;
 		}
 		Attempt silent = this.kept.get(0);
-		if (other.isAnswerBeginning() || !isAlive(silent)) {
+		if (other.isAnswerBeginning() || !isAlive(silent, now)) {
 			release();
 			return;
 		}
@@ -117,14 +138,18 @@
 		this.flow.resume(silent);
 	}
 
-	private boolean isAlive(Attempt silent) {
-		boolean answered = this.probe != null && this.probe.isAnswered();
-		return answered || silent.endpoint().hasRespondedSince(silent.lastReceivedMillis());
+	private boolean isAlive(Attempt silent, long now) {
+		if (silent.endpoint().isDraining()) {
+			return false;
+		}
+		// An endpoint that requested a pause is not asked.
+		return silent.endpoint().isPauseRequested(now) || (this.probe != null && this.probe.isAnswered());
 	}
 
 	/**
-	 * Called when an attempt receives a part of its response. Resumes it if it is kept
-	 * and the response is usable, and cancels it if it is kept and is not.
+	 * Called when an attempt receives a part of its response. If it is kept, it is
+	 * resumed, or cancelled if the response is not usable or another endpoint has begun
+	 * its answer before.
 	 * @param responding the attempt
 	 * @param usable whether the response is a signed success
 	 */
@@ -132,7 +157,9 @@
 		if (!forget(responding)) {
 			return;
 		}
-		if (!usable) {
+		Attempt other = this.flow.currentAttempt();
+		boolean tooLate = !hasStreamBegun() && other != null && other.isAnswerBeginning();
+		if (!usable || tooLate) {
 			responding.cancel();
 			return;
 		}
--- a/src/main/java/org/magnoliahub/serving/EndpointState.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointState.java
@@ -377,16 +377,6 @@
 		return false;
 	}
 
-	/**
-	 * Returns whether a call to the endpoint got the first part of its response after a
-	 * moment.
-	 * @param millis monotonic time, in milliseconds
-	 * @return whether the endpoint has responded to some call since then
-	 */
-	public boolean hasRespondedSince(long millis) {
-		return this.lastResponseAt > millis;
-	}
-
 	/**
 	 * Estimates the number of running and waiting requests at the endpoint. Without a
 	 * recent load report, each other gateway is assumed to have as many there as this
--- a/src/test/java/org/magnoliahub/entry/ReplacedStreamTests.java
+++ b/src/test/java/org/magnoliahub/entry/ReplacedStreamTests.java
@@ -58,13 +58,15 @@
 	static List<Order> orders() {
 		List<Order> orders = new ArrayList<>();
 		for (boolean staged : new boolean[] { false, true }) {
-			for (OtherEndpoint other : OtherEndpoint.values()) {
+			for (OtherEndpoint other : List.of(OtherEndpoint.REFUSES_SOON, OtherEndpoint.REFUSES_LATE,
+					OtherEndpoint.STAYS_SILENT)) {
 				for (Silence silence : Silence.values()) {
 					orders.add(new Order(silence, staged, 1, other));
 				}
 				orders.add(new Order(Silence.BETWEEN_EVENTS, staged, 2, other));
 			}
 		}
+		orders.add(new Order(Silence.BETWEEN_EVENTS, false, 1, OtherEndpoint.REFUSES_IN_PARTS));
 		return orders;
 	}
 
@@ -106,9 +108,15 @@
 	}
 
 	private void respondAsOther(Order order, RawServer.Request request, Socket socket) throws IOException {
+		if (order.other() == OtherEndpoint.REFUSES_IN_PARTS) {
+			RawServer.write(socket, EntryFixture.notExecutedResponse(request, 503).replace("Length: 0", "Length: 4"));
+		}
 		EntryFixture.pause((order.other() == OtherEndpoint.REFUSES_SOON) ? SOON_MILLIS : LATE_MILLIS);
 		try {
-			if (order.other() != OtherEndpoint.STAYS_SILENT) {
+			if (order.other() == OtherEndpoint.REFUSES_IN_PARTS) {
+				RawServer.write(socket, "full");
+			}
+			else if (order.other() != OtherEndpoint.STAYS_SILENT) {
 				RawServer.write(socket, EntryFixture.notExecutedResponse(request, 503));
 			}
 		}
@@ -166,7 +174,7 @@
 	/** What an endpoint does that gets the stream instead. */
 	private enum OtherEndpoint {
 
-		REFUSES_SOON, REFUSES_LATE, STAYS_SILENT
+		REFUSES_SOON, REFUSES_LATE, REFUSES_IN_PARTS, STAYS_SILENT
 
 	}
 
--- a/src/test/java/org/magnoliahub/entry/SilentEndpointTests.java
+++ b/src/test/java/org/magnoliahub/entry/SilentEndpointTests.java
@@ -34,6 +34,9 @@
 	/** Longer than a failure of the other endpoint needs to arrive. */
 	private static final long OTHER_RESPONSE_MILLIS = 200;
 
+	/** Larger than a gateway accepts. */
+	private static final int OVERSIZED_BODY_BYTES = 5_000_000;
+
 	/** Two endpoints must not work on one stream for longer. */
 	private static final long MAXIMUM_OVERLAP_NANOS = Duration.ofMillis(400).toNanos();
 
@@ -224,6 +227,35 @@
 		assertThat(this.calls).hasValue(2);
 	}
 
+	@Test
+	void oversizedBodyOfReplacedAttemptDoesNotEndRequest() throws Exception {
+		CountDownLatch secondCall = new CountDownLatch(1);
+		CountDownLatch bodySent = new CountDownLatch(1);
+		RawServer.Handler handler = (request, socket) -> {
+			if (this.calls.incrementAndGet() > 1) {
+				secondCall.countDown();
+				await(bodySent);
+				RawServer.write(socket, EntryFixture.signedResponse(request, "slow"));
+				return;
+			}
+			String response = EntryFixture.signedResponse(request, "x".repeat(OVERSIZED_BODY_BYTES));
+			int headLength = response.length() - OVERSIZED_BODY_BYTES;
+			RawServer.write(socket, response.substring(0, headLength));
+			await(secondCall);
+			try {
+				RawServer.write(socket, response.substring(headLength));
+			}
+			finally {
+				bodySent.countDown();
+			}
+		};
+		this.fixture.addEndpoint("e-1", "plain", handler);
+		this.fixture.addEndpoint("e-2", "plain", handler);
+		this.fixture.awaitEndpoints();
+		assertResponseIsRelayed();
+		assertThat(this.calls).hasValue(2);
+	}
+
 	/**
 	 * Adds two endpoints: the one that gets a request first answers once the other one
 	 * has got it.
