Send nothing new to zones that the operator evacuates

What callers see: while the row evacuate/ZONE is in the operator's table, requests go to other zones. If all endpoints of a service, or of a stage that the request needs, are in evacuated zones, the request is refused at once with 503, Retry-After and the reason "evacuated". Streams that run in the zone continue, and results of running pieces are used and released.

EndpointDirectory leaves out evacuated endpoints, which covers requests, engines, stage queues, retries and resumed streams. The interceptors of calls with new work check again right before the bytes are written; HttpClient now asks them for pooled connections, too. A batch that is withheld is queued again without use of the retry budget. With evacuate_ms in the settings, the long poll is shortened so that two calls without response in a row keep the bound, and a configuration of another gateway isn't used before the table was listed.

A release of results to a draining endpoint over a pooled connection is now refused as over a new one.

Reasons of refusals move from RequestFlow to RefusalReason.

RequestFaultTests passes the new argument of EndpointNoticeHandler; nothing else of existing tests changed.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -392,9 +392,9 @@
 		if (sent) {
 			reportBrokenOff();
 		}
-		// A request that was withheld because the endpoint is draining or requested a
-		// pause is no failure of the endpoint.
-		if (sent || this.choice.endpoint().isAvailable(this.context.now())) {
+		// A request that was withheld because the endpoint is draining, requested a pause
+		// or is in an evacuated zone is no failure of the endpoint.
+		if (sent || this.context.directory().accepts(this.choice.endpoint(), this.context.now())) {
 			this.choice.endpoint().recordFailure(this.context.now(), true);
 		}
 		if (this.flow.silentAttempts().forget(this)) {
--- a/src/main/java/org/magnoliahub/entry/ConfigurationTable.java
+++ b/src/main/java/org/magnoliahub/entry/ConfigurationTable.java
@@ -40,6 +40,8 @@
 
 	private long lastResponseMillis;
 
+	private boolean awaitsList;
+
 	/**
 	 * Creates a table without a configuration.
 	 * @param timers the timer service
@@ -58,12 +60,20 @@
 		this.listener = listener;
 	}
 
+	/**
+	 * Withholds a configuration of another gateway until the table has been read, whose
+	 * other rows restrict how it may be used.
+	 */
+	void awaitList() {
+		this.awaitsList = true;
+	}
+
 	/**
 	 * Returns the configuration that this gateway uses.
 	 * @return the configuration, or empty before the first one
 	 */
 	Optional<ServingConfiguration> current() {
-		return Optional.ofNullable(this.current);
+		return this.awaitsList ? Optional.empty() : Optional.ofNullable(this.current);
 	}
 
 	/**
@@ -93,6 +103,7 @@
 
 	@Override
 	public void onList(List<StoredRow> rows, boolean restored) {
+		this.awaitsList = false;
 		long listedVersion = apply(rows);
 		if (restored) {
 			this.restorationReport.recordConfiguration(listedVersion, version());
--- a/src/main/java/org/magnoliahub/entry/EndpointInterceptor.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointInterceptor.java
@@ -25,8 +25,8 @@
 	};
 
 	/**
-	 * Returns why the call must not be sent. Called once a connection is open, because
-	 * the state of the endpoint may have changed while it was opened.
+	 * Returns why the call must not be sent. Called right before the request is written,
+	 * because the state of the endpoint may have changed while a connection was opened.
 	 * @return the reason, or {@code null} if it may be sent
 	 */
 	@Nullable String refusalReason();
--- a/src/main/java/org/magnoliahub/entry/EndpointNoticeHandler.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointNoticeHandler.java
@@ -3,6 +3,7 @@
 import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.placement.Placement;
 import org.magnoliahub.serving.EndpointNotice;
 import org.magnoliahub.serving.EndpointState;
 import org.magnoliahub.serving.GatewayGroup;
@@ -13,8 +14,8 @@
 /**
  * Applies the notices in response heads of endpoints, for all kinds of calls: an endpoint
  * that announces that it drains gets no further calls, and one that requests a pause gets
- * none until the pause ends. The request rate that an endpoint states is divided among
- * the gateways.
+ * none until the pause ends. Calls with new work for an endpoint in an evacuated zone are
+ * withheld. The request rate that an endpoint states is divided among the gateways.
  */
 final class EndpointNoticeHandler {
 
@@ -31,13 +32,16 @@
 
 	private final GatewayGroup gateways;
 
+	private final Placement placement;
+
 	EndpointNoticeHandler(Timers timers, EntryLog log, EntryMetrics metrics, HttpClient httpClient,
-			GatewayGroup gateways) {
+			GatewayGroup gateways, Placement placement) {
 		this.timers = timers;
 		this.log = log;
 		this.metrics = metrics;
 		this.httpClient = httpClient;
 		this.gateways = gateways;
+		this.placement = placement;
 	}
 
 	/**
@@ -47,7 +51,7 @@
 	 * @return the interceptor
 	 */
 	EndpointInterceptor interceptor(EndpointState endpoint, Predicate<ResponseHead> isFromEndpoint) {
-		return new NoticeInterceptor(endpoint, isFromEndpoint, this.gateways::rateShare);
+		return new NoticeInterceptor(endpoint, isFromEndpoint, this.gateways::rateShare, true);
 	}
 
 	/**
@@ -57,7 +61,17 @@
 	 * @return the interceptor
 	 */
 	EndpointInterceptor stageInterceptor(EndpointState endpoint) {
-		return new NoticeInterceptor(endpoint, (head) -> true, (id, perSecond) -> RateShare.WHOLE);
+		return new NoticeInterceptor(endpoint, (head) -> true, (id, perSecond) -> RateShare.WHOLE, true);
+	}
+
+	/**
+	 * Returns the interceptor for a call that releases results of a stage endpoint. The
+	 * results of a server in an evacuated zone are released, since that is no new work.
+	 * @param endpoint the endpoint that the call goes to
+	 * @return the interceptor
+	 */
+	EndpointInterceptor releaseInterceptor(EndpointState endpoint) {
+		return new NoticeInterceptor(endpoint, (head) -> true, (id, perSecond) -> RateShare.WHOLE, false);
 	}
 
 	private void handle(EndpointState endpoint, EndpointNotice notice, RateDivision division) {
@@ -135,11 +149,14 @@
 
 		private final RateDivision division;
 
-		private NoticeInterceptor(EndpointState endpoint, Predicate<ResponseHead> isFromEndpoint,
-				RateDivision division) {
+		private final boolean newWork;
+
+		private NoticeInterceptor(EndpointState endpoint, Predicate<ResponseHead> isFromEndpoint, RateDivision division,
+				boolean newWork) {
 			this.endpoint = endpoint;
 			this.isFromEndpoint = isFromEndpoint;
 			this.division = division;
+			this.newWork = newWork;
 		}
 
 		@Override
@@ -147,6 +164,10 @@
 			if (this.endpoint.isDraining()) {
 				return "endpoint leaves";
 			}
+			if (this.newWork
+					&& EndpointNoticeHandler.this.placement.isEvacuated(this.endpoint.record().availabilityZone())) {
+				return "zone evacuated";
+			}
 			return this.endpoint.isPauseRequested(EndpointNoticeHandler.this.timers.milliTime()) ? "endpoint paused"
 					: null;
 		}
--- a/src/main/java/org/magnoliahub/entry/EndpointPage.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointPage.java
@@ -39,7 +39,7 @@
 		try (JsonGenerator json = new JsonFactory().createGenerator(text)) {
 			json.setRootValueSeparator(null);
 			for (EndpointState endpoint : endpoints) {
-				write(json, endpoint, now);
+				write(json, endpoint, state(directory, endpoint, now), now);
 				json.writeRaw('\n');
 			}
 		}
@@ -49,13 +49,13 @@
 		return text.toString();
 	}
 
-	private static void write(JsonGenerator json, EndpointState endpoint, long now) throws IOException {
+	private static void write(JsonGenerator json, EndpointState endpoint, String state, long now) throws IOException {
 		json.writeStartObject();
 		json.writeStringField("name", endpoint.record().id());
 		json.writeStringField("pool", endpoint.record().service());
 		json.writeStringField("zone", endpoint.record().availabilityZone());
 		json.writeStringField("address", endpoint.record().address());
-		json.writeStringField("state", state(endpoint, now));
+		json.writeStringField("state", state);
 		json.writeNumberField("paused_ms", Math.max(0, endpoint.requestedPauseEnd() - now));
 		if (endpoint.requestsPerSecond() > 0) {
 			json.writeNumberField("requests_per_second", endpoint.requestsPerSecond());
@@ -63,10 +63,13 @@
 		json.writeEndObject();
 	}
 
-	private static String state(EndpointState endpoint, long now) {
+	private static String state(EndpointDirectory directory, EndpointState endpoint, long now) {
 		if (endpoint.isDraining()) {
 			return "draining";
 		}
+		if (directory.isEvacuated(endpoint)) {
+			return "evacuated";
+		}
 		if (endpoint.isPauseRequested(now)) {
 			return "paused";
 		}
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -30,6 +30,11 @@
 	/** A stored configuration was rejected. */
 	CONFIGURATION_REJECTED(Importance.HIGH, "reason"),
 
+	/**
+	 * The evacuation of a zone began or ended, or a restored store lacks its row for now.
+	 */
+	ZONE_EVACUATION(Importance.HIGH, "zone", "state"),
+
 	/** The connection to a table of the store was lost or regained. */
 	STORE_CONTACT(Importance.HIGH, "table", "outcome", "reason"),
 
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -18,6 +18,8 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.nio.NioEventLoopGroup;
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.placement.Placement;
+import org.magnoliahub.placement.ZoneReopeningListener;
 import org.magnoliahub.platform.MemberRecord;
 import org.magnoliahub.platform.NodeSettings;
 import org.magnoliahub.platform.NodeSettingsReader;
@@ -86,7 +88,9 @@
 
 	private final EntryContext context;
 
-	private final EndpointDirectory directory = new EndpointDirectory();
+	private final Placement placement = new Placement();
+
+	private final EndpointDirectory directory = new EndpointDirectory(this.placement);
 
 	private final StoreEra era = new StoreEra();
 
@@ -144,8 +148,8 @@
 		this.configurationTable = new ConfigurationTable(this.timers, this.log, this.era, this.restorationReport,
 				this::useConfiguration);
 		this.context = new EntryContext(this.timers, this.log, this.metrics, httpClient,
-				new EndpointNoticeHandler(this.timers, this.log, this.metrics, httpClient, gateways), gateways,
-				this.directory, selector, retryBudget,
+				new EndpointNoticeHandler(this.timers, this.log, this.metrics, httpClient, gateways, this.placement),
+				gateways, this.directory, selector, retryBudget,
 				new CrashingPrompts(this.group, this.timers, this.log, settings.nodeName()), this.configurationTable,
 				this.gracefulShutdown, responseMemory, this.requestRecorder, settings.nodeName());
 		this.stageCoordinator = new StageCoordinator(this.context, this.group, settings.nodeName());
@@ -202,10 +206,14 @@
 	private void startOnLoop() {
 		this.log.start();
 		this.era.subscribe(this::onEra);
-		TableWatcher.PollTiming configurationTiming = PollTimings.configuration(this.settings.bounds());
 		TableWatcher.PollTiming endpointTiming = PollTimings.endpoints(this.settings.bounds());
 		long startupEnd = this.timers.milliTime() + STARTUP_MILLIS;
-		startWatcher(StoreFormat.CONFIGURATION_TABLE, configurationTiming, this.configurationTable);
+		if (this.settings.bounds().evacuationMillis() > 0) {
+			this.configurationTable.awaitList();
+		}
+		startWatcher(StoreFormat.CONFIGURATION_TABLE, PollTimings.operator(this.settings.bounds()),
+				new OperatorTable(this.configurationTable, this.placement, ZoneReopeningListener.NONE, this.timers,
+						this.log, this.metrics));
 		startWatcher(StoreFormat.ENDPOINT_TABLE, endpointTiming,
 				new EndpointTable(this.directory, this.timers, this.log, this.restorationReport));
 		this.memberTable.start();
@@ -297,6 +305,7 @@
 		this.metrics.gauge("entry.records.omitted", this.requestRecorder::droppedCount);
 		this.metrics.gauge("entry.configuration.version", this.configurationTable::version);
 		this.metrics.gauge("entry.configuration.age.ms", this.configurationTable::ageMillis);
+		this.metrics.gauge("entry.zones.evacuated", this.placement::evacuatedCount);
 		this.metrics.gauge("entry.store.era", this.era::current);
 		this.metrics.gauge("entry.endpoints.leaving",
 				() -> this.directory.all().stream().filter(EndpointState::isDraining).count());
--- a/src/main/java/org/magnoliahub/entry/EntryMetrics.java
+++ b/src/main/java/org/magnoliahub/entry/EntryMetrics.java
@@ -109,7 +109,8 @@
 	/**
 	 * Records a call with a batch of stage pieces.
 	 * @param pieces number of pieces
-	 * @param outcome {@code done} or {@code failed}
+	 * @param outcome {@code done}, {@code failed}, or {@code withheld} for one that was
+	 * not sent because its zone is evacuated
 	 * @param millis time from the request to the response
 	 */
 	void stageCall(int pieces, String outcome, long millis) {
@@ -137,6 +138,14 @@
 		record((meters) -> meters.counter("entry.endpoint.notices", "state", state).increment());
 	}
 
+	/**
+	 * Counts a change of the evacuation of a zone.
+	 * @param state {@code evacuated}, {@code missing} or {@code reopened}
+	 */
+	void zoneEvacuation(String state) {
+		record((meters) -> meters.counter("entry.zone.evacuations", "state", state).increment());
+	}
+
 	/**
 	 * Counts a restoration of the store from an older backup.
 	 */
--- a/src/main/java/org/magnoliahub/entry/HttpClient.java
+++ b/src/main/java/org/magnoliahub/entry/HttpClient.java
@@ -42,7 +42,7 @@
 		HttpExchange exchange = new HttpExchange(call, listener);
 		HttpConnection connection = (call.maximumIdleMillis() > 0) ? takeIdle(call) : null;
 		if (connection != null) {
-			connection.start(exchange);
+			startUnlessRefused(connection, exchange);
 			return exchange;
 		}
 		connect(call, exchange);
@@ -97,18 +97,23 @@
 				connection.close();
 				return;
 			}
-			// The endpoint may have requested a pause while the connection was opening.
-			String refusalReason = call.interceptor().refusalReason();
-			if (refusalReason != null) {
-				connection.close();
-				exchange.fail(false, refusalReason);
-				return;
-			}
-			connection.start(exchange);
+			startUnlessRefused(connection, exchange);
 		});
 		exchange.setConnectingChannel(connectFuture.channel());
 	}
 
+	// The endpoint may have requested a pause, or its zone may have been evacuated, while
+	// the connection was opening.
+	private void startUnlessRefused(HttpConnection connection, HttpExchange exchange) {
+		String refusalReason = exchange.call().interceptor().refusalReason();
+		if (refusalReason == null) {
+			connection.start(exchange);
+			return;
+		}
+		connection.close();
+		exchange.fail(false, refusalReason);
+	}
+
 	void returnToPool(HttpCall.ConnectionKey key, HttpConnection connection) {
 		Deque<HttpConnection> connections = this.idleConnections.computeIfAbsent(key, (absent) -> new ArrayDeque<>());
 		if (connections.size() >= MAXIMUM_IDLE_PER_PEER) {
--- a/src/main/java/org/magnoliahub/entry/PollTimings.java
+++ b/src/main/java/org/magnoliahub/entry/PollTimings.java
@@ -16,6 +16,9 @@
 
 	private static final long MINIMUM_CONFIGURATION_POLL_MILLIS = 2_000;
 
+	/** Longest time from a failed call without a wait to the end of the next one. */
+	private static final long SECOND_FAILURE_MILLIS = 1_840;
+
 	/** Time for a new connection, reading and adoption within the contact bound. */
 	private static final long ADOPTION_MILLIS = 700;
 
@@ -41,6 +44,21 @@
 				bounds.contactMillis() - ADOPTION_MILLIS);
 	}
 
+	/**
+	 * Returns the timing for the operator's table, so that evacuations of zones are in
+	 * force within their bound even if two calls to the store in a row get no response.
+	 * @param bounds the platform's bounds
+	 * @return the timing
+	 */
+	static TableWatcher.PollTiming operator(NodeSettings.Bounds bounds) {
+		TableWatcher.PollTiming configuration = configuration(bounds);
+		if (bounds.evacuationMillis() == 0) {
+			return configuration;
+		}
+		return TableWatcher.PollTiming.continuous(configuration.longPollMillis(),
+				bounds.evacuationMillis() - ADOPTION_MILLIS - SECOND_FAILURE_MILLIS);
+	}
+
 	/**
 	 * Returns the timing for the endpoints. They rewrite their rows all the time, so that
 	 * a long poll would return at once.
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/RefusalReason.java
@@ -0,0 +1,69 @@
+package org.magnoliahub.entry;
+
+import org.magnoliahub.serving.EndpointDirectory;
+
+/**
+ * Reasons to report when a request ends without a response from an endpoint.
+ */
+final class RefusalReason {
+
+	/** The stages cannot run in time. */
+	static final String NO_CAPACITY = "no_capacity";
+
+	/** Results of stages were lost again. */
+	static final String INPUTS_GONE = "inputs_gone";
+
+	/** All endpoints of the service have requested a pause. */
+	static final String PAUSED = "endpoints_paused";
+
+	/** Endpoints end under a part of the prompt. */
+	static final String PROMPT_BLOCKED = "prompt_crashes_endpoints";
+
+	/** All endpoints of the service are in zones that the operator evacuates. */
+	static final String EVACUATED = "evacuated";
+
+	private static final String NO_ENDPOINT = "no_endpoint";
+
+	/** Retry-After for failures that may be limited to one endpoint. */
+	static final long RETRY_AFTER_MILLIS = 300;
+
+	/** Retry-After when stage capacity is exceeded, about the duration of a burst. */
+	private static final long CAPACITY_RETRY_AFTER_MILLIS = 2_500;
+
+	/**
+	 * Retry-After during an evacuation, whose end is unknown. A reopened zone is in use
+	 * within about the same time.
+	 */
+	private static final long EVACUATED_RETRY_AFTER_MILLIS = 2_500;
+
+	private RefusalReason() {
+	}
+
+	/**
+	 * Returns why no endpoint of a service accepts a request.
+	 * @param directory the endpoints
+	 * @param service the service
+	 * @param now monotonic time, in milliseconds
+	 * @return the reason to report
+	 */
+	static String withoutEndpoint(EndpointDirectory directory, String service, long now) {
+		if (directory.pausedMillis(service, now) > 0) {
+			return PAUSED;
+		}
+		return directory.isEvacuated(service, now) ? EVACUATED : NO_ENDPOINT;
+	}
+
+	/**
+	 * Returns the least time after which a caller may try again.
+	 * @param reason the reason of the refusal
+	 * @return milliseconds
+	 */
+	static long minimumRetryAfterMillis(String reason) {
+		return switch (reason) {
+			case NO_CAPACITY -> CAPACITY_RETRY_AFTER_MILLIS;
+			case EVACUATED -> EVACUATED_RETRY_AFTER_MILLIS;
+			default -> RETRY_AFTER_MILLIS;
+		};
+	}
+
+}
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -52,24 +52,6 @@
 	/** Limit on the sends of one request, including those that an endpoint rejected. */
 	private static final int MAXIMUM_SENDS = 4;
 
-	/** Reason when the stages cannot run in time. */
-	static final String NO_CAPACITY = "no_capacity";
-
-	/** Reason when results of stages were lost again. */
-	static final String INPUTS_GONE = "inputs_gone";
-
-	/** Reason when all endpoints of the service have requested a pause. */
-	static final String PAUSED = "endpoints_paused";
-
-	/** Reason when endpoints end under a part of the prompt. */
-	private static final String PROMPT_BLOCKED = "prompt_crashes_endpoints";
-
-	/** Retry-After for failures that may be limited to one endpoint. */
-	private static final long RETRY_AFTER_MILLIS = 300;
-
-	/** Retry-After when stage capacity is exceeded, about the duration of a burst. */
-	private static final long CAPACITY_RETRY_AFTER_MILLIS = 2_500;
-
 	/** Minimum remaining time for which another attempt is sent. */
 	private static final long MINIMUM_ATTEMPT_MILLIS = 30;
 
@@ -217,7 +199,7 @@
 		RequestStages present = this.requestStages;
 		if (present == null) {
 			present = new RequestStages(this.context, this.stages, this, matched, this.request, this.telemetry,
-					this.exchange.arrivedMillis());
+					this.exchange.arrivedMillis(), this.serviceName);
 			this.requestStages = present;
 		}
 		present.start(zone, stagesExpireAt(matched), this.sendCount == 0);
@@ -233,14 +215,6 @@
 		return Math.min(this.deadlineMillis, firstEventDeadline);
 	}
 
-	/**
-	 * Returns how long all endpoints of the service accept no request.
-	 * @return milliseconds, zero if one accepts it
-	 */
-	long pausedMillis() {
-		return this.context.directory().pausedMillis(this.serviceName, this.context.now());
-	}
-
 	/**
 	 * Sends the request to an endpoint.
 	 */
@@ -251,7 +225,7 @@
 		long now = this.context.now();
 		Optional<EndpointChoice> choice = selectEndpoint(now);
 		if (choice.isEmpty()) {
-			endUnanswered((pausedMillis() > 0) ? PAUSED : "no_endpoint");
+			endUnanswered(RefusalReason.withoutEndpoint(this.context.directory(), this.serviceName, now));
 			return;
 		}
 		if (this.deadlineMillis - now < MINIMUM_ATTEMPT_MILLIS) {
@@ -275,7 +249,7 @@
 		this.triesBlockedPrompt = mayTry && this.context.crashingPrompts().tryAgain(this.request.promptSegments());
 		this.telemetry.promptBlocked(part, this.triesBlockedPrompt);
 		if (!this.triesBlockedPrompt) {
-			endUnanswered(PROMPT_BLOCKED);
+			endUnanswered(RefusalReason.PROMPT_BLOCKED);
 		}
 		return !this.triesBlockedPrompt;
 	}
@@ -428,14 +402,14 @@
 	void onInputsLost() {
 		RequestStages present = this.requestStages;
 		boolean repeated = present != null && present.areRepeated();
-		reportFailedAttempt(INPUTS_GONE, false, repeated ? "give up" : "repeat stages");
+		reportFailedAttempt(RefusalReason.INPUTS_GONE, false, repeated ? "give up" : "repeat stages");
 		this.attempt = null;
 		if (resumeSilentAttempt()) {
 			return;
 		}
 		Route matched = this.route;
 		if (matched == null || present == null || repeated || !hasTimeForAttempt()) {
-			endUnanswered(INPUTS_GONE);
+			endUnanswered(RefusalReason.INPUTS_GONE);
 			return;
 		}
 		present.prepareRepeat();
@@ -510,10 +484,10 @@
 	}
 
 	private long retryAfterMillis(String reason) {
-		long paused = pausedMillis();
+		long paused = this.context.directory().pausedMillis(this.serviceName, this.context.now());
 		long stagesPaused = (this.requestStages != null) ? this.requestStages.pausedMillis() : 0;
-		long minimum = reason.equals(NO_CAPACITY) ? CAPACITY_RETRY_AFTER_MILLIS : RETRY_AFTER_MILLIS;
-		long blocked = reason.equals(PROMPT_BLOCKED)
+		long minimum = RefusalReason.minimumRetryAfterMillis(reason);
+		long blocked = reason.equals(RefusalReason.PROMPT_BLOCKED)
 				? this.context.crashingPrompts().retryAfterMillis(this.request.promptSegments()) : 0;
 		return Math.max(Math.max(minimum, blocked), Math.max(paused, stagesPaused));
 	}
@@ -530,7 +504,7 @@
 			fail(GATEWAY_TIMEOUT, "deadline");
 			return;
 		}
-		refuse(UNAVAILABLE, "deadline", RETRY_AFTER_MILLIS);
+		refuse(UNAVAILABLE, "deadline", RefusalReason.RETRY_AFTER_MILLIS);
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/RequestStages.java
+++ b/src/main/java/org/magnoliahub/entry/RequestStages.java
@@ -29,12 +29,14 @@
 
 	private final long arrivedMillis;
 
+	private final String service;
+
 	private @Nullable StageExecution execution;
 
 	private boolean retried;
 
 	RequestStages(EntryContext context, StageCoordinator coordinator, RequestFlow flow, Route route,
-			CallerRequest request, RequestTelemetry telemetry, long arrivedMillis) {
+			CallerRequest request, RequestTelemetry telemetry, long arrivedMillis, String service) {
 		this.context = context;
 		this.coordinator = coordinator;
 		this.flow = flow;
@@ -42,6 +44,7 @@
 		this.request = request;
 		this.telemetry = telemetry;
 		this.arrivedMillis = arrivedMillis;
+		this.service = service;
 	}
 
 	/**
@@ -55,15 +58,24 @@
 		StageExecution next = new StageExecution(this.context, this.coordinator, this.route, this.request,
 				this.arrivedMillis, expiresAt, zone, this);
 		this.execution = next;
-		if (this.flow.pausedMillis() > next.minimumChainMillis()) {
-			this.flow.endUnanswered(RequestFlow.PAUSED);
+		long now = this.context.now();
+		if (this.context.directory().pausedMillis(this.service, now) > next.minimumChainMillis()) {
+			this.flow.endUnanswered(RefusalReason.PAUSED);
+			return;
+		}
+		if (isEvacuated(next, now)) {
+			this.flow.endUnanswered(RefusalReason.EVACUATED);
 			return;
 		}
 		if (!firstRun || this.retried || mayStart(next, expiresAt)) {
 			next.start();
 			return;
 		}
-		this.flow.endUnanswered(RequestFlow.NO_CAPACITY);
+		this.flow.endUnanswered(RefusalReason.NO_CAPACITY);
+	}
+
+	private boolean isEvacuated(StageExecution run, long now) {
+		return this.context.directory().isEvacuated(this.service, now) || run.isEvacuated();
 	}
 
 	private boolean mayStart(StageExecution next, long expiresAt) {
@@ -146,7 +158,8 @@
 
 	@Override
 	public void onFailed(String reason) {
-		this.flow.endUnanswered(reason);
+		boolean evacuated = this.execution != null && this.execution.isEvacuated();
+		this.flow.endUnanswered(evacuated ? RefusalReason.EVACUATED : reason);
 	}
 
 	@Override
@@ -155,7 +168,7 @@
 			this.flow.startStages(this.route);
 			return;
 		}
-		this.flow.endUnanswered(RequestFlow.INPUTS_GONE);
+		this.flow.endUnanswered(RefusalReason.INPUTS_GONE);
 	}
 
 }
--- a/src/main/java/org/magnoliahub/entry/StageEndpointClient.java
+++ b/src/main/java/org/magnoliahub/entry/StageEndpointClient.java
@@ -141,7 +141,7 @@
 			return;
 		}
 		EndpointInterceptor interceptor = producer
-			.map((endpoint) -> this.context.endpointNotices().stageInterceptor(endpoint))
+			.map((endpoint) -> this.context.endpointNotices().releaseInterceptor(endpoint))
 			.orElse(EndpointInterceptor.NONE);
 		String id = producer.map((endpoint) -> endpoint.record().id()).orElse("");
 		HttpCall call = new HttpCall(address, RELEASE_GROUP, HttpMethod.POST, StageCallFormat.FREE_PATH,
@@ -262,9 +262,14 @@
 
 		@Override
 		public void onFailure(boolean sent, String reason) {
-			if (!this.ended) {
-				fail(false, reason);
+			if (this.ended) {
+				return;
+			}
+			if (!sent && StageEndpointClient.this.context.directory().isEvacuated(this.batch.endpoint())) {
+				withdraw(reason);
+				return;
 			}
+			fail(false, reason);
 		}
 
 		private void reportMissingCapacity(List<PieceResult> results) {
@@ -287,9 +292,23 @@
 			this.timeout.dispose();
 		}
 
+		private void withdraw(String reason) {
+			finish();
+			long now = StageEndpointClient.this.context.now();
+			report("withheld", reason, now);
+			deliver(this.queue.withdraw(this.batch, now));
+			this.done.run();
+		}
+
 		private void fail(boolean notExecuted, String reason) {
 			finish();
 			long now = StageEndpointClient.this.context.now();
+			report("failed", reason, now);
+			deliver(this.queue.fail(this.batch, notExecuted, now));
+			this.done.run();
+		}
+
+		private void report(String outcome, String reason, long now) {
 			StageEndpointClient.this.context.log()
 				.event(EntryEvent.STAGE_CALL_FAILED)
 				.field("service", this.queue.service())
@@ -299,9 +318,7 @@
 				.field("age_ms", now - this.sentMillis)
 				.write();
 			StageEndpointClient.this.context.metrics()
-				.stageCall(this.batch.tasks().size(), "failed", now - this.sentMillis);
-			deliver(this.queue.fail(this.batch, notExecuted, now));
-			this.done.run();
+				.stageCall(this.batch.tasks().size(), outcome, now - this.sentMillis);
 		}
 
 		private void deliver(List<StageQueue.CompletedPiece> pieces) {
--- a/src/main/java/org/magnoliahub/entry/StageExecution.java
+++ b/src/main/java/org/magnoliahub/entry/StageExecution.java
@@ -84,6 +84,22 @@
 		}
 	}
 
+	/**
+	 * Returns whether a stage that has pieces cannot run because all of its endpoints are
+	 * in evacuated zones.
+	 * @return whether the stages cannot complete until a zone is reopened
+	 */
+	boolean isEvacuated() {
+		long now = this.context.now();
+		for (int stage = 0; stage < this.route.stages().size(); stage++) {
+			String service = this.route.stages().get(stage).service();
+			if (!this.stageProgress.isStageComplete(stage) && this.context.directory().isEvacuated(service, now)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private boolean isStarted() {
 		return !this.submittedMillis.isEmpty();
 	}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/placement/ZoneReopeningListener.java
@@ -0,0 +1,21 @@
+package org.magnoliahub.placement;
+
+/**
+ * Receives zones whose evacuation ended. Their servers may be cold.
+ */
+@FunctionalInterface
+public interface ZoneReopeningListener {
+
+	/** For gateways on which nothing depends on reopened zones. */
+	ZoneReopeningListener NONE = (zone, now) -> {
+	};
+
+	/**
+	 * Called when this gateway has read that an evacuation was withdrawn, before it sends
+	 * anything to the zone.
+	 * @param zone name of the zone
+	 * @param now monotonic time, in milliseconds
+	 */
+	void onZoneReopened(String zone, long now);
+
+}
--- /dev/null
+++ b/src/main/java/org/magnoliahub/placement/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Decides which zones may receive work: zones that the operator evacuates receive none.
+ * The package performs no I/O, reads no clocks and starts no threads; callers pass in the
+ * current time.
+ */
+@NullMarked
+package org.magnoliahub.placement;
+
+import org.jspecify.annotations.NullMarked;
--- a/src/main/java/org/magnoliahub/platform/NodeSettings.java
+++ b/src/main/java/org/magnoliahub/platform/NodeSettings.java
@@ -33,9 +33,11 @@
 	 * @param repeatRatio repeats allowed for each request, over all gateways
 	 * @param repeatConstant further repeats allowed to all gateways together
 	 * @param repeatWindowMillis span in which repeats are counted
+	 * @param evacuationMillis time within which the evacuation of a zone is in force,
+	 * zero if the platform sets no bound
 	 */
 	public record Bounds(long contactMillis, long drainMillis, long configurationMillis, long graceMillis,
-			double repeatRatio, double repeatConstant, long repeatWindowMillis) {
+			double repeatRatio, double repeatConstant, long repeatWindowMillis, long evacuationMillis) {
 	}
 
 }
--- a/src/main/java/org/magnoliahub/platform/NodeSettingsReader.java
+++ b/src/main/java/org/magnoliahub/platform/NodeSettingsReader.java
@@ -105,7 +105,8 @@
 		double ratio = number(node, "retry_budget_ratio");
 		double constant = number(node, "retry_budget_extra");
 		long window = (long) (1_000 * number(node, "budget_window_s"));
-		return new NodeSettings.Bounds(contact, drain, configuration, grace, ratio, constant, window);
+		long evacuation = node.has("evacuate_ms") ? (long) number(node, "evacuate_ms") : 0;
+		return new NodeSettings.Bounds(contact, drain, configuration, grace, ratio, constant, window, evacuation);
 	}
 
 	private String text(JsonNode parent, String field) {
--- a/src/main/java/org/magnoliahub/platform/StoreFormat.java
+++ b/src/main/java/org/magnoliahub/platform/StoreFormat.java
@@ -22,6 +22,8 @@
 	/** Key of the configuration in its table. */
 	public static final String CONFIGURATION_KEY = "config";
 
+	private static final String EVACUATION_PREFIX = "evacuate/";
+
 	/** Table in which endpoints list themselves. */
 	public static final String ENDPOINT_TABLE = "servers";
 
@@ -75,6 +77,34 @@
 		return target.startsWith(FEED_START) ? target.substring(0, target.indexOf('&')) : "";
 	}
 
+	/**
+	 * Returns whether a row of the operator's table requests the evacuation of a zone,
+	 * whatever its value is.
+	 * @param key key of the row
+	 * @return whether {@link #evacuatedZone} can be called with the key
+	 */
+	public static boolean isEvacuation(String key) {
+		return key.startsWith(EVACUATION_PREFIX);
+	}
+
+	/**
+	 * Returns the zone that a row evacuates.
+	 * @param key key of the row
+	 * @return name of the zone, empty if the key has none
+	 */
+	public static String evacuatedZone(String key) {
+		return key.substring(EVACUATION_PREFIX.length());
+	}
+
+	/**
+	 * Returns the key of the row that evacuates a zone.
+	 * @param zone name of the zone
+	 * @return the key
+	 */
+	public static String evacuationKey(String zone) {
+		return EVACUATION_PREFIX + zone;
+	}
+
 	/**
 	 * Reads rows or changes. A row whose value cannot be read has an empty one, and a row
 	 * without a key is skipped, so that it does not lose the others.
--- a/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.placement.Placement;
 
 /**
  * Endpoints that the store lists, each with the state that this gateway tracks for it.
@@ -33,6 +34,8 @@
 	/** Maximum number of removed endpoints whose state is kept. */
 	private static final int MAXIMUM_DEPARTED = 4_096;
 
+	private final Placement placement;
+
 	private final Map<String, EndpointState> endpoints = new HashMap<>();
 
 	private final Map<String, List<EndpointState>> endpointsByService = new HashMap<>();
@@ -52,6 +55,21 @@
 
 	private boolean loaded;
 
+	/**
+	 * Creates an empty directory whose endpoints may receive work in all zones.
+	 */
+	public EndpointDirectory() {
+		this(new Placement());
+	}
+
+	/**
+	 * Creates an empty directory.
+	 * @param placement states which zones may receive work
+	 */
+	public EndpointDirectory(Placement placement) {
+		this.placement = placement;
+	}
+
 	/**
 	 * Records a response of the store. Must be called before the changes in the response
 	 * are applied.
@@ -198,17 +216,57 @@
 		List<EndpointState> listed = new ArrayList<>();
 		List<EndpointState> doubtful = new ArrayList<>();
 		for (EndpointState endpoint : this.endpointsByService.getOrDefault(service, List.of())) {
-			if (endpoint.isAvailable(now)) {
+			if (accepts(endpoint, now)) {
 				(endpoint.isDoubtful() ? doubtful : listed).add(endpoint);
 			}
 		}
 		return listed.isEmpty() ? doubtful : listed;
 	}
 
+	/**
+	 * Returns whether new work may be sent to an endpoint.
+	 * @param endpoint the endpoint
+	 * @param now monotonic time, in milliseconds
+	 * @return whether it is available and its zone is not evacuated
+	 */
+	public boolean accepts(EndpointState endpoint, long now) {
+		return endpoint.isAvailable(now) && !isEvacuated(endpoint);
+	}
+
+	/**
+	 * Returns whether the zone of an endpoint is evacuated.
+	 * @param endpoint the endpoint
+	 * @return whether it must not receive work
+	 */
+	public boolean isEvacuated(EndpointState endpoint) {
+		return this.placement.isEvacuated(endpoint.record().availabilityZone());
+	}
+
+	/**
+	 * Returns whether a service has endpoints, but all of them are in evacuated zones.
+	 * Draining and expired endpoints are ignored.
+	 * @param service name of the service
+	 * @param now monotonic time, in milliseconds
+	 * @return whether nothing can be sent until a zone is reopened
+	 */
+	public boolean isEvacuated(String service, long now) {
+		boolean evacuated = false;
+		for (EndpointState endpoint : this.endpointsByService.getOrDefault(service, List.of())) {
+			if (endpoint.isDraining() || endpoint.isExpired(now)) {
+				continue;
+			}
+			if (!isEvacuated(endpoint)) {
+				return false;
+			}
+			evacuated = true;
+		}
+		return evacuated;
+	}
+
 	/**
 	 * Returns how long a service has no available endpoint because all of its endpoints
 	 * requested a pause or have reached their request rate. Draining and expired
-	 * endpoints are ignored.
+	 * endpoints and those in evacuated zones are ignored.
 	 * @param service name of the service
 	 * @param now monotonic time, in milliseconds
 	 * @return time until the first endpoint accepts a request, in milliseconds; zero if
@@ -217,7 +275,7 @@
 	public long pausedMillis(String service, long now) {
 		long earliest = Long.MAX_VALUE;
 		for (EndpointState endpoint : this.endpointsByService.getOrDefault(service, List.of())) {
-			if (endpoint.isDraining() || endpoint.isExpired(now)) {
+			if (endpoint.isDraining() || endpoint.isExpired(now) || isEvacuated(endpoint)) {
 				continue;
 			}
 			long blocked = endpoint.blockedMillis(now);
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -136,7 +136,8 @@
 	}
 
 	/**
-	 * Removes queued tasks that cannot be completed before their request expires.
+	 * Removes queued tasks that cannot be completed before their request expires, and all
+	 * if the endpoints of the service are in evacuated zones.
 	 * @param now monotonic time, in milliseconds
 	 * @return the removed tasks
 	 */
@@ -144,6 +145,11 @@
 		if (this.queued.isEmpty()) {
 			return List.of();
 		}
+		if (this.directory.isEvacuated(this.service, now)) {
+			List<StageTask> evacuated = List.copyOf(this.queued);
+			this.queued.clear();
+			return evacuated;
+		}
 		List<StageTask> expired = new ArrayList<>();
 		double minimumMillis = this.limits.expectedMillis(1) + this.directory.pausedMillis(this.service, now);
 		Iterator<StageTask> tasks = this.queued.iterator();
@@ -293,6 +299,27 @@
 		return failed;
 	}
 
+	/**
+	 * Records that a batch was not sent because the zone of its endpoint is evacuated.
+	 * Its pieces are queued again, which is no retry and no failure of the endpoint.
+	 * @param batch the batch
+	 * @param now monotonic time, in milliseconds
+	 * @return the cancelled pieces, which have failed
+	 */
+	public List<CompletedPiece> withdraw(StageBatch batch, long now) {
+		removeRunning(batch);
+		batch.endpointCall().end();
+		List<CompletedPiece> cancelledPieces = new ArrayList<>();
+		for (StageTask task : batch.tasks()) {
+			if (isCancelled(task)) {
+				cancelledPieces.add(new CompletedPiece(task, PieceResult.failed(PieceFailure.FAILED)));
+				continue;
+			}
+			this.queued.add(task.requeued(now));
+		}
+		return cancelledPieces;
+	}
+
 	private void removeRunning(StageBatch batch) {
 		this.running.remove(batch.endpoint().record().id(), batch);
 	}
--- a/src/test/java/org/magnoliahub/entry/RequestFaultTests.java
+++ b/src/test/java/org/magnoliahub/entry/RequestFaultTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.magnoliahub.gateway.RequestRecorder;
+import org.magnoliahub.placement.Placement;
 import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.StoredRow;
 import org.magnoliahub.platform.emulator.EmulatedSettings;
@@ -102,8 +103,8 @@
 		byte[] row = EmulatedSettings.configuration(1, List.of()).getBytes(StandardCharsets.UTF_8);
 		table.onList(List.of(new StoredRow(StoreFormat.CONFIGURATION_KEY, row, 1, false)), false);
 		EntryContext context = new EntryContext(this.timers, this.log, metrics, client,
-				new EndpointNoticeHandler(this.timers, this.log, metrics, client, gateways), gateways, directory,
-				new EndpointSelector(directory, "z1", RandomGenerator.getDefault()),
+				new EndpointNoticeHandler(this.timers, this.log, metrics, client, gateways, new Placement()), gateways,
+				directory, new EndpointSelector(directory, "z1", RandomGenerator.getDefault()),
 				new WindowedRetryBudget(0.2, 10, 10_000),
 				new CrashingPrompts(this.group, this.timers, this.log, "gateway"), table, new GracefulShutdown(8_000),
 				new BodyMemory(Long.MAX_VALUE), recorder, "gateway");
