Ask engines in evacuated zones for their state as well

A stream that goes on in an evacuated zone and falls silent would have been left at once, since the request for the engine's state was withheld there and gave no sign of life. The request is no new work.

--- a/src/main/java/org/magnoliahub/entry/EndpointNoticeHandler.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointNoticeHandler.java
@@ -74,6 +74,16 @@
 		return new NoticeInterceptor(endpoint, (head) -> true, (id, perSecond) -> RateShare.WHOLE, false);
 	}
 
+	/**
+	 * Returns the interceptor for a request for the state of an endpoint, which is no new
+	 * work either.
+	 * @param endpoint the endpoint that the call goes to
+	 * @return the interceptor
+	 */
+	EndpointInterceptor stateInterceptor(EndpointState endpoint) {
+		return new NoticeInterceptor(endpoint, (head) -> true, this.gateways::rateShare, false);
+	}
+
 	private void handle(EndpointState endpoint, EndpointNotice notice, RateDivision division) {
 		handleRate(endpoint, notice, division);
 		if (notice.draining() && endpoint.markDraining()) {
--- a/src/main/java/org/magnoliahub/entry/LivenessProbe.java
+++ b/src/main/java/org/magnoliahub/entry/LivenessProbe.java
@@ -49,7 +49,7 @@
 		HttpCall call = new HttpCall(record.address(), CONNECTION_GROUP, HttpMethod.GET,
 				PlatformHeaders.ENGINE_STATE_PATH, PlatformHeaders.ownCallHeaders(record.id(), BUDGET_MILLIS), NO_BODY,
 				0, CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, null,
-				context.endpointNotices().interceptor(endpoint, (head) -> true));
+				context.endpointNotices().stateInterceptor(endpoint));
 		probe.exchange = context.httpClient().send(call, probe);
 		return probe;
 	}
