Read a response of the store to its end as long as it arrives

Cause: a call to the store had to end within 1,500 ms, or 600 ms after its long poll, even while its response arrived. A configuration of 0.9 MB takes longer at a gateway with 0.2 cores and 10 Mbit/s, so it was given up and requested again without end.

Change: after its timeout a call goes on as long as the last part of the response is at most 600 ms old, 20 s in all.

--- a/src/main/java/org/magnoliahub/entry/StoreClient.java
+++ b/src/main/java/org/magnoliahub/entry/StoreClient.java
@@ -35,8 +35,18 @@
 	 */
 	private static final long MAXIMUM_IDLE_MILLIS = 10_000;
 
-	/** Larger than any page of rows with its encoding. */
-	private static final long MAXIMUM_RESPONSE_BYTES = 4_194_304;
+	/** A configuration of 14,000 routes with its encoding takes about 10 MB. */
+	private static final long MAXIMUM_RESPONSE_BYTES = 16_777_216;
+
+	/**
+	 * Time without a further part of a response after which it counts as lost. A large
+	 * configuration takes longer than the timeout of a call on a slow link, and would be
+	 * requested again and again.
+	 */
+	private static final long PROGRESS_TIMEOUT_MILLIS = 600;
+
+	/** Limit on a response that arrives in small parts without an end. */
+	private static final long MAXIMUM_TRANSFER_MILLIS = 20_000;
 
 	private static final byte[] EMPTY = new byte[0];
 
@@ -102,13 +112,8 @@
 				feed.isEmpty() ? 0 : MAXIMUM_IDLE_MILLIS, CONNECT_TIMEOUT_MILLIS, MAXIMUM_RESPONSE_BYTES, null,
 				EndpointInterceptor.NONE);
 		BodyCollector collector = new BodyCollector(method, handler);
-		HttpExchange exchange = this.httpClient.send(call, collector);
-		collector.timeout = this.timers.schedule(Duration.ofMillis(timeoutMillis), () -> {
-			exchange.cancel();
-			// Other connections that were open at the same time may be silent as well.
-			this.httpClient.closeIdle(this.address);
-			collector.onFailure(true, "no response within " + timeoutMillis + " ms");
-		});
+		collector.exchange = this.httpClient.send(call, collector);
+		collector.scheduleTimeout(Duration.ofMillis(timeoutMillis));
 	}
 
 	private final class BodyCollector implements ResponseListener {
@@ -119,8 +124,14 @@
 
 		private final ByteBuf body = Unpooled.buffer();
 
+		private final long startedMillis = StoreClient.this.timers.milliTime();
+
+		private @Nullable HttpExchange exchange;
+
 		private Disposable timeout = Disposable.disposed();
 
+		private long lastPartMillis = this.startedMillis - PROGRESS_TIMEOUT_MILLIS;
+
 		private int status;
 
 		private @Nullable String discardReason;
@@ -132,6 +143,27 @@
 			this.handler = handler;
 		}
 
+		private void scheduleTimeout(Duration delay) {
+			this.timeout = StoreClient.this.timers.schedule(delay, this::onTimeout);
+		}
+
+		private void onTimeout() {
+			long now = StoreClient.this.timers.milliTime();
+			long elapsedMillis = now - this.startedMillis;
+			long remainingMillis = this.lastPartMillis + PROGRESS_TIMEOUT_MILLIS - now;
+			if (remainingMillis > 0 && elapsedMillis < MAXIMUM_TRANSFER_MILLIS) {
+				scheduleTimeout(Duration.ofMillis(remainingMillis));
+				return;
+			}
+			if (this.exchange != null) {
+				this.exchange.cancel();
+			}
+			// Other connections that were open at the same time may be silent as well.
+			StoreClient.this.httpClient.closeIdle(StoreClient.this.address);
+			onFailure(true, "no complete response within " + elapsedMillis + " ms, " + this.body.readableBytes()
+					+ " bytes received");
+		}
+
 		@Override
 		public void onHead(HttpResponse response, ResponseHead head) {
 			this.status = response.status().code();
@@ -158,6 +190,7 @@
 
 		@Override
 		public void onBody(ByteBuf data) {
+			this.lastPartMillis = StoreClient.this.timers.milliTime();
 			this.body.writeBytes(data);
 		}
 
