Send large configurations between gateways compressed

What callers saw: a gateway that the store refuses did not get a configuration of many routes from another gateway either, and answered by the older one.

Cause: a configuration above 256 KB was ignored on the link between gateways, since a larger message delays heartbeats and results of stages there. 1,400 routes take 0.6 MB.

Change: configurations of 64 KB and more are compressed, within the same limit on the message; 12 MB at most are restored. Gateways of earlier versions ignore the new form and read the store.

--- a/src/main/java/org/magnoliahub/entry/PeerCodec.java
+++ b/src/main/java/org/magnoliahub/entry/PeerCodec.java
@@ -42,11 +42,19 @@
 
 	private static final int CONFIGURATION = 9;
 
+	private static final int COMPRESSED_CONFIGURATION = 10;
+
 	private static final int MAXIMUM_ITEMS = 10_000;
 
-	/** Larger than any row of the store. */
+	/** A larger message on a slow link would delay heartbeats and results of stages. */
 	private static final int MAXIMUM_CONFIGURATION_BYTES = 262_144;
 
+	/** Below this size, compression saves nothing that matters. */
+	private static final int MINIMUM_COMPRESSED_BYTES = 65_536;
+
+	/** A configuration of 14,000 routes takes about 6 MB. */
+	private static final int MAXIMUM_RESTORED_BYTES = 12_582_912;
+
 	private PeerCodec() {
 	}
 
@@ -106,8 +114,7 @@
 			packer.packInt(CONFIGURATION_REQUEST);
 		}
 		else if (message instanceof PeerMessage.Configuration configuration) {
-			packer.packInt(CONFIGURATION).packBinaryHeader(configuration.content().length);
-			packer.writePayload(configuration.content());
+			packConfiguration(packer, configuration.content());
 		}
 	}
 
@@ -163,19 +170,31 @@
 			case ANNOUNCE -> new PeerMessage.Announce(unpacker.unpackString(), unpacker.unpackString(),
 					unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackLong(), unpacker.unpackLong());
 			case CONFIGURATION_REQUEST -> new PeerMessage.ConfigurationRequest();
-			case CONFIGURATION -> unpackConfiguration(unpacker);
+			case CONFIGURATION -> unpackConfiguration(unpacker, false);
+			case COMPRESSED_CONFIGURATION -> unpackConfiguration(unpacker, true);
 			default -> null;
 		};
 	}
 
+	// Gateways of earlier versions ignore the compressed form.
+	private static void packConfiguration(MessageBufferPacker packer, byte[] content) throws IOException {
+		boolean compressed = content.length >= MINIMUM_COMPRESSED_BYTES;
+		byte[] sent = compressed ? Compression.compress(content) : content;
+		packer.packInt(compressed ? COMPRESSED_CONFIGURATION : CONFIGURATION);
+		packer.packBinaryHeader(sent.length).writePayload(sent);
+	}
+
 	// A configuration that is too large is ignored, because the link is also needed for
 	// stages.
-	private static @Nullable PeerMessage unpackConfiguration(MessageUnpacker unpacker) throws IOException {
+	private static @Nullable PeerMessage unpackConfiguration(MessageUnpacker unpacker, boolean compressed)
+			throws IOException {
 		int length = unpacker.unpackBinaryHeader();
 		if (length > MAXIMUM_CONFIGURATION_BYTES) {
 			return null;
 		}
-		return new PeerMessage.Configuration(unpacker.readPayload(length));
+		byte[] received = unpacker.readPayload(length);
+		return new PeerMessage.Configuration(
+				compressed ? Compression.restore(received, MAXIMUM_RESTORED_BYTES) : received);
 	}
 
 	private static PeerMessage unpackHeartbeat(MessageUnpacker unpacker) throws IOException {
--- a/src/test/java/org/magnoliahub/entry/PeerCodecTests.java
+++ b/src/test/java/org/magnoliahub/entry/PeerCodecTests.java
@@ -1,6 +1,7 @@
 package org.magnoliahub.entry;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
@@ -17,6 +18,7 @@
 import org.magnoliahub.serving.ZonePreference;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 /**
  * Guards against messages that change when they are encoded and decoded, and against
@@ -51,6 +53,25 @@
 				(configuration) -> assertThat(configuration.content()).isEqualTo(content));
 	}
 
+	/**
+	 * Guards against a configuration of many routes that no other gateway can pass on.
+	 */
+	@Test
+	void largeConfigurationKeepsItsBytesInASmallMessage() throws IOException {
+		byte[] content = "{\"name\":\"r-1\",\"host\":\"a.example\",\"prefix\":\"/p/\"},".repeat(20_000)
+			.getBytes(StandardCharsets.UTF_8);
+		byte[] message = PeerCodec.encode(new PeerMessage.Configuration(content));
+		assertThat(message).hasSizeLessThan(content.length / 10);
+		assertThat(PeerCodec.decode(message)).isInstanceOfSatisfying(PeerMessage.Configuration.class,
+				(configuration) -> assertThat(configuration.content()).isEqualTo(content));
+	}
+
+	@Test
+	void configurationThatExpandsBeyondTheLimitIsRejected() {
+		byte[] message = PeerCodec.encode(new PeerMessage.Configuration(new byte[16_777_216]));
+		assertThatExceptionOfType(IOException.class).isThrownBy(() -> PeerCodec.decode(message));
+	}
+
 	@Test
 	void heartbeatOfAnEarlierVersionStatesNoConfiguration() throws IOException {
 		byte[] withoutVersion = { 2, (byte) 0x80 };
