Read load reports with four figures, the fourth being the slowdown of the machine

What callers see: nothing yet. A response whose Server-Load has four figures no longer loses its whole report, so the choice of endpoints uses its first three as before.

Change: PlatformHeaders.load reads three or four figures and ignores further ones. A running, waiting or slots figure that is empty, negative, text, over 1,000,000, or zero slots makes the report an absent one; before, a malformed figure of the three counted as 0. A slowdown that is empty, zero, negative, text or over 10,000 percent is left out, and the rest of the report counts. Decimals are rounded.

--- a/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
+++ b/src/main/java/org/magnoliahub/platform/PlatformHeaders.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -66,6 +67,15 @@
 	/** Longest text of a pause that is read as a number. */
 	private static final int MAXIMUM_SECONDS_LENGTH = 18;
 
+	/** Figures that each load report has: running, waiting and slots. */
+	private static final int LOAD_FIGURES = 3;
+
+	/** Larger counts of requests or slots are regarded as malformed. */
+	private static final int MAXIMUM_LOAD = 1_000_000;
+
+	/** A machine that states to be over 100 times slower is regarded as malformed. */
+	private static final int MAXIMUM_SLOWDOWN_PERCENT = 10_000;
+
 	private static final String BEARER = "bearer ";
 
 	private static final String PROTOCOL = "HTTP/1.";
@@ -360,9 +370,35 @@
 		return (int) Math.min(Integer.MAX_VALUE, Math.max(0, number(value, 0)));
 	}
 
+	// Reads "running,waiting,slots" with an optional slowdown; further figures are
+	// ignored.
 	private static @Nullable EndpointLoad load(@Nullable String value) {
-		List<Integer> numbers = numbers(value);
-		return (numbers.size() == 3) ? new EndpointLoad(numbers.get(0), numbers.get(1), numbers.get(2)) : null;
+		if (value == null) {
+			return null;
+		}
+		String[] figures = value.split(",");
+		if (figures.length < LOAD_FIGURES) {
+			return null;
+		}
+		long running = number(figures[0], -1);
+		long waiting = number(figures[1], -1);
+		long slots = number(figures[2], -1);
+		if (!isWithin(running, 0, MAXIMUM_LOAD) || !isWithin(waiting, 0, MAXIMUM_LOAD)
+				|| !isWithin(slots, 1, MAXIMUM_LOAD)) {
+			return null;
+		}
+		OptionalInt slowdownPercent = (figures.length > LOAD_FIGURES) ? slowdownPercent(figures[LOAD_FIGURES])
+				: OptionalInt.empty();
+		return new EndpointLoad((int) running, (int) waiting, (int) slots, slowdownPercent);
+	}
+
+	private static OptionalInt slowdownPercent(String value) {
+		long percent = Math.round(decimal(value));
+		return isWithin(percent, 1, MAXIMUM_SLOWDOWN_PERCENT) ? OptionalInt.of((int) percent) : OptionalInt.empty();
+	}
+
+	private static boolean isWithin(long value, long lowest, long highest) {
+		return value >= lowest && value <= highest;
 	}
 
 	private static long keepAliveMillis(@Nullable String value) {
--- a/src/test/java/org/magnoliahub/platform/PlatformHeadersTests.java
+++ b/src/test/java/org/magnoliahub/platform/PlatformHeadersTests.java
@@ -1,12 +1,14 @@
 package org.magnoliahub.platform;
 
 import java.util.List;
+import java.util.OptionalInt;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -87,6 +89,31 @@
 				new EndpointLoad(3, 1, 8), EndpointNotice.NONE));
 	}
 
+	private static @Nullable EndpointLoad load(String value) {
+		return PlatformHeaders.answerHead(answer(HttpResponseStatus.OK, "Server-Load", value)).load();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "'3,1,8,100', 100", "'3 , 1 , 8 , 250', 250", "'3,1,8,99.6', 100", "'3,1,8,1', 1",
+			"'3,1,8,10000', 10000", "'3,1,8,140,7,x', 140" })
+	void fourthFigureOfALoadReportIsTheSlowdownOfTheMachine(String value, int percent) {
+		assertThat(load(value)).isEqualTo(new EndpointLoad(3, 1, 8, OptionalInt.of(percent)));
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "3,1,8", "3,1,8,", "3,1,8, ", "3,1,8,-1", "3,1,8,0", "3,1,8,1e9", "3,1,8,1000000000",
+			"3,1,8,fast", "3,1,8,NaN", "3,1,8,99999999999999999999", "3,1,8,,120" })
+	void malformedSlowdownLeavesTheReportWithThreeFigures(String value) {
+		assertThat(load(value)).isEqualTo(new EndpointLoad(3, 1, 8));
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", ",", ",,,", "3", "3,1", "x,1,8,100", "3,x,8,100", "3,1,x,100", ",1,8", "3,,8",
+			"-1,1,8", "3,-1,8", "3,1,-1", "3,1,0,100", "1e9,1,8", "3,1000000001,8", "3,1,99999999999999999999" })
+	void malformedLoadReportIsLeftOut(String value) {
+		assertThat(load(value)).isNull();
+	}
+
 	@Test
 	void misdirectedAnswerProvesThatNothingRan() {
 		assertThat(PlatformHeaders
