Balance load between endpoints that state the slowdown of their machines

What operators saw: many gateways choose at the same moment by reports that are out of date, so servers are overloaded in turn while others are idle.

Cause: the endpoint with the lowest cost gets the request, and all gateways with about the same reports see the same lowest one.

Change: the package org.magnoliahub.balancing decides by shares. Each server's share follows its slots and speed, corrected by the deviation of its utilization from the mean, for the requests that all gateways send while the reports age. A server is drawn by what it lacks of its share of this gateway's recent requests. Failures, ejection, zone costs, cached prompt prefixes and transfers stay: only the cheapest servers by these take part, and others as far as they are cheaper because of the load. EndpointSelector uses it for plain endpoints and engines while at least one endpoint of the service has stated its slowdown in the last 10 s. Otherwise the choice and its use of random numbers are unchanged. New: event balanced_load, gauges entry_endpoints_balanced and entry_endpoints_busiest_ratio, slowdown_percent on the page of endpoints.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -217,8 +217,8 @@
 		this.headers = response.headers();
 		this.eventStream = this.streaming && responseHead.isSuccess() && this.expectsBody
 				&& StreamPosition.mayContainEvents(response.headers().get(HttpHeaderNames.CONTENT_TYPE));
-		if (responseHead.load() != null) {
-			this.choice.endpoint().recordLoad(responseHead.load(), now);
+		if (responseHead.load() != null && this.choice.endpoint().recordLoad(responseHead.load(), now)) {
+			logBalancedLoad(now);
 		}
 		if (this.call != null && responseHead.notExecuted()) {
 			this.call.recordRejection(now);
@@ -237,6 +237,17 @@
 		}
 	}
 
+	private void logBalancedLoad(long now) {
+		EndpointState endpoint = this.choice.endpoint();
+		this.context.log()
+			.event(EntryEvent.BALANCED_LOAD)
+			.field("endpoint", endpoint.record().id())
+			.field("service", endpoint.record().service())
+			.field("state", endpoint.statesSlowdown(now) ? "begun" : "ended")
+			.field("slowdown_percent", endpoint.slowdownPercent(now))
+			.write();
+	}
+
 	private void rejectResponse(String reason) {
 		this.choice.endpoint().recordFailure(this.context.now(), true);
 		cancel();
--- a/src/main/java/org/magnoliahub/entry/EndpointPage.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointPage.java
@@ -60,6 +60,9 @@
 		if (endpoint.requestsPerSecond() > 0) {
 			json.writeNumberField("requests_per_second", endpoint.requestsPerSecond());
 		}
+		if (endpoint.statesSlowdown(now)) {
+			json.writeNumberField("slowdown_percent", endpoint.slowdownPercent(now));
+		}
 		json.writeEndObject();
 	}
 
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -69,6 +69,12 @@
 	/** An endpoint stated a request rate that is not a positive decimal number. */
 	RATE_REJECTED(Importance.HIGH, "endpoint", "value"),
 
+	/**
+	 * An endpoint began or ceased to state the slowdown of its machine. Balanced load is
+	 * in use for its service while at least one endpoint states it.
+	 */
+	BALANCED_LOAD(Importance.HIGH, "endpoint", "service", "state", "slowdown_percent"),
+
 	/** The store stated an era that is malformed or earlier than a previous one. */
 	STORE_ERA_REJECTED(Importance.HIGH, "reason"),
 
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -24,6 +24,7 @@
 import org.magnoliahub.platform.PlatformFormatException;
 import org.magnoliahub.platform.PlatformHeaders;
 import org.magnoliahub.platform.StoreFormat;
+import org.magnoliahub.serving.BalancedLoads;
 import org.magnoliahub.serving.BodyMemory;
 import org.magnoliahub.serving.CallerLimits;
 import org.magnoliahub.serving.EndpointDirectory;
@@ -301,6 +302,10 @@
 		this.metrics.gauge("entry.endpoints.leaving",
 				() -> this.directory.all().stream().filter(EndpointState::isDraining).count());
 		this.metrics.gauge("entry.endpoints.paused", this::pausedEndpoints);
+		this.metrics.gauge("entry.endpoints.balanced",
+				() -> BalancedLoads.of(this.directory, this.timers.milliTime()).endpoints());
+		this.metrics.gauge("entry.endpoints.busiest.ratio",
+				() -> BalancedLoads.of(this.directory, this.timers.milliTime()).busiestRatio());
 		this.metrics.gauge("entry.prompts.blocked", this.context.crashingPrompts()::blockedCount);
 	}
 
--- a/src/main/java/org/magnoliahub/serving/EndpointSelector.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointSelector.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import org.magnoliahub.balancing.LoadCost;
+
 /**
  * Selects the endpoint with the lowest expected response time. Endpoints that fail, are
  * slow or do not respond lose traffic at once, and regain it as the recorded failures and
@@ -42,6 +44,12 @@
 	/** Minimum wait for a response after which an engine can be unresponsive. */
 	private static final long MINIMUM_ENGINE_WAIT_MILLIS = 500;
 
+	/** Delay of a request to an engine that has all slots in use. */
+	private static final double QUEUEING_MILLIS_TO_FULL = 60;
+
+	/** Further delay for each time that the waiting requests would fill all slots. */
+	private static final double QUEUEING_MILLIS_PER_OVERLOAD = 1_000;
+
 	private static final double SMOOTHING = 0.05;
 
 	private final EndpointDirectory directory;
@@ -85,9 +93,13 @@
 	 */
 	public Optional<EndpointChoice> selectEndpoint(String service, Set<String> tried, long now) {
 		double typical = this.typicalMillis.getOrDefault(service, INITIAL_REQUEST_MILLIS);
+		List<EndpointState> candidates = this.directory.availableEndpoints(service, now);
+		if (BalancedSelection.isInUse(candidates, now)) {
+			return balancedEndpoint(candidates, typical, tried, now);
+		}
 		EndpointChoice best = null;
 		double bestCost = Double.MAX_VALUE;
-		for (EndpointState endpoint : this.directory.availableEndpoints(service, now)) {
+		for (EndpointState endpoint : candidates) {
 			if (tried.contains(endpoint.record().id())) {
 				continue;
 			}
@@ -105,6 +117,19 @@
 		return Optional.ofNullable(best);
 	}
 
+	private Optional<EndpointChoice> balancedEndpoint(List<EndpointState> candidates, double typical, Set<String> tried,
+			long now) {
+		BalancedSelection selection = new BalancedSelection(LoadCost.linear(Math.max(1, typical)), this.gatewayCount,
+				now);
+		for (EndpointState endpoint : candidates) {
+			if (!tried.contains(endpoint.record().id())) {
+				double cost = penalizedCost(endpoint, typical, MINIMUM_REQUEST_WAIT_MILLIS, now) + zoneCost(endpoint);
+				selection.add(endpoint, typical, 0, cost);
+			}
+		}
+		return selection.select(this.random);
+	}
+
 	/**
 	 * Records the duration of a request to an endpoint that is not a model engine.
 	 * @param service name of the service
@@ -143,6 +168,8 @@
 		List<EndpointState> candidates = this.directory.availableEndpoints(service, now);
 		String preferredId = preferredEngineId(request, candidates, now);
 		int prefixTokens = prefixTokens(request);
+		BalancedSelection balanced = BalancedSelection.isInUse(candidates, now) ? new BalancedSelection(
+				new LoadCost(QUEUEING_MILLIS_TO_FULL, QUEUEING_MILLIS_PER_OVERLOAD), this.gatewayCount, now) : null;
 		EndpointChoice best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (EndpointState endpoint : candidates) {
@@ -156,9 +183,15 @@
 			int uncachedTokens = Math.max(0, request.promptTokens() - cachedTokens);
 			double expected = BASE_FIRST_EVENT_MILLIS
 					+ (endpoint.uncachedTokens() + uncachedTokens) / PROMPT_TOKENS_PER_MILLISECOND;
+			double missMillis = Math.max(0, prefixTokens - cachedTokens) * CACHE_MISS_MILLIS_PER_TOKEN;
+			if (balanced != null) {
+				double fixedCost = penalizedCost(endpoint, expected + missMillis, MINIMUM_ENGINE_WAIT_MILLIS, now)
+						+ zoneCost(endpoint) + inputTransferCost(endpoint, inputZones);
+				balanced.add(endpoint, expected, uncachedTokens, fixedCost);
+				continue;
+			}
 			double utilization = endpoint.occupancy(now, this.gatewayCount) / Math.max(1, endpoint.record().slots());
-			double total = expected * endpoint.slowdown(now) + queueingMillis(utilization)
-					+ Math.max(0, prefixTokens - cachedTokens) * CACHE_MISS_MILLIS_PER_TOKEN;
+			double total = expected * endpoint.slowdown(now) + queueingMillis(utilization) + missMillis;
 			double cost = penalizedCost(endpoint, total, MINIMUM_ENGINE_WAIT_MILLIS, now) + zoneCost(endpoint)
 					+ inputTransferCost(endpoint, inputZones) + this.random.nextDouble();
 			if (cost < bestCost) {
@@ -166,7 +199,7 @@
 				best = new EndpointChoice(endpoint, expected, uncachedTokens, cost);
 			}
 		}
-		return Optional.ofNullable(best);
+		return (balanced != null) ? balanced.select(this.random) : Optional.ofNullable(best);
 	}
 
 	/**
@@ -183,7 +216,8 @@
 	}
 
 	private static double queueingMillis(double utilization) {
-		return (utilization < 1) ? 60 * utilization : 60 + 1_000 * (utilization - 1);
+		return (utilization < 1) ? QUEUEING_MILLIS_TO_FULL * utilization
+				: QUEUEING_MILLIS_TO_FULL + QUEUEING_MILLIS_PER_OVERLOAD * (utilization - 1);
 	}
 
 	private static int prefixTokens(CallerRequest request) {
--- a/src/main/java/org/magnoliahub/serving/EndpointState.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.balancing.LoadTracker;
 
 /**
  * State of one endpoint as this gateway sees it, derived from its record in the store and
@@ -73,6 +74,8 @@
 
 	private int outstandingAtLoadReport;
 
+	private @Nullable LoadTracker loadTracker;
+
 	private final PromptCacheEstimate promptCache = new PromptCacheEstimate();
 
 	EndpointState(EndpointRecord record) {
@@ -118,6 +121,7 @@
 			this.consecutiveFailures = 0;
 			this.ejectedUntil = Long.MIN_VALUE / 2;
 			this.slowdown = 1;
+			this.loadTracker = null;
 		}
 	}
 
@@ -252,6 +256,9 @@
 		this.awaitingResponse.add(call);
 		this.outstandingCalls++;
 		this.uncachedTokens += uncachedTokens;
+		if (this.loadTracker != null) {
+			this.loadTracker.recordSent(now);
+		}
 		return call;
 	}
 
@@ -270,6 +277,9 @@
 		double current = slowdown(now);
 		this.slowdown = current * Math.pow(bounded / current, SLOWDOWN_SMOOTHING);
 		this.slowdownUpdatedAt = now;
+		if (this.loadTracker != null) {
+			this.loadTracker.recordResponse(bounded, now);
+		}
 	}
 
 	void recordRejection(EndpointCall call, long now) {
@@ -330,11 +340,44 @@
 	 * Records the load that the endpoint reported.
 	 * @param newLoad the reported load
 	 * @param now monotonic time, in milliseconds
+	 * @return whether the endpoint began or ceased to state the slowdown of its machine
 	 */
-	public void recordLoad(EndpointLoad newLoad, long now) {
+	public boolean recordLoad(EndpointLoad newLoad, long now) {
 		this.load = newLoad;
 		this.loadReportedAt = now;
 		this.outstandingAtLoadReport = this.outstandingCalls;
+		return (this.loadTracker != null || newLoad.slowdownPercent().isPresent()) && loadTracker().recordReport(
+				newLoad.running() + newLoad.waiting(), this.outstandingCalls, newLoad.slowdownPercent().orElse(0), now);
+	}
+
+	/**
+	 * Returns whether a recent report of the endpoint stated the slowdown of its machine.
+	 * @param now monotonic time, in milliseconds
+	 * @return whether balanced load is in use for its service
+	 */
+	public boolean statesSlowdown(long now) {
+		return this.loadTracker != null && this.loadTracker.statesSlowdown(now);
+	}
+
+	/**
+	 * Returns how long work takes at an endpoint that states the slowdown of its machine,
+	 * as it stated and as observed.
+	 * @param now monotonic time, in milliseconds
+	 * @return the time in percent of the usual one
+	 */
+	public long slowdownPercent(long now) {
+		return Math.round(100 * loadTracker().slowdown(now));
+	}
+
+	/**
+	 * Returns what is tracked for balanced load, from now on if nothing was before.
+	 * @return the tracker
+	 */
+	LoadTracker loadTracker() {
+		if (this.loadTracker == null) {
+			this.loadTracker = new LoadTracker();
+		}
+		return this.loadTracker;
 	}
 
 	private void updateFailureRate(double value, long now) {
