--- a/src/test/java/org/magnoliahub/entry/HttpClientTests.java
+++ b/src/test/java/org/magnoliahub/entry/HttpClientTests.java
@@ -159,6 +159,43 @@
 		}
 	}
 
+	/**
+	 * Guards against a request to an endpoint whose zone was evacuated while the
+	 * connection was opening, or since it was last used.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1 })
+	void refusedCallIsNotSentOnANewOrKeptConnection(int permittedCalls) throws IOException {
+		AtomicInteger received = new AtomicInteger();
+		RawServer started = RawServer.start((request, socket) -> {
+			received.incrementAndGet();
+			RawServer.write(socket, response(1, ""));
+		});
+		this.server = started;
+		EndpointInterceptor interceptor = new EndpointInterceptor() {
+
+			@Override
+			public @Nullable String refusalReason() {
+				return (received.get() < permittedCalls) ? null : "zone evacuated";
+			}
+
+			@Override
+			public void onHead(ResponseHead head) {
+			}
+
+		};
+		HttpCall call = new HttpCall(started.address(), "group", HttpMethod.GET, "/", new DefaultHttpHeaders(false),
+				new byte[0], 1_000, 1_000, 1_000, null, interceptor);
+		for (int sent = 0; sent <= permittedCalls; sent++) {
+			int outcomesAfter = sent + 1;
+			this.group.execute(() -> this.client.send(call, new RecordingListener(() -> {
+			})));
+			Awaitility.await().atMost(Duration.ofSeconds(5)).until(() -> this.outcomes.size() == outcomesAfter);
+		}
+		assertThat(this.outcomes).hasSize(permittedCalls + 1).endsWith(FAILED);
+		assertThat(received).hasValue(permittedCalls);
+	}
+
 	private static void respondToStartOfRequest(Socket socket, String response) {
 		try {
 			socket.getInputStream().read();
