Serve requests only in the regions that their route and tenant allow

What callers see: with allowed_regions of a route or a tenant, requests are served only in zones of these regions; if no home has an endpoint, they are refused with 503 and the reason "no_home_endpoint" before anything is sent. Without allowed_regions nothing changes, and messages between gateways are the same bytes.

Change: Placement maps regions to zones with the "zones" of the settings. EndpointDirectory and EndpointSelector take the allowed zones; a stage job carries them to the owner of the queue. A batch contains only pieces that may run at its endpoint; pieces with homes don't wait for a preferred zone or a faster endpoint outside. allowed_regions that cannot be read reject the configuration. Route, StageJob and Submit keep a constructor without homes.

--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -88,9 +88,9 @@
 
 	private final EntryContext context;
 
-	private final Placement placement = new Placement();
+	private final Placement placement;
 
-	private final EndpointDirectory directory = new EndpointDirectory(this.placement);
+	private final EndpointDirectory directory;
 
 	private final StoreEra era = new StoreEra();
 
@@ -129,6 +129,8 @@
 	private EntryGateway(NodeSettings settings, Duration recordInterval, Consumer<String> output,
 			BodyMemory requestMemory, BodyMemory responseMemory) {
 		this.settings = settings;
+		this.placement = new Placement(settings.regionsByZone());
+		this.directory = new EndpointDirectory(this.placement);
 		this.group = new NioEventLoopGroup(1);
 		this.timers = new EventLoopTimers(this.group.next(), this::onFailedTask);
 		this.log = new EntryLog(this.timers, output);
--- a/src/main/java/org/magnoliahub/entry/PeerCodec.java
+++ b/src/main/java/org/magnoliahub/entry/PeerCodec.java
@@ -6,8 +6,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.placement.AllowedZones;
 import org.magnoliahub.serving.PieceFailure;
 import org.magnoliahub.serving.PieceResult;
 import org.magnoliahub.serving.PieceTimes;
@@ -85,6 +87,10 @@
 			packer.packLong(submit.budgetMillis()).packInt(submit.priority());
 			packer.packString(submit.zonePreference().zone()).packLong(submit.zonePreference().bytes());
 			packer.packBoolean(submit.largeInputs());
+			Set<String> allowedZones = submit.allowedZones().names();
+			if (allowedZones != null) {
+				packStrings(packer, List.copyOf(allowedZones));
+			}
 		}
 		else if (message instanceof PeerMessage.Result result) {
 			packer.packInt(RESULT).packString(result.service()).packLong(result.jobId()).packInt(result.piece());
@@ -204,8 +210,11 @@
 		ZonePreference zonePreference = new ZonePreference(unpacker.unpackString(), unpacker.unpackLong());
 		// Gateways of earlier versions do not send this field.
 		boolean largeInputs = unpacker.hasNext() ? unpacker.unpackBoolean() : !inputs.isEmpty();
+		// Absent if all zones are allowed.
+		AllowedZones allowedZones = unpacker.hasNext() ? new AllowedZones(Set.copyOf(unpackStrings(unpacker)))
+				: AllowedZones.ALL;
 		return new PeerMessage.Submit(service, jobId, requestId, stage, pieces, pieceKey, inputs, largeInputs,
-				resultBytes, startBudgetMillis, budgetMillis, priority, zonePreference);
+				resultBytes, startBudgetMillis, budgetMillis, priority, zonePreference, allowedZones);
 	}
 
 	private static PeerMessage unpackResult(MessageUnpacker unpacker) throws IOException {
--- a/src/main/java/org/magnoliahub/entry/PeerMessage.java
+++ b/src/main/java/org/magnoliahub/entry/PeerMessage.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.placement.AllowedZones;
 import org.magnoliahub.serving.PieceResult;
 import org.magnoliahub.serving.StageLoad;
 import org.magnoliahub.serving.ZonePreference;
@@ -65,11 +66,20 @@
 	 * @param priority priority of the route
 	 * @param zonePreference preferred zone: that of the inputs, or that in which the
 	 * results are used
+	 * @param allowedZones zones in which the pieces may run
 	 */
 	record Submit(String service, long jobId, String requestId, int stage, List<Integer> pieces,
 			@Nullable String pieceKey, List<String> inputs, boolean largeInputs, long resultBytes,
-			long startBudgetMillis, long budgetMillis, int priority,
-			ZonePreference zonePreference) implements PeerMessage {
+			long startBudgetMillis, long budgetMillis, int priority, ZonePreference zonePreference,
+			AllowedZones allowedZones) implements PeerMessage {
+
+		Submit(String service, long jobId, String requestId, int stage, List<Integer> pieces, @Nullable String pieceKey,
+				List<String> inputs, boolean largeInputs, long resultBytes, long startBudgetMillis, long budgetMillis,
+				int priority, ZonePreference zonePreference) {
+			this(service, jobId, requestId, stage, pieces, pieceKey, inputs, largeInputs, resultBytes,
+					startBudgetMillis, budgetMillis, priority, zonePreference, AllowedZones.ALL);
+		}
+
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/RefusalReason.java
+++ b/src/main/java/org/magnoliahub/entry/RefusalReason.java
@@ -1,5 +1,7 @@
 package org.magnoliahub.entry;
 
+import org.jspecify.annotations.Nullable;
+import org.magnoliahub.placement.AllowedZones;
 import org.magnoliahub.serving.EndpointDirectory;
 
 /**
@@ -20,7 +22,10 @@
 	static final String PROMPT_BLOCKED = "prompt_crashes_endpoints";
 
 	/** All endpoints of the service are in zones that the operator evacuates. */
-	static final String EVACUATED = "evacuated";
+	private static final String EVACUATED = "evacuated";
+
+	/** No home of the request has an endpoint of the service. */
+	private static final String NO_HOME_ENDPOINT = "no_home_endpoint";
 
 	private static final String NO_ENDPOINT = "no_endpoint";
 
@@ -43,14 +48,32 @@
 	 * Returns why no endpoint of a service accepts a request.
 	 * @param directory the endpoints
 	 * @param service the service
+	 * @param zones zones in which the request may be served
 	 * @param now monotonic time, in milliseconds
 	 * @return the reason to report
 	 */
-	static String withoutEndpoint(EndpointDirectory directory, String service, long now) {
-		if (directory.pausedMillis(service, now) > 0) {
+	static String withoutEndpoint(EndpointDirectory directory, String service, AllowedZones zones, long now) {
+		if (directory.pausedMillis(service, zones, now) > 0) {
 			return PAUSED;
 		}
-		return directory.isEvacuated(service, now) ? EVACUATED : NO_ENDPOINT;
+		String reason = ofPlacement(directory, service, zones, now);
+		return (reason != null) ? reason : NO_ENDPOINT;
+	}
+
+	/**
+	 * Returns why a request must not be sent to any endpoint of a service.
+	 * @param directory the endpoints
+	 * @param service the service
+	 * @param zones zones in which the request may be served
+	 * @param now monotonic time, in milliseconds
+	 * @return the reason to report, or {@code null} if it may be sent to one, or the
+	 * service has none at all
+	 */
+	static @Nullable String ofPlacement(EndpointDirectory directory, String service, AllowedZones zones, long now) {
+		if (directory.isEvacuated(service, zones, now)) {
+			return EVACUATED;
+		}
+		return (zones.isRestricted() && !directory.hasEndpoint(service, zones, now)) ? NO_HOME_ENDPOINT : null;
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.placement.AllowedZones;
 import org.magnoliahub.platform.PlatformHeaders;
 import org.magnoliahub.serving.CallKind;
 import org.magnoliahub.serving.CallerRequest;
@@ -73,6 +74,8 @@
 
 	private @Nullable String workspace;
 
+	private AllowedZones allowedZones = AllowedZones.ALL;
+
 	private long deadlineMillis;
 
 	private String serviceName = "";
@@ -158,13 +161,13 @@
 	}
 
 	private boolean authorize(ServingConfiguration configuration, Route matched) {
-		if (!configuration.keysRequired()) {
-			return true;
-		}
-		String key = this.request.apiKey();
+		String key = configuration.keysRequired() ? this.request.apiKey() : null;
 		Optional<WorkspaceKey> match = (key != null) ? configuration.workspace(key) : Optional.empty();
 		this.workspace = match.map(WorkspaceKey::workspace).orElse(null);
-		return match.isPresent() || matched.anonymous();
+		this.allowedZones = this.context.directory()
+			.placement()
+			.allowedZones(matched.allowedRegions(), match.map(WorkspaceKey::allowedRegions).orElse(Set.of()));
+		return match.isPresent() || matched.anonymous() || !configuration.keysRequired();
 	}
 
 	private void admit(ServingConfiguration configuration, Route matched) {
@@ -194,12 +197,12 @@
 			dispatch();
 			return;
 		}
-		String zone = this.engineService
-				? this.context.selector().expectedEngineZone(this.serviceName, this.request, this.context.now()) : "";
+		String zone = this.engineService ? this.context.selector()
+			.expectedEngineZone(this.serviceName, this.request, this.allowedZones, this.context.now()) : "";
 		RequestStages present = this.requestStages;
 		if (present == null) {
 			present = new RequestStages(this.context, this.stages, this, matched, this.request, this.telemetry,
-					this.exchange.arrivedMillis(), this.serviceName);
+					this.exchange.arrivedMillis(), this.serviceName, this.allowedZones);
 			this.requestStages = present;
 		}
 		present.start(zone, stagesExpireAt(matched), this.sendCount == 0);
@@ -225,7 +228,8 @@
 		long now = this.context.now();
 		Optional<EndpointChoice> choice = selectEndpoint(now);
 		if (choice.isEmpty()) {
-			endUnanswered(RefusalReason.withoutEndpoint(this.context.directory(), this.serviceName, now));
+			endUnanswered(
+					RefusalReason.withoutEndpoint(this.context.directory(), this.serviceName, this.allowedZones, now));
 			return;
 		}
 		if (this.deadlineMillis - now < MINIMUM_ATTEMPT_MILLIS) {
@@ -256,12 +260,14 @@
 
 	private Optional<EndpointChoice> selectEndpoint(long now) {
 		if (!this.engineService) {
-			return this.context.selector().selectEndpoint(this.serviceName, this.triedEndpoints, now);
+			return this.context.selector()
+				.selectEndpoint(this.serviceName, this.triedEndpoints, this.allowedZones, now);
 		}
 		Map<String, Long> inputBytesByZone = (this.requestStages != null) ? this.requestStages.inputBytesByZone()
 				: Map.of();
 		return this.context.selector()
-			.selectEngine(this.serviceName, this.request, inputBytesByZone, this.triedEndpoints, now);
+			.selectEngine(this.serviceName, this.request, inputBytesByZone, this.triedEndpoints, this.allowedZones,
+					now);
 	}
 
 	private void send(EndpointChoice choice, long now) {
@@ -484,7 +490,7 @@
 	}
 
 	private long retryAfterMillis(String reason) {
-		long paused = this.context.directory().pausedMillis(this.serviceName, this.context.now());
+		long paused = this.context.directory().pausedMillis(this.serviceName, this.allowedZones, this.context.now());
 		long stagesPaused = (this.requestStages != null) ? this.requestStages.pausedMillis() : 0;
 		long minimum = RefusalReason.minimumRetryAfterMillis(reason);
 		long blocked = reason.equals(RefusalReason.PROMPT_BLOCKED)
--- a/src/main/java/org/magnoliahub/entry/RequestStages.java
+++ b/src/main/java/org/magnoliahub/entry/RequestStages.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.placement.AllowedZones;
 import org.magnoliahub.serving.CallerRequest;
 import org.magnoliahub.serving.PieceResult;
 import org.magnoliahub.serving.Route;
@@ -31,12 +32,15 @@
 
 	private final String service;
 
+	private final AllowedZones allowedZones;
+
 	private @Nullable StageExecution execution;
 
 	private boolean retried;
 
 	RequestStages(EntryContext context, StageCoordinator coordinator, RequestFlow flow, Route route,
-			CallerRequest request, RequestTelemetry telemetry, long arrivedMillis, String service) {
+			CallerRequest request, RequestTelemetry telemetry, long arrivedMillis, String service,
+			AllowedZones allowedZones) {
 		this.context = context;
 		this.coordinator = coordinator;
 		this.flow = flow;
@@ -45,6 +49,7 @@
 		this.telemetry = telemetry;
 		this.arrivedMillis = arrivedMillis;
 		this.service = service;
+		this.allowedZones = allowedZones;
 	}
 
 	/**
@@ -56,15 +61,16 @@
 	 */
 	void start(String zone, long expiresAt, boolean firstRun) {
 		StageExecution next = new StageExecution(this.context, this.coordinator, this.route, this.request,
-				this.arrivedMillis, expiresAt, zone, this);
+				this.arrivedMillis, expiresAt, zone, this.allowedZones, this);
 		this.execution = next;
 		long now = this.context.now();
-		if (this.context.directory().pausedMillis(this.service, now) > next.minimumChainMillis()) {
+		if (this.context.directory().pausedMillis(this.service, this.allowedZones, now) > next.minimumChainMillis()) {
 			this.flow.endUnanswered(RefusalReason.PAUSED);
 			return;
 		}
-		if (isEvacuated(next, now)) {
-			this.flow.endUnanswered(RefusalReason.EVACUATED);
+		String refusal = placementRefusal(next, now);
+		if (refusal != null) {
+			this.flow.endUnanswered(refusal);
 			return;
 		}
 		if (!firstRun || this.retried || mayStart(next, expiresAt)) {
@@ -74,8 +80,9 @@
 		this.flow.endUnanswered(RefusalReason.NO_CAPACITY);
 	}
 
-	private boolean isEvacuated(StageExecution run, long now) {
-		return this.context.directory().isEvacuated(this.service, now) || run.isEvacuated();
+	private @Nullable String placementRefusal(StageExecution run, long now) {
+		String reason = RefusalReason.ofPlacement(this.context.directory(), this.service, this.allowedZones, now);
+		return (reason != null) ? reason : run.placementRefusal();
 	}
 
 	private boolean mayStart(StageExecution next, long expiresAt) {
@@ -158,8 +165,8 @@
 
 	@Override
 	public void onFailed(String reason) {
-		boolean evacuated = this.execution != null && this.execution.isEvacuated();
-		this.flow.endUnanswered(evacuated ? RefusalReason.EVACUATED : reason);
+		String refusal = (this.execution != null) ? this.execution.placementRefusal() : null;
+		this.flow.endUnanswered((refusal != null) ? refusal : reason);
 	}
 
 	@Override
--- a/src/main/java/org/magnoliahub/entry/StageCoordinator.java
+++ b/src/main/java/org/magnoliahub/entry/StageCoordinator.java
@@ -185,7 +185,7 @@
 		}
 		link.send(new PeerMessage.Submit(submission.service, job.jobId(), job.requestId(), job.stage(), job.pieces(),
 				job.pieceKey(), job.inputs(), job.largeInputs(), job.resultBytes(), job.startDeadline() - now,
-				job.expiresAt() - now, job.priority(), job.zonePreference()));
+				job.expiresAt() - now, job.priority(), job.zonePreference(), job.allowedZones()));
 	}
 
 	/**
@@ -322,7 +322,7 @@
 		queue.add(new StageJob(origin, submit.jobId(), submit.requestId(), submit.stage(), submit.pieces(),
 				submit.pieceKey(), submit.inputs(), submit.largeInputs(), submit.resultBytes(),
 				now + submit.startBudgetMillis(), now + submit.budgetMillis(), submit.priority(),
-				submit.zonePreference()), now);
+				submit.zonePreference(), submit.allowedZones()), now);
 		sendReadyBatches(queue);
 	}
 
--- a/src/main/java/org/magnoliahub/entry/StageExecution.java
+++ b/src/main/java/org/magnoliahub/entry/StageExecution.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.placement.AllowedZones;
 import org.magnoliahub.serving.CallerRequest;
 import org.magnoliahub.serving.JobOrigin;
 import org.magnoliahub.serving.PieceFailure;
@@ -49,6 +50,8 @@
 
 	private final String engineZone;
 
+	private final AllowedZones allowedZones;
+
 	private final StageProgress stageProgress;
 
 	private final StageChain chain;
@@ -62,7 +65,7 @@
 	private boolean requestInputsReleased;
 
 	StageExecution(EntryContext context, StageCoordinator coordinator, Route route, CallerRequest request,
-			long arrivedMillis, long expiresAt, String engineZone, Listener listener) {
+			long arrivedMillis, long expiresAt, String engineZone, AllowedZones allowedZones, Listener listener) {
 		this.context = context;
 		this.coordinator = coordinator;
 		this.route = route;
@@ -71,6 +74,7 @@
 		this.expiresAt = expiresAt;
 		this.listener = listener;
 		this.engineZone = engineZone;
+		this.allowedZones = allowedZones;
 		this.stageProgress = new StageProgress(route.stages(), request.pieces());
 		this.chain = new StageChain(route.stages(), this.stageProgress, this::stageLimits);
 	}
@@ -85,19 +89,18 @@
 	}
 
 	/**
-	 * Returns whether a stage that has pieces cannot run because all of its endpoints are
-	 * in evacuated zones.
-	 * @return whether the stages cannot complete until a zone is reopened
+	 * Returns why a stage that is not complete must not run at any endpoint.
+	 * @return the reason to report, or {@code null} if each stage may run
 	 */
-	boolean isEvacuated() {
-		long now = this.context.now();
+	@Nullable String placementRefusal() {
 		for (int stage = 0; stage < this.route.stages().size(); stage++) {
-			String service = this.route.stages().get(stage).service();
-			if (!this.stageProgress.isStageComplete(stage) && this.context.directory().isEvacuated(service, now)) {
-				return true;
+			String reason = RefusalReason.ofPlacement(this.context.directory(),
+					this.route.stages().get(stage).service(), this.allowedZones, this.context.now());
+			if (reason != null && !this.stageProgress.isStageComplete(stage)) {
+				return reason;
 			}
 		}
-		return false;
+		return null;
 	}
 
 	private boolean isStarted() {
@@ -182,7 +185,7 @@
 				this.stageProgress.missingPieces(stage), inputs.isEmpty() ? this.request.pieceKey() : null, inputs,
 				this.chain.hasLargeInputs(stage), definition.resultBytes(),
 				this.latencyDeadlineMillis - this.chain.remainingMillis(stage), this.expiresAt, this.route.priority(),
-				zonePreference(stage, inputs.isEmpty()));
+				zonePreference(stage, inputs.isEmpty()), this.allowedZones);
 		this.submittedMillis.put(stage, this.context.now());
 		this.jobIds.put(stage, this.coordinator.submit(definition.service(), job, this));
 	}
--- a/src/main/java/org/magnoliahub/placement/package-info.java
+++ b/src/main/java/org/magnoliahub/placement/package-info.java
@@ -1,7 +1,7 @@
 /**
- * Decides which zones may receive work: zones that the operator evacuates receive none.
- * The package performs no I/O, reads no clocks and starts no threads; callers pass in the
- * current time.
+ * Decides which zones may receive work: zones that the operator evacuates receive none,
+ * and requests with homes are served only there. The package performs no I/O, reads no
+ * clocks and starts no threads; callers pass in the current time.
  */
 @NullMarked
 package org.magnoliahub.placement;
--- a/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
+++ b/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.jspecify.annotations.Nullable;
@@ -82,7 +84,26 @@
 				timeout, millis(node.path("target_latency_ms"), timeout), integer(node.path("priority"), 0), shares,
 				Math.max(1, integer(node.path("max_attempts"), 1)), stages,
 				node.path("allow_anonymous").asBoolean(false), node.path("resume_streams").asBoolean(false),
-				millis(node.path("gap_target_ms"), 0));
+				millis(node.path("gap_target_ms"), 0), regions("route", name, node.path("allowed_regions")));
+	}
+
+	// A restriction that cannot be read must not be dropped, so the whole configuration
+	// is rejected.
+	private static Set<String> regions(String owner, String name, JsonNode regions) throws PlatformFormatException {
+		if (regions.isMissingNode() || regions.isNull()) {
+			return Set.of();
+		}
+		boolean valid = regions.isArray();
+		Set<String> names = new HashSet<>();
+		for (JsonNode region : regions) {
+			valid &= region.isTextual();
+			names.add(region.asText());
+		}
+		if (!valid) {
+			throw new PlatformFormatException(
+					owner + " " + shown(name) + " has allowed_regions that are no list of names");
+		}
+		return names;
 	}
 
 	private static CallKind kind(String route, JsonNode kind) throws PlatformFormatException {
@@ -152,10 +173,11 @@
 				millis(node.path("idle_timeout_ms"), fallback.idleTimeoutMillis()));
 	}
 
-	private static Map<String, WorkspaceKey> keys(JsonNode tenants) {
+	private static Map<String, WorkspaceKey> keys(JsonNode tenants) throws PlatformFormatException {
 		Map<String, WorkspaceKey> keys = new HashMap<>();
 		for (JsonNode tenant : tenants) {
-			WorkspaceKey workspace = new WorkspaceKey(tenant.path("name").asText());
+			String name = tenant.path("name").asText();
+			WorkspaceKey workspace = new WorkspaceKey(name, regions("tenant", name, tenant.path("allowed_regions")));
 			for (JsonNode key : tenant.path("api_keys")) {
 				keys.put(key.asText(), workspace);
 			}
--- a/src/main/java/org/magnoliahub/platform/NodeSettings.java
+++ b/src/main/java/org/magnoliahub/platform/NodeSettings.java
@@ -1,6 +1,7 @@
 package org.magnoliahub.platform;
 
 import java.net.InetSocketAddress;
+import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
 
@@ -17,10 +18,19 @@
  * @param memoryMegabytes memory limit of the process
  * @param bounds times within which changes take effect
  * @param storeAddress address of the platform's store
+ * @param regionsByZone region of each zone that belongs to one
  */
 public record NodeSettings(String nodeName, String ip, String availabilityZone,
 		@Nullable InetSocketAddress callerAddress, @Nullable InetSocketAddress readinessAddress, int internalPort,
-		int lastInternalPort, int memoryMegabytes, Bounds bounds, InetSocketAddress storeAddress) {
+		int lastInternalPort, int memoryMegabytes, Bounds bounds, InetSocketAddress storeAddress,
+		Map<String, String> regionsByZone) {
+
+	/**
+	 * Creates settings with an immutable copy of the regions.
+	 */
+	public NodeSettings {
+		regionsByZone = Map.copyOf(regionsByZone);
+	}
 
 	/**
 	 * Times and shares that the platform holds the system to.
--- a/src/main/java/org/magnoliahub/platform/NodeSettingsReader.java
+++ b/src/main/java/org/magnoliahub/platform/NodeSettingsReader.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -94,7 +95,20 @@
 		if (store == null) {
 			return null;
 		}
-		return new NodeSettings(name, ip, zone, callers, readiness, first, last, memory, bounds, store);
+		return new NodeSettings(name, ip, zone, callers, readiness, first, last, memory, bounds, store,
+				regions(root.path("zones")));
+	}
+
+	// A zone without a readable region belongs to none, which allows it for fewer
+	// requests.
+	private static Map<String, String> regions(JsonNode zones) {
+		Map<String, String> regions = new HashMap<>();
+		zones.fields().forEachRemaining((zone) -> {
+			if (zone.getValue().isTextual()) {
+				regions.put(zone.getKey(), zone.getValue().asText());
+			}
+		});
+		return regions;
 	}
 
 	private NodeSettings.Bounds bounds(JsonNode node) {
--- a/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.placement.AllowedZones;
 import org.magnoliahub.placement.Placement;
 
 /**
@@ -213,10 +214,22 @@
 	 * @return endpoints in no particular order
 	 */
 	public List<EndpointState> availableEndpoints(String service, long now) {
+		return availableEndpoints(service, AllowedZones.ALL, now);
+	}
+
+	/**
+	 * Returns the endpoints of a service in some zones that accept new work. Endpoints
+	 * that may have gone are returned only if no other one is available.
+	 * @param service name of the service
+	 * @param zones zones of the endpoints
+	 * @param now monotonic time, in milliseconds
+	 * @return endpoints in no particular order
+	 */
+	public List<EndpointState> availableEndpoints(String service, AllowedZones zones, long now) {
 		List<EndpointState> listed = new ArrayList<>();
 		List<EndpointState> doubtful = new ArrayList<>();
 		for (EndpointState endpoint : this.endpointsByService.getOrDefault(service, List.of())) {
-			if (accepts(endpoint, now)) {
+			if (accepts(endpoint, now) && zones.contains(endpoint.record().availabilityZone())) {
 				(endpoint.isDoubtful() ? doubtful : listed).add(endpoint);
 			}
 		}
@@ -243,39 +256,77 @@
 	}
 
 	/**
-	 * Returns whether a service has endpoints, but all of them are in evacuated zones.
-	 * Draining and expired endpoints are ignored.
+	 * Returns which zones may receive work.
+	 * @return the placement
+	 */
+	public Placement placement() {
+		return this.placement;
+	}
+
+	/**
+	 * Returns whether a service has an endpoint in some zones. Draining and expired
+	 * endpoints are ignored.
+	 * @param service name of the service
+	 * @param zones zones of the endpoints
+	 * @param now monotonic time, in milliseconds
+	 * @return whether there is one, available or not
+	 */
+	public boolean hasEndpoint(String service, AllowedZones zones, long now) {
+		return !remainingEndpoints(service, zones, now).isEmpty();
+	}
+
+	/**
+	 * Returns whether a service has endpoints in some zones, but all of them are in
+	 * evacuated zones. Draining and expired endpoints are ignored.
 	 * @param service name of the service
+	 * @param zones zones of the endpoints
 	 * @param now monotonic time, in milliseconds
 	 * @return whether nothing can be sent until a zone is reopened
 	 */
-	public boolean isEvacuated(String service, long now) {
-		boolean evacuated = false;
+	public boolean isEvacuated(String service, AllowedZones zones, long now) {
+		if (this.placement.evacuatedCount() == 0) {
+			return false;
+		}
+		List<EndpointState> remaining = remainingEndpoints(service, zones, now);
+		return !remaining.isEmpty() && remaining.stream().allMatch(this::isEvacuated);
+	}
+
+	private List<EndpointState> remainingEndpoints(String service, AllowedZones zones, long now) {
+		List<EndpointState> remaining = new ArrayList<>();
 		for (EndpointState endpoint : this.endpointsByService.getOrDefault(service, List.of())) {
-			if (endpoint.isDraining() || endpoint.isExpired(now)) {
-				continue;
+			if (!endpoint.isDraining() && !endpoint.isExpired(now)
+					&& zones.contains(endpoint.record().availabilityZone())) {
+				remaining.add(endpoint);
 			}
-			if (!isEvacuated(endpoint)) {
-				return false;
-			}
-			evacuated = true;
 		}
-		return evacuated;
+		return remaining;
+	}
+
+	/**
+	 * Returns how long a service has no available endpoint, in any zone, as
+	 * {@link #pausedMillis(String, AllowedZones, long)} does.
+	 * @param service name of the service
+	 * @param now monotonic time, in milliseconds
+	 * @return time until the first endpoint accepts a request, in milliseconds
+	 */
+	public long pausedMillis(String service, long now) {
+		return pausedMillis(service, AllowedZones.ALL, now);
 	}
 
 	/**
-	 * Returns how long a service has no available endpoint because all of its endpoints
-	 * requested a pause or have reached their request rate. Draining and expired
-	 * endpoints and those in evacuated zones are ignored.
+	 * Returns how long a service has no available endpoint in some zones because all of
+	 * its endpoints there requested a pause or have reached their request rate. Draining
+	 * and expired endpoints and those in evacuated zones are ignored.
 	 * @param service name of the service
+	 * @param zones zones of the endpoints
 	 * @param now monotonic time, in milliseconds
 	 * @return time until the first endpoint accepts a request, in milliseconds; zero if
 	 * one accepts it now or the service has none
 	 */
-	public long pausedMillis(String service, long now) {
+	public long pausedMillis(String service, AllowedZones zones, long now) {
 		long earliest = Long.MAX_VALUE;
-		for (EndpointState endpoint : this.endpointsByService.getOrDefault(service, List.of())) {
-			if (endpoint.isDraining() || endpoint.isExpired(now) || isEvacuated(endpoint)) {
+		for (EndpointState endpoint : remainingEndpoints(service, zones, now)) {
+			if (isEvacuated(endpoint)) {
 				continue;
 			}
 			long blocked = endpoint.blockedMillis(now);
--- a/src/main/java/org/magnoliahub/serving/EndpointSelector.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointSelector.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import org.magnoliahub.placement.AllowedZones;
+
 /**
  * Selects the endpoint with the lowest expected response time. Endpoints that fail, are
  * slow or do not respond lose traffic at once, and regain it as the recorded failures and
@@ -84,10 +86,22 @@
 	 * @return the endpoint, or empty if none is available
 	 */
 	public Optional<EndpointChoice> selectEndpoint(String service, Set<String> tried, long now) {
+		return selectEndpoint(service, tried, AllowedZones.ALL, now);
+	}
+
+	/**
+	 * Selects an endpoint of a service that is not a model engine.
+	 * @param service name of the service
+	 * @param tried ids of the endpoints that already received the request
+	 * @param zones zones in which the request may be served
+	 * @param now monotonic time, in milliseconds
+	 * @return the endpoint, or empty if none is available
+	 */
+	public Optional<EndpointChoice> selectEndpoint(String service, Set<String> tried, AllowedZones zones, long now) {
 		double typical = this.typicalMillis.getOrDefault(service, INITIAL_REQUEST_MILLIS);
 		EndpointChoice best = null;
 		double bestCost = Double.MAX_VALUE;
-		for (EndpointState endpoint : this.directory.availableEndpoints(service, now)) {
+		for (EndpointState endpoint : this.directory.availableEndpoints(service, zones, now)) {
 			if (tried.contains(endpoint.record().id())) {
 				continue;
 			}
@@ -140,7 +154,22 @@
 	 */
 	public Optional<EndpointChoice> selectEngine(String service, CallerRequest request, Map<String, Long> inputZones,
 			Set<String> tried, long now) {
-		List<EndpointState> candidates = this.directory.availableEndpoints(service, now);
+		return selectEngine(service, request, inputZones, tried, AllowedZones.ALL, now);
+	}
+
+	/**
+	 * Selects a model engine in some zones.
+	 * @param service name of the service
+	 * @param request request of the caller
+	 * @param inputZones bytes of input stage results by zone
+	 * @param tried ids of the endpoints that already received the request
+	 * @param zones zones in which the request may be served
+	 * @param now monotonic time, in milliseconds
+	 * @return the engine, or empty if none is available
+	 */
+	public Optional<EndpointChoice> selectEngine(String service, CallerRequest request, Map<String, Long> inputZones,
+			Set<String> tried, AllowedZones zones, long now) {
+		List<EndpointState> candidates = this.directory.availableEndpoints(service, zones, now);
 		String preferredId = preferredEngineId(request, candidates, now);
 		int prefixTokens = prefixTokens(request);
 		EndpointChoice best = null;
@@ -173,11 +202,12 @@
 	 * Returns the zone of the engine that a request would be sent to now.
 	 * @param service name of the service
 	 * @param request request of the caller
+	 * @param zones zones in which the request may be served
 	 * @param now monotonic time, in milliseconds
 	 * @return the zone, empty if no engine is available
 	 */
-	public String expectedEngineZone(String service, CallerRequest request, long now) {
-		return selectEngine(service, request, Map.of(), Set.of(), now)
+	public String expectedEngineZone(String service, CallerRequest request, AllowedZones zones, long now) {
+		return selectEngine(service, request, Map.of(), Set.of(), zones, now)
 			.map((choice) -> choice.endpoint().record().availabilityZone())
 			.orElse("");
 	}
--- a/src/main/java/org/magnoliahub/serving/Route.java
+++ b/src/main/java/org/magnoliahub/serving/Route.java
@@ -1,6 +1,7 @@
 package org.magnoliahub.serving;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * Maps requests by host and path prefix to services, and sets their timeouts, priority
@@ -21,10 +22,12 @@
  * @param resumable whether an interrupted stream can be resumed at another endpoint
  * @param maximumEventGapMillis target for the longest gap between two events of a stream,
  * in milliseconds
+ * @param allowedRegions regions in which the requests may be served, empty for all
  */
 public record Route(String name, String host, String pathPrefix, CallKind kind, long timeoutMillis,
 		long latencyObjectiveMillis, int priority, List<ServiceShare> services, int maximumEndpoints,
-		List<RouteStage> stages, boolean anonymous, boolean resumable, long maximumEventGapMillis) {
+		List<RouteStage> stages, boolean anonymous, boolean resumable, long maximumEventGapMillis,
+		Set<String> allowedRegions) {
 
 	/** Minimum time that callers wait for the first event. */
 	private static final long MINIMUM_FIRST_EVENT_TIMEOUT_MILLIS = 2_000;
@@ -44,6 +47,17 @@
 	public Route {
 		services = List.copyOf(services);
 		stages = List.copyOf(stages);
+		allowedRegions = Set.copyOf(allowedRegions);
+	}
+
+	/**
+	 * Creates a route whose requests may be served in all regions.
+	 */
+	public Route(String name, String host, String pathPrefix, CallKind kind, long timeoutMillis,
+			long latencyObjectiveMillis, int priority, List<ServiceShare> services, int maximumEndpoints,
+			List<RouteStage> stages, boolean anonymous, boolean resumable, long maximumEventGapMillis) {
+		this(name, host, pathPrefix, kind, timeoutMillis, latencyObjectiveMillis, priority, services, maximumEndpoints,
+				stages, anonymous, resumable, maximumEventGapMillis, Set.of());
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/serving/StageJob.java
+++ b/src/main/java/org/magnoliahub/serving/StageJob.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.placement.AllowedZones;
 
 /**
  * Pieces of one stage of one request, which the gateway that handles the request submits
@@ -23,10 +24,11 @@
  * @param expiresAt monotonic time at which the request expires, in milliseconds
  * @param priority priority of the route, zero is the most urgent
  * @param zonePreference zone that holds the inputs or in which the results are needed
+ * @param allowedZones zones in which the pieces may run
  */
 public record StageJob(JobOrigin origin, long jobId, String requestId, int stage, List<Integer> pieces,
 		@Nullable String pieceKey, List<String> inputs, boolean largeInputs, long resultBytes, long startDeadline,
-		long expiresAt, int priority, ZonePreference zonePreference) {
+		long expiresAt, int priority, ZonePreference zonePreference, AllowedZones allowedZones) {
 
 	/**
 	 * Creates a job with immutable copies of the lists.
@@ -36,6 +38,16 @@
 		inputs = List.copyOf(inputs);
 	}
 
+	/**
+	 * Creates a job whose pieces may run in all zones.
+	 */
+	public StageJob(JobOrigin origin, long jobId, String requestId, int stage, List<Integer> pieces,
+			@Nullable String pieceKey, List<String> inputs, boolean largeInputs, long resultBytes, long startDeadline,
+			long expiresAt, int priority, ZonePreference zonePreference) {
+		this(origin, jobId, requestId, stage, pieces, pieceKey, inputs, largeInputs, resultBytes, startDeadline,
+				expiresAt, priority, zonePreference, AllowedZones.ALL);
+	}
+
 	/**
 	 * Returns this job as submitted by a gateway.
 	 * @param submitter the submitter
@@ -45,7 +57,7 @@
 	public StageJob submittedBy(JobOrigin submitter, long id) {
 		return new StageJob(submitter, id, this.requestId, this.stage, this.pieces, this.pieceKey, this.inputs,
 				this.largeInputs, this.resultBytes, this.startDeadline, this.expiresAt, this.priority,
-				this.zonePreference);
+				this.zonePreference, this.allowedZones);
 	}
 
 	/**
@@ -56,7 +68,7 @@
 	public StageJob withPieces(List<Integer> newPieces) {
 		return new StageJob(this.origin, this.jobId, this.requestId, this.stage, newPieces, this.pieceKey, this.inputs,
 				this.largeInputs, this.resultBytes, this.startDeadline, this.expiresAt, this.priority,
-				this.zonePreference);
+				this.zonePreference, this.allowedZones);
 	}
 
 }
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.placement.AllowedZones;
 
 /**
  * Queue that batches the pieces of all gateways for one stage service.
@@ -136,8 +137,8 @@
 	}
 
 	/**
-	 * Removes queued tasks that cannot be completed before their request expires, and all
-	 * if the endpoints of the service are in evacuated zones.
+	 * Removes queued tasks that cannot be completed before their request expires, and
+	 * those that may run only in evacuated zones.
 	 * @param now monotonic time, in milliseconds
 	 * @return the removed tasks
 	 */
@@ -145,17 +146,14 @@
 		if (this.queued.isEmpty()) {
 			return List.of();
 		}
-		if (this.directory.isEvacuated(this.service, now)) {
-			List<StageTask> evacuated = List.copyOf(this.queued);
-			this.queued.clear();
-			return evacuated;
-		}
 		List<StageTask> expired = new ArrayList<>();
 		double minimumMillis = this.limits.expectedMillis(1) + this.directory.pausedMillis(this.service, now);
+		Map<AllowedZones, Boolean> evacuated = new HashMap<>();
 		Iterator<StageTask> tasks = this.queued.iterator();
 		while (tasks.hasNext()) {
 			StageTask task = tasks.next();
-			if (task.job().expiresAt() - now < minimumMillis) {
+			if (task.job().expiresAt() - now < minimumMillis || evacuated.computeIfAbsent(task.job().allowedZones(),
+					(zones) -> this.directory.isEvacuated(this.service, zones, now))) {
 				tasks.remove();
 				expired.add(task);
 			}
@@ -177,7 +175,8 @@
 		ZoneBacklog backlog = backlog(healthy, now);
 		for (EndpointState endpoint : freeEndpoints(healthy, PieceOrder.mostUrgentZone(this.queued, now), now)) {
 			String zone = endpoint.record().availabilityZone();
-			Predicate<StageTask> eligible = (task) -> backlog.mayRunIn(task.job(), zone, now);
+			Predicate<StageTask> eligible = (task) -> task.job().allowedZones().contains(zone)
+					&& backlog.mayRunIn(task.job(), zone, now);
 			if (this.queued.stream().noneMatch(eligible)) {
 				continue;
 			}
@@ -230,12 +229,19 @@
 		return healthy.endpoints()
 			.stream()
 			.filter((endpoint) -> !this.running.containsKey(endpoint.record().id()))
-			.filter((endpoint) -> healthy.mayReceiveBatch(endpoint, this.queued.size(), this.limits.maximumBatchSize(),
-					now))
+			.filter((endpoint) -> isHomeOfPiece(endpoint)
+					|| healthy.mayReceiveBatch(endpoint, this.queued.size(), this.limits.maximumBatchSize(), now))
 			.sorted(Comparator.comparingDouble((endpoint) -> HealthyEndpoints.cost(endpoint, zone, now)))
 			.toList();
 	}
 
+	// Pieces with homes do not wait for faster endpoints elsewhere.
+	private boolean isHomeOfPiece(EndpointState endpoint) {
+		return this.queued.stream()
+			.map((task) -> task.job().allowedZones())
+			.anyMatch((zones) -> zones.isRestricted() && zones.contains(endpoint.record().availabilityZone()));
+	}
+
 	private long freeBytes(EndpointState endpoint, long now) {
 		return this.limits.resultCapacityBytes() - this.storedResults.bytes(endpoint.record().id(), now);
 	}
--- a/src/main/java/org/magnoliahub/serving/ZoneBacklog.java
+++ b/src/main/java/org/magnoliahub/serving/ZoneBacklog.java
@@ -55,7 +55,8 @@
 	 */
 	boolean mayRunIn(StageJob job, String zone, long now) {
 		ZonePreference preference = job.zonePreference();
-		if (!preference.justifiesWaiting() || !preference.isOtherZone(zone)) {
+		if (!preference.justifiesWaiting() || !preference.isOtherZone(zone)
+				|| !job.allowedZones().contains(preference.zone())) {
 			return true;
 		}
 		Zone preferred = this.zones.get(preference.zone());
--- a/src/test/java/org/magnoliahub/entry/EntryFixture.java
+++ b/src/test/java/org/magnoliahub/entry/EntryFixture.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.UnaryOperator;
 
 import org.awaitility.Awaitility;
 import org.magnoliahub.platform.NodeSettings;
@@ -92,12 +93,24 @@
 		return addGateway(storeAddress, Long.MAX_VALUE, Long.MAX_VALUE);
 	}
 
+	/**
+	 * Starts a gateway with other settings.
+	 */
+	int addGateway(UnaryOperator<String> settingsChange) throws IOException, PlatformFormatException {
+		return addGateway(this.store.address(), Long.MAX_VALUE, Long.MAX_VALUE, settingsChange);
+	}
+
 	private int addGateway(String storeAddress, long requestBytes, long responseBytes)
 			throws IOException, PlatformFormatException {
+		return addGateway(storeAddress, requestBytes, responseBytes, UnaryOperator.identity());
+	}
+
+	private int addGateway(String storeAddress, long requestBytes, long responseBytes,
+			UnaryOperator<String> settingsChange) throws IOException, PlatformFormatException {
 		int index = this.gateways.size();
 		EmulatedSettings.Node node = EmulatedSettings.Node.withFreePorts("gateway-" + index, "127.0.0.1");
-		NodeSettings settings = NodeSettingsReader
-			.parse(EmulatedSettings.gateway(node, new EmulatedSettings.Budget(0.2, 58), storeAddress));
+		String text = EmulatedSettings.gateway(node, new EmulatedSettings.Budget(0.2, 58), storeAddress);
+		NodeSettings settings = NodeSettingsReader.parse(settingsChange.apply(text));
 		this.gateways.add(EntryGateway.start(settings, RECORD_INTERVAL, this::onOutput, new BodyMemory(requestBytes),
 				new BodyMemory(responseBytes)));
 		this.nodes.add(node);
--- a/src/test/java/org/magnoliahub/entry/EvacuationTests.java
+++ b/src/test/java/org/magnoliahub/entry/EvacuationTests.java
@@ -160,7 +160,8 @@
 	void startedGatewayKnowsTheEvacuationBeforeItIsReady() throws Exception {
 		addPlain("a", "z1");
 		this.fixture.store.put(StoreFormat.CONFIGURATION_TABLE, StoreFormat.evacuationKey("z1"), "{}");
-		int second = this.fixture.addGateway();
+		int second = this.fixture
+			.addGateway((settings) -> settings.replace("\"bounds\":{", "\"bounds\":{\"evacuate_ms\":5000,"));
 		this.fixture.awaitReady(second);
 		assertThat(this.fixture.sendTo(second, "GET", "/look/1", "r1").status()).isEqualTo(503);
 		assertThat(this.requested).isEmpty();
--- a/src/test/java/org/magnoliahub/entry/PeerCodecTests.java
+++ b/src/test/java/org/magnoliahub/entry/PeerCodecTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
 
 import net.jqwik.api.ForAll;
@@ -10,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.magnoliahub.placement.AllowedZones;
 import org.magnoliahub.serving.PieceFailure;
 import org.magnoliahub.serving.PieceResult;
 import org.magnoliahub.serving.PieceTimes;
@@ -31,6 +33,10 @@
 						new ZonePreference("z", 9)),
 				new PeerMessage.Submit("s", 1, "r", 2, List.of(0), null, List.of("a/b", "c/d"), true, 800, 5, 900, 1,
 						new ZonePreference("", 0)),
+				new PeerMessage.Submit("s", 1, "r", 2, List.of(0), "k", List.of(), false, 800, 5, 900, 1,
+						ZonePreference.NONE, new AllowedZones(Set.of("z1", "z2"))),
+				new PeerMessage.Submit("s", 1, "r", 2, List.of(0), "k", List.of(), false, 800, 5, 900, 1,
+						ZonePreference.NONE, new AllowedZones(Set.of())),
 				new PeerMessage.Result("s", 4, 5, new PieceResult("a/b", "z", null, new PieceTimes(1, 2, 3))),
 				new PeerMessage.Result("s", 4, 5, PieceResult.failed(PieceFailure.LATE)),
 				new PeerMessage.Cancel("s", 9), new PeerMessage.Announce("s", "r", 2, 8, 60, 900),
--- a/src/test/java/org/magnoliahub/platform/ConfigurationReaderTests.java
+++ b/src/test/java/org/magnoliahub/platform/ConfigurationReaderTests.java
@@ -56,6 +56,24 @@
 		assertThat(read(STORED).route("a.example", "/p/q/x").orElseThrow().isRetryable()).isFalse();
 	}
 
+	@Test
+	void routesAndTenantsHaveTheirRegions() throws PlatformFormatException {
+		ServingConfiguration configuration = read(
+				STORED.replace("\"name\":\"r2\"", "\"name\":\"r2\",\"allowed_regions\":[\"eu\"]")
+					.replace("\"name\":\"t1\"", "\"name\":\"t1\",\"allowed_regions\":[\"eu\",\"us\"]"));
+		assertThat(configuration.route("a.example", "/p/x").orElseThrow().allowedRegions()).isEmpty();
+		assertThat(configuration.route("a.example", "/p/q/x").orElseThrow().allowedRegions()).containsExactly("eu");
+		assertThat(configuration.workspace("k1").orElseThrow().allowedRegions()).containsExactlyInAnyOrder("eu", "us");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "\"eu\"", "{\"eu\":1}", "[\"eu\",7]" })
+	void restrictionThatCannotBeReadIsNotDropped(String regions) {
+		String stored = STORED.replace("\"name\":\"t1\"", "\"name\":\"t1\",\"allowed_regions\":" + regions);
+		assertThatExceptionOfType(PlatformFormatException.class).isThrownBy(() -> read(stored))
+			.withMessageContaining("tenant t1");
+	}
+
 	@Test
 	void stagePoolHasItsLimits() throws PlatformFormatException {
 		StageLimits pool = read(STORED).service("o").orElseThrow().stageLimits();
--- a/src/test/java/org/magnoliahub/platform/NodeSettingsReaderTests.java
+++ b/src/test/java/org/magnoliahub/platform/NodeSettingsReaderTests.java
@@ -51,6 +51,17 @@
 		assertThat(settings.readinessAddress()).isNull();
 	}
 
+	@Test
+	void evacuationBoundAndRegionsAreOptional() throws PlatformFormatException {
+		assertThat(NodeSettingsReader.parse(SETTINGS).bounds().evacuationMillis()).isZero();
+		assertThat(NodeSettingsReader.parse(SETTINGS).regionsByZone()).isEmpty();
+		NodeSettings settings = NodeSettingsReader
+			.parse(SETTINGS.replace("\"unknown\": true", "\"zones\": {\"z1\": \"eu\", \"z2\": 3}")
+				.replace("\"drain_ms\"", "\"evacuate_ms\": 5000, \"drain_ms\""));
+		assertThat(settings.bounds().evacuationMillis()).isEqualTo(5_000);
+		assertThat(settings.regionsByZone()).containsExactly(Map.entry("z1", "eu"));
+	}
+
 	@Test
 	void namesAllFaultsAtOnce() {
 		String faulty = SETTINGS.replace("front-1", "")
--- a/src/test/java/org/magnoliahub/serving/EvacuatedEndpointTests.java
+++ b/src/test/java/org/magnoliahub/serving/EvacuatedEndpointTests.java
@@ -7,6 +7,7 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.magnoliahub.placement.AllowedZones;
 import org.magnoliahub.placement.EvacuatedZones;
 import org.magnoliahub.placement.Placement;
 
@@ -72,11 +73,11 @@
 	@Test
 	void serviceIsEvacuatedOnlyIfNoEndpointIsElsewhere() {
 		this.zones.evacuate("z1");
-		assertThat(this.directory.isEvacuated("model", 0)).isTrue();
-		assertThat(this.directory.isEvacuated("ocr", 0)).isFalse();
-		assertThat(this.directory.isEvacuated("unknown", 0)).isFalse();
+		assertThat(this.directory.isEvacuated("model", AllowedZones.ALL, 0)).isTrue();
+		assertThat(this.directory.isEvacuated("ocr", AllowedZones.ALL, 0)).isFalse();
+		assertThat(this.directory.isEvacuated("unknown", AllowedZones.ALL, 0)).isFalse();
 		endpoint("b").markDraining();
-		assertThat(this.directory.isEvacuated("ocr", 0)).isTrue();
+		assertThat(this.directory.isEvacuated("ocr", AllowedZones.ALL, 0)).isTrue();
 	}
 
 	@Test
