--- a/src/main/java/org/magnoliahub/serving/EndpointSelector.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointSelector.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 
 import org.magnoliahub.balancing.LoadCost;
+import org.magnoliahub.placement.AllowedZones;
 
 /**
  * Selects the endpoint with the lowest expected response time. Endpoints that fail, are
@@ -92,8 +93,20 @@
 	 * @return the endpoint, or empty if none is available
 	 */
 	public Optional<EndpointChoice> selectEndpoint(String service, Set<String> tried, long now) {
+		return selectEndpoint(service, tried, AllowedZones.ALL, now);
+	}
+
+	/**
+	 * Selects an endpoint of a service that is not a model engine.
+	 * @param service name of the service
+	 * @param tried ids of the endpoints that already received the request
+	 * @param zones zones in which the request may be served
+	 * @param now monotonic time, in milliseconds
+	 * @return the endpoint, or empty if none is available
+	 */
+	public Optional<EndpointChoice> selectEndpoint(String service, Set<String> tried, AllowedZones zones, long now) {
 		double typical = this.typicalMillis.getOrDefault(service, INITIAL_REQUEST_MILLIS);
-		List<EndpointState> candidates = this.directory.availableEndpoints(service, now);
+		List<EndpointState> candidates = this.directory.availableEndpoints(service, zones, now);
 		if (BalancedSelection.isInUse(candidates, now)) {
 			return balancedEndpoint(candidates, typical, tried, now);
 		}
@@ -165,7 +178,22 @@
 	 */
 	public Optional<EndpointChoice> selectEngine(String service, CallerRequest request, Map<String, Long> inputZones,
 			Set<String> tried, long now) {
-		List<EndpointState> candidates = this.directory.availableEndpoints(service, now);
+		return selectEngine(service, request, inputZones, tried, AllowedZones.ALL, now);
+	}
+
+	/**
+	 * Selects a model engine in some zones.
+	 * @param service name of the service
+	 * @param request request of the caller
+	 * @param inputZones bytes of input stage results by zone
+	 * @param tried ids of the endpoints that already received the request
+	 * @param zones zones in which the request may be served
+	 * @param now monotonic time, in milliseconds
+	 * @return the engine, or empty if none is available
+	 */
+	public Optional<EndpointChoice> selectEngine(String service, CallerRequest request, Map<String, Long> inputZones,
+			Set<String> tried, AllowedZones zones, long now) {
+		List<EndpointState> candidates = this.directory.availableEndpoints(service, zones, now);
 		String preferredId = preferredEngineId(request, candidates, now);
 		int prefixTokens = prefixTokens(request);
 		BalancedSelection balanced = BalancedSelection.isInUse(candidates, now) ? new BalancedSelection(
@@ -206,11 +234,12 @@
 	 * Returns the zone of the engine that a request would be sent to now.
 	 * @param service name of the service
 	 * @param request request of the caller
+	 * @param zones zones in which the request may be served
 	 * @param now monotonic time, in milliseconds
 	 * @return the zone, empty if no engine is available
 	 */
-	public String expectedEngineZone(String service, CallerRequest request, long now) {
-		return selectEngine(service, request, Map.of(), Set.of(), now)
+	public String expectedEngineZone(String service, CallerRequest request, AllowedZones zones, long now) {
+		return selectEngine(service, request, Map.of(), Set.of(), zones, now)
 			.map((choice) -> choice.endpoint().record().availabilityZone())
 			.orElse("");
 	}
