Divide the request rate of cold servers among gateways

What callers see: nothing yet; the entry gateway does not use the decision.

Reason: a server that is cold crashes at rates that it accepts later. All gateways together must send it at most cold_per_s x cold_overage + cold_slack requests in any one second, also while they have different lists of each other.

Change: the package coldstart decides. GatewayView contains the gateways that may send at present. A gateway uses its share only while its view is known to contain all others that do, so the sum of differing views is that of one common view. ColdShare divides the rate, ColdRate keeps the cold time and the pace for one server, ColdServers creates the limits from records and reopened zones. The platform's readers read cold_left_ms, cold_s, cold_per_s and the two bounds. EndpointState asks a SendLimit, which only ColdServers sets. The architecture test covers the package.

--- a/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
+++ b/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
@@ -25,6 +25,8 @@
 
 	private static final double BYTES_PER_MEGABYTE = 1e6;
 
+	private static final double MILLIS_PER_SECOND = 1_000;
+
 	/** A year, so that sums of times do not overflow. */
 	private static final long MAXIMUM_MILLIS = 31_536_000_000L;
 
@@ -130,7 +132,17 @@
 
 	private static ServiceDefinition service(JsonNode node) {
 		return new ServiceDefinition(node.path("name").asText(), node.path("health_path").asText("/"),
-				pool(node.path("pieces")), node.has("engine"));
+				pool(node.path("pieces")), node.has("engine"), millisOfSeconds(node.path("cold_s")),
+				rate(node.path("cold_per_s")));
+	}
+
+	private static long millisOfSeconds(JsonNode node) {
+		return (long) Math.min(MAXIMUM_MILLIS, MILLIS_PER_SECOND * rate(node));
+	}
+
+	// A value that is not a positive number sets no limit.
+	private static double rate(JsonNode node) {
+		return (node.isNumber() && Double.isFinite(node.asDouble())) ? Math.max(0, node.asDouble()) : 0;
 	}
 
 	private static @Nullable StageLimits pool(JsonNode node) {
--- a/src/main/java/org/magnoliahub/platform/EndpointRecordReader.java
+++ b/src/main/java/org/magnoliahub/platform/EndpointRecordReader.java
@@ -15,6 +15,9 @@
 
 	private static final String DRAINING = "draining";
 
+	/** Bounds the effect of a wrong value; servers are cold for seconds. */
+	private static final long MAXIMUM_COLD_MILLIS = 600_000;
+
 	private static final Set<String> STATES = Set.of("ready", DRAINING);
 
 	/**
@@ -36,7 +39,12 @@
 		}
 		return Optional.of(new EndpointRecord(id, root.path("service").asText(), root.path("address").asText(),
 				root.path("zone").asText(), root.path("slots").asInt(), root.path("state").asText().equals(DRAINING),
-				root.path("born").asLong(0), root.path("seq").asLong()));
+				root.path("born").asLong(0), root.path("seq").asLong(), coldMillis(root.path("cold_left_ms"))));
+	}
+
+	// Another value does not exclude the endpoint, because older servers write none.
+	private static long coldMillis(JsonNode node) {
+		return isCount(node) ? Math.min(MAXIMUM_COLD_MILLIS, node.asLong()) : 0;
 	}
 
 	private static boolean isEndpoint(JsonNode root) {
--- a/src/main/java/org/magnoliahub/platform/NodeSettings.java
+++ b/src/main/java/org/magnoliahub/platform/NodeSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.coldstart.ColdBounds;
 
 /**
  * Settings of one process on the platform.
@@ -33,9 +34,10 @@
 	 * @param repeatRatio repeats allowed for each request, over all gateways
 	 * @param repeatConstant further repeats allowed to all gateways together
 	 * @param repeatWindowMillis span in which repeats are counted
+	 * @param cold limit on requests to cold servers, {@code null} if there is none
 	 */
 	public record Bounds(long contactMillis, long drainMillis, long configurationMillis, long graceMillis,
-			double repeatRatio, double repeatConstant, long repeatWindowMillis) {
+			double repeatRatio, double repeatConstant, long repeatWindowMillis, @Nullable ColdBounds cold) {
 	}
 
 }
--- a/src/main/java/org/magnoliahub/platform/NodeSettingsReader.java
+++ b/src/main/java/org/magnoliahub/platform/NodeSettingsReader.java
@@ -11,6 +11,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.coldstart.ColdBounds;
 
 /**
  * Reads the settings file of a process, which is JSON. All faults of a file are reported
@@ -105,7 +106,16 @@
 		double ratio = number(node, "retry_budget_ratio");
 		double constant = number(node, "retry_budget_extra");
 		long window = (long) (1_000 * number(node, "budget_window_s"));
-		return new NodeSettings.Bounds(contact, drain, configuration, grace, ratio, constant, window);
+		return new NodeSettings.Bounds(contact, drain, configuration, grace, ratio, constant, window,
+				cold(node, contact));
+	}
+
+	// One bound alone states no limit.
+	private @Nullable ColdBounds cold(JsonNode node, long contactMillis) {
+		if (!node.has("cold_overage") || !node.has("cold_slack")) {
+			return null;
+		}
+		return new ColdBounds(number(node, "cold_overage"), number(node, "cold_slack"), contactMillis);
 	}
 
 	private String text(JsonNode parent, String field) {
--- a/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
@@ -207,8 +207,8 @@
 
 	/**
 	 * Returns how long a service has no available endpoint because all of its endpoints
-	 * requested a pause or have reached their request rate. Draining and expired
-	 * endpoints are ignored.
+	 * requested a pause, or have reached their request rate or the limit of cold
+	 * endpoints. Draining and expired endpoints are ignored.
 	 * @param service name of the service
 	 * @param now monotonic time, in milliseconds
 	 * @return time until the first endpoint accepts a request, in milliseconds; zero if
@@ -242,6 +242,15 @@
 			.findFirst();
 	}
 
+	/**
+	 * Finds a listed endpoint by its id.
+	 * @param id id of the endpoint
+	 * @return the endpoint, or empty if the directory has none with the id
+	 */
+	public Optional<EndpointState> find(String id) {
+		return Optional.ofNullable(this.endpoints.get(id));
+	}
+
 	/**
 	 * Returns all endpoints, including draining ones.
 	 * @return endpoints in no particular order
--- a/src/main/java/org/magnoliahub/serving/EndpointState.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointState.java
@@ -47,6 +47,8 @@
 
 	private final RequestedRate requestedRate = new RequestedRate();
 
+	private @Nullable SendLimit sendLimit;
+
 	private final List<EndpointCall> awaitingResponse = new ArrayList<>();
 
 	private int outstandingCalls;
@@ -196,12 +198,13 @@
 
 	/**
 	 * Returns how long the endpoint accepts no request of this gateway, because of a
-	 * requested pause or rate.
+	 * requested pause or rate, or because the endpoint is cold.
 	 * @param now monotonic time, in milliseconds
 	 * @return milliseconds, zero if it accepts one
 	 */
 	long blockedMillis(long now) {
-		return Math.max(this.requestedRate.waitMillis(now), Math.max(0, this.requestedPause.until() - now));
+		long requested = Math.max(this.requestedRate.waitMillis(now), Math.max(0, this.requestedPause.until() - now));
+		return (this.sendLimit != null) ? Math.max(requested, this.sendLimit.waitMillis(now)) : requested;
 	}
 
 	/**
@@ -209,11 +212,54 @@
 	 * available.
 	 * @param now monotonic time, in milliseconds
 	 * @return whether the endpoint is neither draining nor expired nor paused, and is not
-	 * at the limit of its slow start or of its request rate
+	 * at the limit of its slow start, of its request rate or of its cold time
 	 */
 	public boolean isAvailable(long now) {
 		return !this.draining && !isExpired(now) && this.requestedPause.mayBeginCall(now)
-				&& this.requestedRate.mayBeginCall(now);
+				&& this.requestedRate.mayBeginCall(now) && (this.sendLimit == null || this.sendLimit.mayBeginCall(now));
+	}
+
+	/**
+	 * Sets the limit on requests to the endpoint, for example while it is cold.
+	 * @param limit the limit
+	 */
+	public void setSendLimit(SendLimit limit) {
+		this.sendLimit = limit;
+	}
+
+	/**
+	 * Returns the limit on requests to the endpoint.
+	 * @return the limit, or {@code null} if none was set
+	 */
+	public @Nullable SendLimit sendLimit() {
+		return this.sendLimit;
+	}
+
+	/**
+	 * Returns whether a limit on requests to the endpoint is in effect.
+	 * @param now monotonic time, in milliseconds
+	 * @return whether the number of requests is limited
+	 */
+	public boolean isSendLimited(long now) {
+		return this.sendLimit != null && this.sendLimit.isActive(now);
+	}
+
+	/**
+	 * Returns how often a limit on requests to the endpoint has begun.
+	 * @return the number of times
+	 */
+	public int sendLimitPeriods() {
+		return (this.sendLimit != null) ? this.sendLimit.periods() : 0;
+	}
+
+	/**
+	 * Records that the bytes of a call are sent, which may be later than its beginning.
+	 * @param now monotonic time, in milliseconds
+	 */
+	public void recordSending(long now) {
+		if (this.sendLimit != null) {
+			this.sendLimit.recordCall(now);
+		}
 	}
 
 	void startGracePeriod(long until) {
@@ -247,6 +293,7 @@
 	 */
 	public EndpointCall beginCall(long now, double expectedMillis, int uncachedTokens) {
 		this.requestedRate.beginCall(now);
+		recordSending(now);
 		EndpointCall call = new EndpointCall(this, now, expectedMillis, uncachedTokens,
 				this.requestedPause.beginCall());
 		this.awaitingResponse.add(call);
--- a/src/test/java/org/magnoliahub/ArchitectureTests.java
+++ b/src/test/java/org/magnoliahub/ArchitectureTests.java
@@ -18,7 +18,8 @@
 	}
 
 	private static final String[] CORE = { "..model..", "..time..", "..store..", "..protocol..", "..claim..",
-			"..agent..", "..gateway..", "..routing..", "..configuration..", "..lease..", "..serving.." };
+			"..agent..", "..gateway..", "..routing..", "..configuration..", "..lease..", "..serving..",
+			"..coldstart.." };
 
 	@ArchTest
 	static final ArchRule coreHasNoInputOrOutput = noClasses().that()
--- /dev/null
+++ b/src/test/java/org/magnoliahub/coldstart/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.magnoliahub.coldstart;
+
+import org.jspecify.annotations.NullMarked;
--- a/src/test/java/org/magnoliahub/platform/ConfigurationReaderTests.java
+++ b/src/test/java/org/magnoliahub/platform/ConfigurationReaderTests.java
@@ -36,6 +36,17 @@
 		return new ConfigurationReader().read(text.getBytes(StandardCharsets.UTF_8));
 	}
 
+	@Test
+	void coldServersAreLimitedOnlyWithATimeAndARate() throws PlatformFormatException {
+		assertThat(read(STORED).service("s1").orElseThrow().limitsColdServers()).isFalse();
+		String both = STORED.replace("\"name\":\"s1\"", "\"name\":\"s1\",\"cold_s\":3.0,\"cold_per_s\":14.0");
+		assertThat(read(both).service("s1").orElseThrow().coldMillis()).isEqualTo(3_000);
+		assertThat(read(both).service("s1").orElseThrow().coldPerSecond()).isEqualTo(14);
+		for (String rate : new String[] { "0", "-1", "\"14\"", "1e400" }) {
+			assertThat(read(both.replace("14.0", rate)).service("s1").orElseThrow().limitsColdServers()).isFalse();
+		}
+	}
+
 	@Test
 	void longestPrefixOfTheHostWins() throws PlatformFormatException {
 		ServingConfiguration configuration = read(STORED);
--- a/src/test/java/org/magnoliahub/platform/EndpointRecordReaderTests.java
+++ b/src/test/java/org/magnoliahub/platform/EndpointRecordReaderTests.java
@@ -39,6 +39,18 @@
 		assertThat(read(ENTRY.replace(part, replacement))).isEmpty();
 	}
 
+	/**
+	 * Guards against an endpoint that is lost because of its cold time, and against one
+	 * that is cold without an end.
+	 */
+	@ParameterizedTest
+	@CsvSource(delimiter = '|',
+			value = { "2900|2900", "0|0", "-1|0", "\"5\"|0", "null|0", "1.5|0", "1e400|0", "99999999999|600000" })
+	void coldTimeIsANumberWithinBounds(String stated, long expected) {
+		String entry = ENTRY.replace("\"seq\":3", "\"seq\":3,\"cold_left_ms\":" + stated);
+		assertThat(read(entry).orElseThrow().coldLeftMillis()).isEqualTo(expected);
+	}
+
 	/**
 	 * Guards against numbers that are cut to a long, which would make an entry of another
 	 * writer older or newer than all others.
--- a/src/test/java/org/magnoliahub/platform/NodeSettingsReaderTests.java
+++ b/src/test/java/org/magnoliahub/platform/NodeSettingsReaderTests.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
+import org.magnoliahub.coldstart.ColdBounds;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
@@ -43,6 +44,15 @@
 		assertThat(settings.bounds().repeatConstant()).isEqualTo(58);
 	}
 
+	@Test
+	void limitOnColdServersNeedsBothBounds() throws PlatformFormatException {
+		assertThat(NodeSettingsReader.parse(SETTINGS).bounds().cold()).isNull();
+		String one = SETTINGS.replace("\"grace_s\"", "\"cold_slack\": 5, \"grace_s\"");
+		assertThat(NodeSettingsReader.parse(one).bounds().cold()).isNull();
+		String both = one.replace("\"grace_s\"", "\"cold_overage\": 1.5, \"grace_s\"");
+		assertThat(NodeSettingsReader.parse(both).bounds().cold()).isEqualTo(new ColdBounds(1.5, 5, 3_000));
+	}
+
 	@Test
 	void vmWithoutCallersHasNoCallerAddress() throws PlatformFormatException {
 		NodeSettings settings = NodeSettingsReader
