Limit requests to cold endpoints in the entry gateway

What callers see: where the settings have cold_overage and cold_slack and the service has cold_s and cold_per_s, requests go to a warm endpoint while a cold one is at its rate. Other deployments see no change.

Change: EntryGateway creates ColdServers if both bounds are set, and passes on the records, the list of gateways and the services. A call that began before its endpoint became cold is withheld when its connection opens. Releases of stage results wait until the endpoint is warm. Event endpoint_cold, state "cold" in the status of endpoints, gauges entry.endpoints.cold and entry.cold.informed.

EndpointTable has a further parameter, so StoreRestorationModelTests passes null; nothing else in that test changes. EntryFixture can start a gateway with further bounds.

--- a/src/main/java/org/magnoliahub/entry/EndpointNoticeHandler.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointNoticeHandler.java
@@ -135,11 +135,14 @@
 
 		private final RateDivision division;
 
+		private final int limitPeriods;
+
 		private NoticeInterceptor(EndpointState endpoint, Predicate<ResponseHead> isFromEndpoint,
 				RateDivision division) {
 			this.endpoint = endpoint;
 			this.isFromEndpoint = isFromEndpoint;
 			this.division = division;
+			this.limitPeriods = endpoint.sendLimitPeriods();
 		}
 
 		@Override
@@ -147,8 +150,17 @@
 			if (this.endpoint.isDraining()) {
 				return "endpoint leaves";
 			}
-			return this.endpoint.isPauseRequested(EndpointNoticeHandler.this.timers.milliTime()) ? "endpoint paused"
-					: null;
+			// The limit of an endpoint that became cold meanwhile does not count the
+			// call.
+			if (this.endpoint.sendLimitPeriods() != this.limitPeriods) {
+				return "endpoint cold";
+			}
+			long now = EndpointNoticeHandler.this.timers.milliTime();
+			if (this.endpoint.isPauseRequested(now)) {
+				return "endpoint paused";
+			}
+			this.endpoint.recordSending(now);
+			return null;
 		}
 
 		@Override
--- a/src/main/java/org/magnoliahub/entry/EndpointPage.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointPage.java
@@ -70,6 +70,9 @@
 		if (endpoint.isPauseRequested(now)) {
 			return "paused";
 		}
+		if (endpoint.isSendLimited(now)) {
+			return "cold";
+		}
 		if (endpoint.requestsPerSecond() > 0) {
 			return "limited";
 		}
--- a/src/main/java/org/magnoliahub/entry/EndpointTable.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointTable.java
@@ -1,5 +1,7 @@
 package org.magnoliahub.entry;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -7,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
+import org.magnoliahub.coldstart.ColdServers;
 import org.magnoliahub.platform.EndpointRecordReader;
 import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.StoredRow;
@@ -33,7 +37,21 @@
 
 	private final Set<String> draining = new HashSet<>();
 
-	EndpointTable(EndpointDirectory directory, Timers timers, EntryLog log, StoreRestorationReport restorationReport) {
+	private final @Nullable ColdServers coldServers;
+
+	/**
+	 * Creates a table that is empty until it is first read.
+	 * @param directory receives the records
+	 * @param timers the timers
+	 * @param log the log
+	 * @param restorationReport collects what became of the rows after a restoration of
+	 * the store
+	 * @param coldServers receives the records that were applied to the directory, or
+	 * {@code null} if requests to cold servers are not limited
+	 */
+	EndpointTable(EndpointDirectory directory, Timers timers, EntryLog log, StoreRestorationReport restorationReport,
+			@Nullable ColdServers coldServers) {
+		this.coldServers = coldServers;
 		this.directory = directory;
 		this.timers = timers;
 		this.log = log;
@@ -51,15 +69,18 @@
 		}
 		if (restored) {
 			this.restorationReport.recordEndpoints(this.directory.replaceAllAfterRestore(records.values(), now));
-			return;
 		}
-		this.directory.replaceAll(records.values(), now);
+		else {
+			this.directory.replaceAll(records.values(), now);
+		}
+		recordRead(records.values(), now);
 	}
 
 	@Override
 	public void onChanges(List<StoredRow> rows) {
 		long now = this.timers.milliTime();
 		this.directory.recordStoreContact(now);
+		List<EndpointRecord> applied = new ArrayList<>();
 		for (StoredRow row : rows) {
 			Optional<EndpointRecord> record = row.removed() ? Optional.empty() : read(row);
 			if (record.isEmpty()) {
@@ -72,10 +93,18 @@
 				logChange(row, record.get().service(), "outdated");
 				continue;
 			}
+			applied.add(record.get());
 			if (record.get().draining() && this.draining.add(row.key())) {
 				logChange(row, record.get().service(), "draining");
 			}
 		}
+		recordRead(applied, now);
+	}
+
+	private void recordRead(Collection<EndpointRecord> records, long now) {
+		if (this.coldServers != null) {
+			this.coldServers.recordRead(records, now);
+		}
 	}
 
 	private Optional<EndpointRecord> read(StoredRow row) {
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -69,6 +69,9 @@
 	/** An endpoint stated a request rate that is not a positive decimal number. */
 	RATE_REJECTED(Importance.HIGH, "endpoint", "value"),
 
+	/** An endpoint is cold; this gateway limits its requests to it. */
+	ENDPOINT_COLD(Importance.HIGH, "endpoint", "service", "cause", "cold_ms", "interval_ms"),
+
 	/** The store stated an era that is malformed or earlier than a previous one. */
 	STORE_ERA_REJECTED(Importance.HIGH, "reason"),
 
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -18,6 +18,8 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.nio.NioEventLoopGroup;
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.coldstart.ColdBounds;
+import org.magnoliahub.coldstart.ColdServers;
 import org.magnoliahub.platform.MemberRecord;
 import org.magnoliahub.platform.NodeSettings;
 import org.magnoliahub.platform.NodeSettingsReader;
@@ -88,6 +90,9 @@
 
 	private final EndpointDirectory directory = new EndpointDirectory();
 
+	/** {@code null} if requests to cold servers are not limited. */
+	private final @Nullable ColdServers coldServers;
+
 	private final StoreEra era = new StoreEra();
 
 	private final StoreClient store;
@@ -141,6 +146,7 @@
 		this.requestRecorder = new AsyncRequestRecorder(settings.nodeName(), incarnation,
 				PlatformObjectStore.of(this.store, this.group.next(), this::onObjectCall), recordInterval);
 		GatewayGroup gateways = new GatewayGroup(settings.nodeName());
+		this.coldServers = createColdServers(settings);
 		this.configurationTable = new ConfigurationTable(this.timers, this.log, this.era, this.restorationReport,
 				this::useConfiguration);
 		this.context = new EntryContext(this.timers, this.log, this.metrics, httpClient,
@@ -152,11 +158,20 @@
 		MemberRecord self = new MemberRecord(settings.nodeName(), settings.ip() + ":" + settings.internalPort(),
 				incarnation);
 		this.memberTable = new MemberTable(this.store, this.timers, this.log, self, this.restorationReport,
-				this.stageCoordinator::setMembers);
+				this::useMembers);
 		this.callerServer = new CallerServer(this.timers, this::limits, this::accept, this.log, this.metrics,
 				requestMemory);
 	}
 
+	private @Nullable ColdServers createColdServers(NodeSettings nodeSettings) {
+		ColdBounds bounds = nodeSettings.bounds().cold();
+		if (bounds == null) {
+			return null;
+		}
+		return new ColdServers(bounds, nodeSettings.nodeName(), this.directory,
+				new ColdServerReport(this.log, this.metrics));
+	}
+
 	/**
 	 * Starts a gateway.
 	 * @param settings its settings
@@ -207,7 +222,7 @@
 		long startupEnd = this.timers.milliTime() + STARTUP_MILLIS;
 		startWatcher(StoreFormat.CONFIGURATION_TABLE, configurationTiming, this.configurationTable);
 		startWatcher(StoreFormat.ENDPOINT_TABLE, endpointTiming,
-				new EndpointTable(this.directory, this.timers, this.log, this.restorationReport));
+				new EndpointTable(this.directory, this.timers, this.log, this.restorationReport, this.coldServers));
 		this.memberTable.start();
 		startWatcher(StoreFormat.MEMBER_TABLE,
 				() -> (this.timers.milliTime() < startupEnd) ? STARTUP_MEMBER_TIMING : STEADY_MEMBER_TIMING,
@@ -301,9 +316,17 @@
 		this.metrics.gauge("entry.endpoints.leaving",
 				() -> this.directory.all().stream().filter(EndpointState::isDraining).count());
 		this.metrics.gauge("entry.endpoints.paused", this::pausedEndpoints);
+		if (this.coldServers != null) {
+			addColdGauges(this.coldServers);
+		}
 		this.metrics.gauge("entry.prompts.blocked", this.context.crashingPrompts()::blockedCount);
 	}
 
+	private void addColdGauges(ColdServers servers) {
+		this.metrics.gauge("entry.endpoints.cold", () -> servers.coldCount(this.timers.milliTime()));
+		this.metrics.gauge("entry.cold.informed", () -> servers.isInformed(this.timers.milliTime()) ? 1 : 0);
+	}
+
 	private long pausedEndpoints() {
 		long now = this.timers.milliTime();
 		return this.directory.all().stream().filter((endpoint) -> endpoint.isPauseRequested(now)).count();
@@ -353,7 +376,17 @@
 		return this.watchers.stream().mapToLong(TableWatcher::revision).max().orElse(-1);
 	}
 
+	private void useMembers(Map<String, MemberRecord> members) {
+		if (this.coldServers != null) {
+			this.coldServers.recordGateways(members.keySet(), this.timers.milliTime());
+		}
+		this.stageCoordinator.setMembers(members);
+	}
+
 	private void useConfiguration(ServingConfiguration configuration) {
+		if (this.coldServers != null) {
+			this.coldServers.useServices(configuration.services());
+		}
 		this.stageCoordinator.setConfiguration(configuration);
 	}
 
--- a/src/main/java/org/magnoliahub/entry/EntryMetrics.java
+++ b/src/main/java/org/magnoliahub/entry/EntryMetrics.java
@@ -130,8 +130,8 @@
 	}
 
 	/**
-	 * Counts a notice in a response from an endpoint.
-	 * @param state {@code leaving} or {@code paused}
+	 * Counts a notice in a response or in the record of an endpoint.
+	 * @param state for example {@code leaving}, {@code paused} or {@code cold}
 	 */
 	void endpointNotice(String state) {
 		record((meters) -> meters.counter("entry.endpoint.notices", "state", state).increment());
--- a/src/main/java/org/magnoliahub/entry/StageEndpointClient.java
+++ b/src/main/java/org/magnoliahub/entry/StageEndpointClient.java
@@ -23,6 +23,7 @@
 import org.magnoliahub.serving.PieceFailure;
 import org.magnoliahub.serving.PieceResult;
 import org.magnoliahub.serving.ResponseHead;
+import org.magnoliahub.serving.SendLimit;
 import org.magnoliahub.serving.StageBatch;
 import org.magnoliahub.serving.StageQueue;
 import org.magnoliahub.serving.StageTask;
@@ -127,9 +128,10 @@
 	private void release(String service, String address, List<String> handles, Runnable done) {
 		Optional<EndpointState> producer = this.context.directory().findByAddress(service, address);
 		long now = this.context.now();
-		if (producer.isPresent() && producer.get().isPauseRequested(now)) {
+		long blockedUntil = producer.map((endpoint) -> blockedUntil(endpoint, now)).orElse(now);
+		if (blockedUntil > now) {
 			// During a longer pause the results expire without a release.
-			Duration remaining = Duration.ofMillis(producer.get().requestedPauseEnd() - now);
+			Duration remaining = Duration.ofMillis(blockedUntil - now);
 			if (remaining.compareTo(MAXIMUM_RELEASE_DELAY) <= 0) {
 				this.context.timers().schedule(remaining, () -> release(service, address, handles, done));
 			}
@@ -152,6 +154,13 @@
 		listener.timeout = this.context.timers().schedule(RELEASE_TIMEOUT, exchange::cancel);
 	}
 
+	// The few requests that a cold endpoint accepts are used for batches.
+	private static long blockedUntil(EndpointState endpoint, long now) {
+		SendLimit limit = endpoint.sendLimit();
+		long coldUntil = (limit != null && limit.isActive(now)) ? limit.until() : now;
+		return Math.max(coldUntil, endpoint.requestedPauseEnd());
+	}
+
 	/**
 	 * Receives the results of pieces.
 	 */
--- a/src/test/java/org/magnoliahub/entry/EntryFixture.java
+++ b/src/test/java/org/magnoliahub/entry/EntryFixture.java
@@ -44,6 +44,8 @@
 
 	private volatile boolean reportsState = true;
 
+	private String furtherBounds = "";
+
 	private final AtomicLong loopPauseMillis = new AtomicLong();
 
 	private final List<EmulatedSettings.Node> nodes = new ArrayList<>();
@@ -92,12 +94,21 @@
 		return addGateway(storeAddress, Long.MAX_VALUE, Long.MAX_VALUE);
 	}
 
+	/**
+	 * Starts a gateway whose settings have further bounds.
+	 */
+	int addGatewayWithBounds(String bounds) throws IOException, PlatformFormatException {
+		this.furtherBounds = bounds + ",";
+		return addGateway();
+	}
+
 	private int addGateway(String storeAddress, long requestBytes, long responseBytes)
 			throws IOException, PlatformFormatException {
 		int index = this.gateways.size();
 		EmulatedSettings.Node node = EmulatedSettings.Node.withFreePorts("gateway-" + index, "127.0.0.1");
 		NodeSettings settings = NodeSettingsReader
-			.parse(EmulatedSettings.gateway(node, new EmulatedSettings.Budget(0.2, 58), storeAddress));
+			.parse(EmulatedSettings.gateway(node, new EmulatedSettings.Budget(0.2, 58), storeAddress)
+				.replace("\"bounds\":{", "\"bounds\":{" + this.furtherBounds));
 		this.gateways.add(EntryGateway.start(settings, RECORD_INTERVAL, this::onOutput, new BodyMemory(requestBytes),
 				new BodyMemory(responseBytes)));
 		this.nodes.add(node);
--- a/src/test/java/org/magnoliahub/entry/StoreRestorationModelTests.java
+++ b/src/test/java/org/magnoliahub/entry/StoreRestorationModelTests.java
@@ -344,7 +344,7 @@
 					() -> new TableWatcher.PollTiming(0, 2_000), this.configuration));
 			watchers.add(new TableWatcher(calls, simulation.timers, random, log, StoreFormat.ENDPOINT_TABLE,
 					() -> new TableWatcher.PollTiming(700, 0),
-					new EndpointTable(this.directory, simulation.timers, log, restorationReport)));
+					new EndpointTable(this.directory, simulation.timers, log, restorationReport, null)));
 			watchers.add(new TableWatcher(calls, simulation.timers, random, log, StoreFormat.MEMBER_TABLE,
 					() -> new TableWatcher.PollTiming(3_000, 0), members));
 			era.subscribe((previous, current) -> {
