Merge the request rate of cold servers

Servers of a zone that was reopened are reported to the limit of cold servers. Pieces with homes are looked up only for endpoints that do not receive a batch anyway.

--- a/src/main/java/org/magnoliahub/entry/EndpointNoticeHandler.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointNoticeHandler.java
@@ -161,12 +161,15 @@
 
 		private final boolean newWork;
 
+		private final int limitPeriods;
+
 		private NoticeInterceptor(EndpointState endpoint, Predicate<ResponseHead> isFromEndpoint, RateDivision division,
 				boolean newWork) {
 			this.endpoint = endpoint;
 			this.isFromEndpoint = isFromEndpoint;
 			this.division = division;
 			this.newWork = newWork;
+			this.limitPeriods = endpoint.sendLimitPeriods();
 		}
 
 		@Override
@@ -178,8 +181,17 @@
 					&& EndpointNoticeHandler.this.placement.isEvacuated(this.endpoint.record().availabilityZone())) {
 				return "zone evacuated";
 			}
-			return this.endpoint.isPauseRequested(EndpointNoticeHandler.this.timers.milliTime()) ? "endpoint paused"
-					: null;
+			// The limit of an endpoint that became cold meanwhile does not count the
+			// call.
+			if (this.endpoint.sendLimitPeriods() != this.limitPeriods) {
+				return "endpoint cold";
+			}
+			long now = EndpointNoticeHandler.this.timers.milliTime();
+			if (this.endpoint.isPauseRequested(now)) {
+				return "endpoint paused";
+			}
+			this.endpoint.recordSending(now);
+			return null;
 		}
 
 		@Override
--- a/src/main/java/org/magnoliahub/entry/EntryEvent.java
+++ b/src/main/java/org/magnoliahub/entry/EntryEvent.java
@@ -80,6 +80,9 @@
 	 */
 	BALANCED_LOAD(Importance.HIGH, "endpoint", "service", "state", "slowdown_percent"),
 
+	/** An endpoint is cold; this gateway limits its requests to it. */
+	ENDPOINT_COLD(Importance.HIGH, "endpoint", "service", "cause", "cold_ms", "interval_ms"),
+
 	/** The store stated an era that is malformed or earlier than a previous one. */
 	STORE_ERA_REJECTED(Importance.HIGH, "reason"),
 
--- a/src/main/java/org/magnoliahub/platform/NodeSettings.java
+++ b/src/main/java/org/magnoliahub/platform/NodeSettings.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.coldstart.ColdBounds;
 
 /**
  * Settings of one process on the platform.
@@ -45,9 +46,11 @@
 	 * @param repeatWindowMillis span in which repeats are counted
 	 * @param evacuationMillis time within which the evacuation of a zone is in force,
 	 * zero if the platform sets no bound
+	 * @param cold limit on requests to cold servers, {@code null} if there is none
 	 */
 	public record Bounds(long contactMillis, long drainMillis, long configurationMillis, long graceMillis,
-			double repeatRatio, double repeatConstant, long repeatWindowMillis, long evacuationMillis) {
+			double repeatRatio, double repeatConstant, long repeatWindowMillis, long evacuationMillis,
+			@Nullable ColdBounds cold) {
 	}
 
 }
--- a/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
+++ b/src/main/java/org/magnoliahub/serving/EndpointDirectory.java
@@ -315,8 +315,9 @@
 
 	/**
 	 * Returns how long a service has no available endpoint in some zones because all of
-	 * its endpoints there requested a pause or have reached their request rate. Draining
-	 * and expired endpoints and those in evacuated zones are ignored.
+	 * its endpoints there requested a pause, or have reached their request rate or the
+	 * limit of cold endpoints. Draining and expired endpoints and those in evacuated
+	 * zones are ignored.
 	 * @param service name of the service
 	 * @param zones zones of the endpoints
 	 * @param now monotonic time, in milliseconds
@@ -351,6 +352,15 @@
 			.findFirst();
 	}
 
+	/**
+	 * Finds a listed endpoint by its id.
+	 * @param id id of the endpoint
+	 * @return the endpoint, or empty if the directory has none with the id
+	 */
+	public Optional<EndpointState> find(String id) {
+		return Optional.ofNullable(this.endpoints.get(id));
+	}
+
 	/**
 	 * Returns all endpoints, including draining ones.
 	 * @return endpoints in no particular order
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -229,8 +229,8 @@
 		return healthy.endpoints()
 			.stream()
 			.filter((endpoint) -> !this.running.containsKey(endpoint.record().id()))
-			.filter((endpoint) -> isHomeOfPiece(endpoint)
-					|| healthy.mayReceiveBatch(endpoint, this.queued.size(), this.limits.maximumBatchSize(), now))
+			.filter((endpoint) -> healthy.mayReceiveBatch(endpoint, this.queued.size(), this.limits.maximumBatchSize(),
+					now) || isHomeOfPiece(endpoint))
 			.sorted(Comparator.comparingDouble((endpoint) -> HealthyEndpoints.cost(endpoint, zone, now)))
 			.toList();
 	}
--- a/src/test/java/org/magnoliahub/entry/EntryFixture.java
+++ b/src/test/java/org/magnoliahub/entry/EntryFixture.java
@@ -100,6 +100,13 @@
 		return addGateway(this.store.address(), Long.MAX_VALUE, Long.MAX_VALUE, settingsChange);
 	}
 
+	/**
+	 * Starts a gateway whose settings have further bounds.
+	 */
+	int addGatewayWithBounds(String bounds) throws IOException, PlatformFormatException {
+		return addGateway((settings) -> settings.replace("\"bounds\":{", "\"bounds\":{" + bounds + ","));
+	}
+
 	private int addGateway(String storeAddress, long requestBytes, long responseBytes)
 			throws IOException, PlatformFormatException {
 		return addGateway(storeAddress, requestBytes, responseBytes, UnaryOperator.identity());
