--- a/src/test/java/org/magnoliahub/entry/ColdEndpointTests.java
+++ b/src/test/java/org/magnoliahub/entry/ColdEndpointTests.java
@@ -10,6 +10,7 @@
 import org.magnoliahub.platform.emulator.CallerAnswer;
 import org.magnoliahub.platform.emulator.EmulatedSettings;
 import org.magnoliahub.platform.emulator.RawServer;
+import org.magnoliahub.placement.Placement;
 import org.magnoliahub.serving.EndpointDirectory;
 import org.magnoliahub.serving.EndpointRecord;
 import org.magnoliahub.serving.EndpointState;
@@ -38,7 +39,7 @@
 		EventLoopTimers timers = new EventLoopTimers(group.next(), (failure) -> {
 		});
 		EndpointNoticeHandler notices = new EndpointNoticeHandler(timers, new EntryLog(timers, (line) -> {
-		}), new EntryMetrics(), new HttpClient(group, timers), new GatewayGroup("g"));
+		}), new EntryMetrics(), new HttpClient(group, timers), new GatewayGroup("g"), new Placement());
 		EndpointDirectory directory = new EndpointDirectory();
 		ColdServers servers = new ColdServers(BOUNDS, "g", directory, (record, cause, coldMillis, intervalMillis) -> {
 		});
--- a/src/test/java/org/magnoliahub/entry/OperatorTableTests.java
+++ b/src/test/java/org/magnoliahub/entry/OperatorTableTests.java
@@ -130,7 +130,7 @@
 	@Test
 	void twoCallsInARowWithoutResponseDelayAnEvacuationWithinItsBound() {
 		NodeSettings.Bounds bounds = new NodeSettings.Bounds(4_000, 2_000, 13_000, 8_000, 0.2, 10, 10_000,
-				EVACUATION_MILLIS);
+				EVACUATION_MILLIS, null);
 		ScriptedStore store = new ScriptedStore();
 		new TableWatcher(store, this.timers, new SplittableRandom(1), this.entryLog, StoreFormat.CONFIGURATION_TABLE,
 				PollTimings.operator(bounds), this.table)
@@ -151,7 +151,7 @@
 
 	@Test
 	void pollsAreUnchangedWithoutABound() {
-		NodeSettings.Bounds bounds = new NodeSettings.Bounds(4_000, 2_000, 13_000, 8_000, 0.2, 10, 10_000, 0);
+		NodeSettings.Bounds bounds = new NodeSettings.Bounds(4_000, 2_000, 13_000, 8_000, 0.2, 10, 10_000, 0, null);
 		assertThat(PollTimings.operator(bounds)).isEqualTo(PollTimings.configuration(bounds));
 	}
 
