Check the platform's configuration: findings, rules and differences

Gateways read a configuration as before.

Reason: gateways are tolerant. They replace numbers out of range, ignore unknown fields, and adopt routes that no request can match or stages that never start, so a mistake shows only when requests fail.

ConfigurationReader shares its limits, the default timeout and the limits of a stage service; its code paths are unchanged. An architecture rule keeps the new classes out of everything but the commands.

--- a/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
+++ b/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
@@ -26,10 +26,13 @@
 	private static final double BYTES_PER_MEGABYTE = 1e6;
 
 	/** A year, so that sums of times do not overflow. */
-	private static final long MAXIMUM_MILLIS = 31_536_000_000L;
+	static final long MAXIMUM_MILLIS = 31_536_000_000L;
 
 	/** A terabyte, so that the size of a full batch does not overflow. */
-	private static final long MAXIMUM_RESULT_BYTES = 1_000_000_000_000L;
+	static final long MAXIMUM_RESULT_BYTES = 1_000_000_000_000L;
+
+	/** Maximum lifetime of a request if the route states none, in milliseconds. */
+	static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
 
 	private static final int MAXIMUM_SHOWN_CHARACTERS = 100;
 
@@ -77,7 +80,7 @@
 		for (JsonNode stage : node.path("stages")) {
 			stages.add(stage(stage));
 		}
-		long timeout = millis(node.path("timeout_ms"), 30_000);
+		long timeout = millis(node.path("timeout_ms"), DEFAULT_TIMEOUT_MILLIS);
 		return new Route(name, node.path("host").asText(), node.path("prefix").asText(), kind(name, node.path("kind")),
 				timeout, millis(node.path("target_latency_ms"), timeout), integer(node.path("priority"), 0), shares,
 				Math.max(1, integer(node.path("max_attempts"), 1)), stages,
@@ -133,7 +136,7 @@
 				pool(node.path("pieces")), node.has("engine"));
 	}
 
-	private static @Nullable StageLimits pool(JsonNode node) {
+	static @Nullable StageLimits pool(JsonNode node) {
 		if (!node.isObject()) {
 			return null;
 		}
--- a/src/test/java/org/magnoliahub/ArchitectureTests.java
+++ b/src/test/java/org/magnoliahub/ArchitectureTests.java
@@ -18,7 +18,10 @@
 	}
 
 	private static final String[] CORE = { "..model..", "..time..", "..store..", "..protocol..", "..claim..",
-			"..agent..", "..gateway..", "..routing..", "..configuration..", "..lease..", "..serving.." };
+			"..agent..", "..gateway..", "..routing..", "..configuration..", "..lease..", "..serving..",
+			"..configurationcheck.." };
+
+	private static final String CHECK_READERS = ".*\\.platform\\.(ConfigurationDocumentReader|ConfigurationItems|ObjectFields|RepeatedFields).*";
 
 	@ArchTest
 	static final ArchRule coreHasNoInputOrOutput = noClasses().that()
@@ -52,4 +55,17 @@
 		.resideInAnyPackage("..transport..", "..platformhttp..", "..enginehttp..", "..server..", "..standin..",
 				"..command..", "..platform..", "..entry..");
 
+	/** Guards against a gateway that loads the check of a configuration at its start. */
+	@ArchTest
+	static final ArchRule gatewaysDoNotCheckConfigurations = noClasses().that()
+		.resideOutsideOfPackages("..command..", "..configurationcheck..")
+		.and()
+		.haveNameNotMatching(CHECK_READERS)
+		.should()
+		.dependOnClassesThat()
+		.resideInAPackage("..configurationcheck..")
+		.orShould()
+		.dependOnClassesThat()
+		.haveNameMatching(CHECK_READERS);
+
 }
