Add the command check-configuration

What callers see: "magnoliahub check-configuration FILE [--against FILE-IN-FORCE] [--format text|json]" prints the findings of a stored configuration by place, and the differences from the version in force. Exit codes: 0 no findings, 1 warnings only, 2 errors or invalid arguments, 3 a file cannot be read. Differences alone do not change the exit code; a version that is not higher is an error. "plan" and "rollback" print changed fields as before, now with control characters replaced.

Change: the exit codes 1 to 3 of the command have names of their own in ExitCode, since they mean something else than those of other commands. ChangePrinter compares and prints changed fields for both kinds of configuration.

EntryProcessIT was not run.

--- a/src/main/java/org/magnoliahub/command/ChangePrinter.java
+++ b/src/main/java/org/magnoliahub/command/ChangePrinter.java
@@ -3,11 +3,12 @@
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeSet;
 
+import org.jspecify.annotations.Nullable;
 import org.magnoliahub.configuration.ConfigurationChange;
 import org.magnoliahub.configuration.ConfigurationEdits;
 import org.magnoliahub.configuration.ItemChange;
+import org.magnoliahub.configurationcheck.FieldDifference;
 import org.magnoliahub.declaration.DeclarationFields;
 import org.magnoliahub.model.Configuration;
 
@@ -39,25 +40,29 @@
 			removed += after.isEmpty() ? 1 : 0;
 			output.println(sign + " " + item.kind().label() + " " + item.name());
 			if (sign.equals("~")) {
-				printFields(before, after, output);
+				printFields(FieldDifference.between(before, after), output);
 			}
 		}
 		output
 			.println(added + " to add, " + (items.size() - added - removed) + " to change, " + removed + " to remove");
 	}
 
-	private static void printFields(Map<String, String> before, Map<String, String> after, PrintStream output) {
-		TreeSet<String> paths = new TreeSet<>(before.keySet());
-		paths.addAll(after.keySet());
-		for (String path : paths) {
-			String from = before.getOrDefault(path, "(none)");
-			String to = after.getOrDefault(path, "(none)");
-			if (!from.equals(to)) {
-				output.println("    " + path + ": " + from + " -> " + to);
-			}
+	/**
+	 * Prints changed fields below their item.
+	 * @param fields the changed fields
+	 * @param output where to print
+	 */
+	static void printFields(List<FieldDifference> fields, PrintStream output) {
+		for (FieldDifference field : fields) {
+			output.println(
+					"    " + printable(field.field() + ": " + shown(field.before()) + " -> " + shown(field.after())));
 		}
 	}
 
+	private static String shown(@Nullable String value) {
+		return (value != null) ? value : "(none)";
+	}
+
 	static String describe(ConfigurationChange change) {
 		return "version " + change.version() + " by " + printable(change.author()) + " at " + change.time() + ": "
 				+ summary(change.items().stream().map(ItemChange::summary).toList(), change.items().size());
--- a/src/main/java/org/magnoliahub/command/Commands.java
+++ b/src/main/java/org/magnoliahub/command/Commands.java
@@ -31,7 +31,8 @@
 	}
 
 	private static List<Command> questions(CommandContext context) {
-		return List.of(new QueryCommand(), new ReportCommand(context), new TraceCommand(), new LedgerCommand());
+		return List.of(new QueryCommand(), new ReportCommand(context), new TraceCommand(), new LedgerCommand(),
+				new CheckConfigurationCommand());
 	}
 
 	private static List<Command> processes() {
--- a/src/main/java/org/magnoliahub/command/ExitCode.java
+++ b/src/main/java/org/magnoliahub/command/ExitCode.java
@@ -1,7 +1,8 @@
 package org.magnoliahub.command;
 
 /**
- * Exit codes of the binary.
+ * Exit codes of the binary. The check of a configuration has meanings of its own for
+ * {@code 1} to {@code 3}.
  */
 public enum ExitCode {
 
@@ -21,7 +22,16 @@
 	UNAVAILABLE(4),
 
 	/** What was asked for is not known. */
-	UNKNOWN(5);
+	UNKNOWN(5),
+
+	/** A check of a configuration found warnings and no errors. */
+	WARNINGS(1),
+
+	/** A check of a configuration found errors. */
+	ERRORS(2),
+
+	/** The configuration to check cannot be read. */
+	UNREADABLE(3);
 
 	private final int value;
 
--- a/src/main/java/org/magnoliahub/command/Main.java
+++ b/src/main/java/org/magnoliahub/command/Main.java
@@ -47,7 +47,7 @@
 			.description("Serving system for multi-stage model pipelines.")
 			.epilog("Exit codes: 0 success, 1 failure, 2 invalid arguments, settings or declarations, "
 					+ "3 conflict with a newer version, 4 a needed service does not answer, "
-					+ "5 what was asked for is not known.");
+					+ "5 what was asked for is not known. The codes of check-configuration are in its help.");
 		Subparsers subparsers = parser.addSubparsers().title("commands").metavar("COMMAND");
 		for (Command command : commands) {
 			command.configure(subparsers.addParser(command.name()).setDefault(COMMAND_ATTRIBUTE, command));
