Load the classes of evacuations with the first one

Placement keeps the listener for reopened zones, and ZoneEvacuationReport creates the zones, so that an idle start loads neither listener. OperatorTableTests uses the new place of the listener.

--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -19,7 +19,6 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.placement.Placement;
-import org.magnoliahub.placement.ZoneReopeningListener;
 import org.magnoliahub.platform.MemberRecord;
 import org.magnoliahub.platform.NodeSettings;
 import org.magnoliahub.platform.NodeSettingsReader;
@@ -214,8 +213,7 @@
 			this.configurationTable.awaitList();
 		}
 		startWatcher(StoreFormat.CONFIGURATION_TABLE, PollTimings.operator(this.settings.bounds()),
-				new OperatorTable(this.configurationTable, this.placement, ZoneReopeningListener.NONE, this.timers,
-						this.log, this.metrics));
+				new OperatorTable(this.configurationTable, this.placement, this.timers, this.log, this.metrics));
 		startWatcher(StoreFormat.ENDPOINT_TABLE, endpointTiming,
 				new EndpointTable(this.directory, this.timers, this.log, this.restorationReport));
 		this.memberTable.start();
--- a/src/main/java/org/magnoliahub/entry/OperatorTable.java
+++ b/src/main/java/org/magnoliahub/entry/OperatorTable.java
@@ -7,7 +7,6 @@
 import org.jspecify.annotations.Nullable;
 import org.magnoliahub.placement.EvacuatedZones;
 import org.magnoliahub.placement.Placement;
-import org.magnoliahub.placement.ZoneReopeningListener;
 import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.StoredRow;
 import org.magnoliahub.time.Timers;
@@ -22,8 +21,6 @@
 
 	private final Placement placement;
 
-	private final ZoneReopeningListener reopeningListener;
-
 	private final Timers timers;
 
 	private final EntryLog log;
@@ -43,16 +40,14 @@
 	 * Creates a table without rows.
 	 * @param configurationTable receives all rows after the evacuations were applied
 	 * @param placement gets the evacuated zones
-	 * @param reopeningListener receives the zones whose evacuation ended
 	 * @param timers the timer service
 	 * @param log the log
 	 * @param metrics counts the changes
 	 */
-	OperatorTable(ConfigurationTable configurationTable, Placement placement, ZoneReopeningListener reopeningListener,
-			Timers timers, EntryLog log, EntryMetrics metrics) {
+	OperatorTable(ConfigurationTable configurationTable, Placement placement, Timers timers, EntryLog log,
+			EntryMetrics metrics) {
 		this.configurationTable = configurationTable;
 		this.placement = placement;
-		this.reopeningListener = reopeningListener;
 		this.timers = timers;
 		this.log = log;
 		this.metrics = metrics;
@@ -121,7 +116,7 @@
 	private EvacuatedZones zones() {
 		EvacuatedZones zones = this.evacuatedZones;
 		if (zones == null) {
-			zones = new EvacuatedZones(new ChangeListener());
+			zones = ZoneEvacuationReport.createZones(this.placement, this.log, this.metrics);
 			this.evacuatedZones = zones;
 			this.placement.setEvacuatedZones(zones);
 		}
@@ -142,29 +137,4 @@
 		}
 	}
 
-	private final class ChangeListener implements EvacuatedZones.Listener {
-
-		@Override
-		public void onZoneEvacuated(String zone) {
-			report(zone, "evacuated");
-		}
-
-		@Override
-		public void onZoneMissing(String zone) {
-			report(zone, "missing");
-		}
-
-		@Override
-		public void onZoneReopened(String zone, long now) {
-			report(zone, "reopened");
-			OperatorTable.this.reopeningListener.onZoneReopened(zone, now);
-		}
-
-		private void report(String zone, String state) {
-			OperatorTable.this.metrics.zoneEvacuation(state);
-			OperatorTable.this.log.event(EntryEvent.ZONE_EVACUATION).field("zone", zone).field("state", state).write();
-		}
-
-	}
-
 }
--- a/src/main/java/org/magnoliahub/placement/Placement.java
+++ b/src/main/java/org/magnoliahub/placement/Placement.java
@@ -17,6 +17,8 @@
 	/** Absent before the first evacuation, so that a start loads as few classes. */
 	private @Nullable EvacuatedZones evacuatedZones;
 
+	private @Nullable ZoneReopeningListener reopeningListener;
+
 	/**
 	 * Creates a placement in which no zone belongs to a region.
 	 */
@@ -63,6 +65,25 @@
 		this.evacuatedZones = zones;
 	}
 
+	/**
+	 * Sets the listener that receives the zones whose evacuation ended.
+	 * @param listener the listener
+	 */
+	public void setReopeningListener(ZoneReopeningListener listener) {
+		this.reopeningListener = listener;
+	}
+
+	/**
+	 * Reports the end of an evacuation to the listener, if there is one.
+	 * @param zone name of the zone
+	 * @param now monotonic time, in milliseconds
+	 */
+	public void reportReopened(String zone, long now) {
+		if (this.reopeningListener != null) {
+			this.reopeningListener.onZoneReopened(zone, now);
+		}
+	}
+
 	/**
 	 * Returns whether a zone is evacuated.
 	 * @param zone name of the zone
--- a/src/main/java/org/magnoliahub/placement/ZoneReopeningListener.java
+++ b/src/main/java/org/magnoliahub/placement/ZoneReopeningListener.java
@@ -6,10 +6,6 @@
 @FunctionalInterface
 public interface ZoneReopeningListener {
 
-	/** For gateways on which nothing depends on reopened zones. */
-	ZoneReopeningListener NONE = (zone, now) -> {
-	};
-
 	/**
 	 * Called when this gateway has read that an evacuation was withdrawn, before it sends
 	 * anything to the zone.
--- a/src/test/java/org/magnoliahub/entry/OperatorTableTests.java
+++ b/src/test/java/org/magnoliahub/entry/OperatorTableTests.java
@@ -50,8 +50,8 @@
 		this.configurationTable = new ConfigurationTable(this.timers, this.entryLog, new StoreEra(),
 				new StoreRestorationReport(this.timers, this.entryLog, metrics, () -> 0), (configuration) -> {
 				});
-		this.table = new OperatorTable(this.configurationTable, this.placement,
-				(zone, now) -> this.reopened.add(zone + " at " + now), this.timers, this.entryLog, metrics);
+		this.placement.setReopeningListener((zone, now) -> this.reopened.add(zone + " at " + now));
+		this.table = new OperatorTable(this.configurationTable, this.placement, this.timers, this.entryLog, metrics);
 	}
 
 	private static StoredRow row(String key, String value) {
