Keep pieces without homes away from slow endpoints that are homes of others

A slow endpoint got a batch of any pieces if a piece with homes could run there; now only pieces with homes go to it before the queue is long. no_home_endpoint has the Retry-After of an evacuation, 2.5 s, since both last until the operator changes something.

--- a/src/main/java/org/magnoliahub/entry/RefusalReason.java
+++ b/src/main/java/org/magnoliahub/entry/RefusalReason.java
@@ -36,10 +36,10 @@
 	private static final long CAPACITY_RETRY_AFTER_MILLIS = 2_500;
 
 	/**
-	 * Retry-After during an evacuation, whose end is unknown. A reopened zone is in use
-	 * within about the same time.
+	 * Retry-After while no permitted zone has an endpoint, which the operator must
+	 * change. A reopened zone is in use within about the same time.
 	 */
-	private static final long EVACUATED_RETRY_AFTER_MILLIS = 2_500;
+	private static final long PLACEMENT_RETRY_AFTER_MILLIS = 2_500;
 
 	private RefusalReason() {
 	}
@@ -84,7 +84,7 @@
 	static long minimumRetryAfterMillis(String reason) {
 		return switch (reason) {
 			case NO_CAPACITY -> CAPACITY_RETRY_AFTER_MILLIS;
-			case EVACUATED -> EVACUATED_RETRY_AFTER_MILLIS;
+			case EVACUATED, NO_HOME_ENDPOINT -> PLACEMENT_RETRY_AFTER_MILLIS;
 			default -> RETRY_AFTER_MILLIS;
 		};
 	}
--- a/src/main/java/org/magnoliahub/serving/StageQueue.java
+++ b/src/main/java/org/magnoliahub/serving/StageQueue.java
@@ -175,7 +175,11 @@
 		ZoneBacklog backlog = backlog(healthy, now);
 		for (EndpointState endpoint : freeEndpoints(healthy, PieceOrder.mostUrgentZone(this.queued, now), now)) {
 			String zone = endpoint.record().availabilityZone();
+			boolean suitsAll = healthy.mayReceiveBatch(endpoint, this.queued.size(), this.limits.maximumBatchSize(),
+					now);
+			// Pieces with homes do not wait for faster endpoints elsewhere.
 			Predicate<StageTask> eligible = (task) -> task.job().allowedZones().contains(zone)
+					&& (suitsAll || task.job().allowedZones().isRestricted())
 					&& backlog.mayRunIn(task.job(), zone, now);
 			if (this.queued.stream().noneMatch(eligible)) {
 				continue;
@@ -229,19 +233,10 @@
 		return healthy.endpoints()
 			.stream()
 			.filter((endpoint) -> !this.running.containsKey(endpoint.record().id()))
-			.filter((endpoint) -> isHomeOfPiece(endpoint)
-					|| healthy.mayReceiveBatch(endpoint, this.queued.size(), this.limits.maximumBatchSize(), now))
 			.sorted(Comparator.comparingDouble((endpoint) -> HealthyEndpoints.cost(endpoint, zone, now)))
 			.toList();
 	}
 
-	// Pieces with homes do not wait for faster endpoints elsewhere.
-	private boolean isHomeOfPiece(EndpointState endpoint) {
-		return this.queued.stream()
-			.map((task) -> task.job().allowedZones())
-			.anyMatch((zones) -> zones.isRestricted() && zones.contains(endpoint.record().availabilityZone()));
-	}
-
 	private long freeBytes(EndpointState endpoint, long now) {
 		return this.limits.resultCapacityBytes() - this.storedResults.bytes(endpoint.record().id(), now);
 	}
--- a/src/test/java/org/magnoliahub/entry/EvacuationTests.java
+++ b/src/test/java/org/magnoliahub/entry/EvacuationTests.java
@@ -156,6 +156,28 @@
 		this.evacuated.countDown();
 	}
 
+	@Test
+	void brokenStreamIsResumedOnlyOutsideTheZone() throws Exception {
+		RawServer.Handler broken = (request, socket) -> {
+			this.requested.add(request.target());
+			RawServer.write(socket, EntryFixture.streamHead(request) + EntryFixture.chunk(EntryFixture.event(1)));
+			awaitEvacuation();
+			socket.close();
+		};
+		addEndpoint("m-1", "model", "z1", broken);
+		this.fixture.awaitEndpoints();
+		CompletableFuture<CallerAnswer> stream = sendAsync("POST", "/draft/1", "s1");
+		assertThat(this.running.await(5, TimeUnit.SECONDS)).isTrue();
+		evacuate();
+		addEndpoint("m-2", "model", "z1", broken);
+		addEndpoint("m-3", "model", "z2", (request, socket) -> RawServer.write(socket,
+				EntryFixture.streamHead(request) + EntryFixture.chunk(EntryFixture.event(2)) + "0\r\n\r\n"));
+		this.fixture.awaitEndpoints();
+		this.evacuated.countDown();
+		assertThat(stream.get(5, TimeUnit.SECONDS).body()).isEqualTo(EntryFixture.event(1) + EntryFixture.event(2));
+		assertThat(this.requested).hasSize(1);
+	}
+
 	@Test
 	void startedGatewayKnowsTheEvacuationBeforeItIsReady() throws Exception {
 		addPlain("a", "z1");
