--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -21,7 +21,6 @@
 import org.magnoliahub.coldstart.ColdBounds;
 import org.magnoliahub.coldstart.ColdServers;
 import org.magnoliahub.placement.Placement;
-import org.magnoliahub.placement.ZoneReopeningListener;
 import org.magnoliahub.platform.MemberRecord;
 import org.magnoliahub.platform.NodeSettings;
 import org.magnoliahub.platform.NodeSettingsReader;
@@ -154,6 +153,9 @@
 				PlatformObjectStore.of(this.store, this.group.next(), this::onObjectCall), recordInterval);
 		GatewayGroup gateways = new GatewayGroup(settings.nodeName());
 		this.coldServers = createColdServers(settings);
+		if (this.coldServers != null) {
+			this.placement.setReopeningListener(this.coldServers::markZoneCold);
+		}
 		this.configurationTable = new ConfigurationTable(this.timers, this.log, this.era, this.restorationReport,
 				this::useConfiguration);
 		this.context = new EntryContext(this.timers, this.log, this.metrics, httpClient,
@@ -170,10 +172,6 @@
 				requestMemory);
 	}
 
-	private ZoneReopeningListener reopeningListener() {
-		return (this.coldServers != null) ? this.coldServers::markZoneCold : ZoneReopeningListener.NONE;
-	}
-
 	private @Nullable ColdServers createColdServers(NodeSettings nodeSettings) {
 		ColdBounds bounds = nodeSettings.bounds().cold();
 		if (bounds == null) {
@@ -233,8 +231,8 @@
 		if (this.settings.bounds().evacuationMillis() > 0) {
 			this.configurationTable.awaitList();
 		}
-		startWatcher(StoreFormat.CONFIGURATION_TABLE, PollTimings.operator(this.settings.bounds()), new OperatorTable(
-				this.configurationTable, this.placement, reopeningListener(), this.timers, this.log, this.metrics));
+		startWatcher(StoreFormat.CONFIGURATION_TABLE, PollTimings.operator(this.settings.bounds()),
+				new OperatorTable(this.configurationTable, this.placement, this.timers, this.log, this.metrics));
 		startWatcher(StoreFormat.ENDPOINT_TABLE, endpointTiming,
 				new EndpointTable(this.directory, this.timers, this.log, this.restorationReport, this.coldServers));
 		this.memberTable.start();
