Withhold calls from cold endpoints only where they are limited

What callers saw: with the bounds in the settings but no cold rate of the service, a call whose connection opened while its endpoint became cold was chosen again.

Cause: the interceptor compared the number of cold periods without asking whether a limit is in effect.

ColdEndpointTests (3), ColdServersTests (6), EndpointNoticeHandlerTests (16), RemovedEndpointTests (3) and StoreRestorationModelTests (3) pass.

--- a/src/main/java/org/magnoliahub/entry/EndpointNoticeHandler.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointNoticeHandler.java
@@ -150,12 +150,12 @@
 			if (this.endpoint.isDraining()) {
 				return "endpoint leaves";
 			}
+			long now = EndpointNoticeHandler.this.timers.milliTime();
 			// The limit of an endpoint that became cold meanwhile does not count the
 			// call.
-			if (this.endpoint.sendLimitPeriods() != this.limitPeriods) {
+			if (this.endpoint.isSendLimited(now) && this.endpoint.sendLimitPeriods() != this.limitPeriods) {
 				return "endpoint cold";
 			}
-			long now = EndpointNoticeHandler.this.timers.milliTime();
 			if (this.endpoint.isPauseRequested(now)) {
 				return "endpoint paused";
 			}
--- a/src/main/java/org/magnoliahub/entry/EndpointTable.java
+++ b/src/main/java/org/magnoliahub/entry/EndpointTable.java
@@ -51,12 +51,12 @@
 	 */
 	EndpointTable(EndpointDirectory directory, Timers timers, EntryLog log, StoreRestorationReport restorationReport,
 			@Nullable ColdServers coldServers) {
-		this.coldServers = coldServers;
 		this.directory = directory;
 		this.timers = timers;
 		this.log = log;
 		this.rejectedRows = new RejectedRows(log, StoreFormat.ENDPOINT_TABLE);
 		this.restorationReport = restorationReport;
+		this.coldServers = coldServers;
 	}
 
 	@Override
