--- a/src/test/java/org/magnoliahub/coldstart/ColdShareTests.java
+++ b/src/test/java/org/magnoliahub/coldstart/ColdShareTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Test;
@@ -82,24 +83,24 @@
 			simulation.join(1);
 		}),
 
+		HALF_CUT_OFF_WHILE_HALF_ARE_REPLACED((simulation, gateways) -> {
+			simulation.cutOffHalf();
+			simulation.leave(gateways / 2);
+			simulation.join(gateways);
+		}),
+
 		ALL_RESTART((simulation, gateways) -> simulation.restartAll());
 
-		private final Effect effect;
+		private final BiConsumer<ColdSimulation, Integer> effect;
 
-		Change(Effect effect) {
+		Change(BiConsumer<ColdSimulation, Integer> effect) {
 			this.effect = effect;
 		}
 
 		private void apply(ColdSimulation simulation, int gateways) {
-			this.effect.apply(simulation, gateways);
+			this.effect.accept(simulation, gateways);
 		}
 
 	}
 
-	private interface Effect {
-
-		void apply(ColdSimulation simulation, int gateways);
-
-	}
-
 }
