Share the test fixture for endpoints in a zone

EvacuatedZones.Listener has default methods for changes that not every listener needs, and EntryFixture lists endpoints in a zone.

--- a/src/main/java/org/magnoliahub/placement/EvacuatedZones.java
+++ b/src/main/java/org/magnoliahub/placement/EvacuatedZones.java
@@ -147,14 +147,16 @@
 		 * Called when an evacuation begins.
 		 * @param zone name of the zone
 		 */
-		void onZoneEvacuated(String zone);
+		default void onZoneEvacuated(String zone) {
+		}
 
 		/**
 		 * Called when a restored store lacks the row of a zone, which remains evacuated
 		 * for now.
 		 * @param zone name of the zone
 		 */
-		void onZoneMissing(String zone);
+		default void onZoneMissing(String zone) {
+		}
 
 	}
 
--- a/src/test/java/org/magnoliahub/entry/EntryFixture.java
+++ b/src/test/java/org/magnoliahub/entry/EntryFixture.java
@@ -157,6 +157,16 @@
 		return server;
 	}
 
+	/**
+	 * Starts a server and lists it in the store as an endpoint in a zone.
+	 */
+	void addEndpoint(String id, String service, String zone, RawServer.Handler handler) throws IOException {
+		String address = addEndpoint(id, service, handler).address();
+		this.store.put(StoreFormat.ENDPOINT_TABLE, id,
+				EmulatedSettings.endpoint(service, address, 4, "ready", new EmulatedSettings.Write(1, 2))
+					.replace("\"zone\":\"z1\"", "\"zone\":\"" + zone + "\""));
+	}
+
 	private void reportState(Socket socket) throws IOException {
 		if (this.reportsState) {
 			RawServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
--- a/src/test/java/org/magnoliahub/entry/EvacuationTests.java
+++ b/src/test/java/org/magnoliahub/entry/EvacuationTests.java
@@ -16,7 +16,6 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliahub.platform.StoreFormat;
 import org.magnoliahub.platform.emulator.CallerAnswer;
-import org.magnoliahub.platform.emulator.EmulatedSettings;
 import org.magnoliahub.platform.emulator.RawServer;
 import org.magnoliahub.platform.emulator.StageEmulator;
 
@@ -46,16 +45,8 @@
 		this.fixture.close();
 	}
 
-	private void addEndpoint(String id, String service, String zone, RawServer.Handler handler) throws IOException {
-		this.fixture.addEndpoint(id, service, handler);
-		this.fixture.store.put(StoreFormat.ENDPOINT_TABLE, id,
-				EmulatedSettings
-					.endpoint(service, this.fixture.endpointAddress(id), 4, "ready", new EmulatedSettings.Write(1, 2))
-					.replace("\"zone\":\"z1\"", "\"zone\":\"" + zone + "\""));
-	}
-
 	private void addPlain(String id, String zone) throws IOException {
-		addEndpoint(id, "plain", zone, (request, socket) -> {
+		this.fixture.addEndpoint(id, "plain", zone, (request, socket) -> {
 			this.requested.add(id);
 			RawServer.write(socket, EntryFixture.signedResponse(request, id));
 		});
@@ -113,7 +104,7 @@
 	@Test
 	void serviceWithoutAnotherZoneRefusesAtOnceAndStreamsThereContinue() throws Exception {
 		addPlain("a", "z1");
-		addEndpoint("m", "model", "z1", (request, socket) -> {
+		this.fixture.addEndpoint("m", "model", "z1", (request, socket) -> {
 			RawServer.write(socket, EntryFixture.streamHead(request) + EntryFixture.chunk(EntryFixture.event(1)));
 			awaitEvacuation();
 			RawServer.write(socket, EntryFixture.chunk(EntryFixture.event(2)) + "0\r\n\r\n");
@@ -137,13 +128,13 @@
 	@Test
 	void queuedPiecesOfAnEvacuatedStageDoNotWaitForTheDeadline() throws Exception {
 		StageEmulator stages = new StageEmulator(20, 1);
-		addEndpoint("read-1", "read", "z1", (request, socket) -> {
+		this.fixture.addEndpoint("read-1", "read", "z1", (request, socket) -> {
 			this.requested.add(request.target());
 			awaitEvacuation();
 			stages.handler().handle(request, socket);
 		});
 		this.fixture.addEndpoint("rank-1", "rank", stages.handler());
-		addEndpoint("m", "model", "z2", (request, socket) -> RawServer.write(socket,
+		this.fixture.addEndpoint("m", "model", "z2", (request, socket) -> RawServer.write(socket,
 				EntryFixture.streamHead(request) + EntryFixture.chunk(EntryFixture.event(1)) + "0\r\n\r\n"));
 		this.fixture.awaitEndpoints();
 		sendAsync("POST", "/staged/1", "r1", "Pieces: 1,1", "Piece-Key: k1");
@@ -164,13 +155,13 @@
 			awaitEvacuation();
 			socket.close();
 		};
-		addEndpoint("m-1", "model", "z1", broken);
+		this.fixture.addEndpoint("m-1", "model", "z1", broken);
 		this.fixture.awaitEndpoints();
 		CompletableFuture<CallerAnswer> stream = sendAsync("POST", "/draft/1", "s1");
 		assertThat(this.running.await(5, TimeUnit.SECONDS)).isTrue();
 		evacuate();
-		addEndpoint("m-2", "model", "z1", broken);
-		addEndpoint("m-3", "model", "z2", (request, socket) -> RawServer.write(socket,
+		this.fixture.addEndpoint("m-2", "model", "z1", broken);
+		this.fixture.addEndpoint("m-3", "model", "z2", (request, socket) -> RawServer.write(socket,
 				EntryFixture.streamHead(request) + EntryFixture.chunk(EntryFixture.event(2)) + "0\r\n\r\n"));
 		this.fixture.awaitEndpoints();
 		this.evacuated.countDown();
--- a/src/test/java/org/magnoliahub/entry/HomeTests.java
+++ b/src/test/java/org/magnoliahub/entry/HomeTests.java
@@ -53,14 +53,10 @@
 	}
 
 	private void addEndpoint(String id, String service, String zone, RawServer.Handler handler) throws IOException {
-		this.fixture.addEndpoint(id, service, (request, socket) -> {
+		this.fixture.addEndpoint(id, service, zone, (request, socket) -> {
 			this.requested.add(id);
 			handler.handle(request, socket);
 		});
-		this.fixture.store.put(StoreFormat.ENDPOINT_TABLE, id,
-				EmulatedSettings
-					.endpoint(service, this.fixture.endpointAddress(id), 4, "ready", new EmulatedSettings.Write(1, 2))
-					.replace("\"zone\":\"z1\"", "\"zone\":\"" + zone + "\""));
 	}
 
 	private void addPlain(String id, String zone) throws IOException {
--- a/src/test/java/org/magnoliahub/serving/EvacuatedEndpointTests.java
+++ b/src/test/java/org/magnoliahub/serving/EvacuatedEndpointTests.java
@@ -19,20 +19,7 @@
  */
 class EvacuatedEndpointTests {
 
-	private final EvacuatedZones zones = new EvacuatedZones(new EvacuatedZones.Listener() {
-
-		@Override
-		public void onZoneEvacuated(String zone) {
-		}
-
-		@Override
-		public void onZoneMissing(String zone) {
-		}
-
-		@Override
-		public void onZoneReopened(String zone, long now) {
-		}
-
+	private final EvacuatedZones zones = new EvacuatedZones((zone, now) -> {
 	});
 
 	private final Placement placement = new Placement();
