Bound the heads, queued requests and unread responses of callers

Callers that pipeline wait until they have read the response before. A head or body without room is refused with 503, the reason and Retry-After; a connection whose response nobody reads is closed when such responses exceed their limit.

Cause: all bytes of a read were decoded behind a request in progress, so 64 KiB became megabytes of messages; header fields were counted nowhere, although a field of 4 bytes takes about 160 in memory; requests ran behind responses that were not read.

Change: the decoder is suspended during a request, and reading stops at 16 KiB. The estimated memory of all heads is bounded by a tenth of the heap, the unread ends of responses by an eighth. A connection is read once a turn, 16 KiB at most. The size of a body is recorded for each KiB, not for each chunk. entry_clients_refused_total counts by reason.

--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -1,13 +1,13 @@
 package org.magnoliahub.entry;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -36,11 +36,10 @@
 
 /**
  * A connection of a caller. Reads one complete request at a time and writes its response.
- * Pipelined requests wait in a bounded queue.
+ * Pipelined requests wait undecoded until the caller has read the response before them.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements BodyMemory.Holder {
-
-	private static final int MAXIMUM_QUEUED_MESSAGES = 64;
+final class CallerConnection extends ChannelInboundHandlerAdapter
+		implements BodyMemory.Holder, StrictRequestDecoder.Listener {
 
 	/**
 	 * Time between the expiry of a timeout and its effect, in which the event loop reads
@@ -49,6 +48,12 @@
 	 */
 	private static final Duration READ_TIME = Duration.ofMillis(20);
 
+	/** Smallest growth of a body that is recorded, since a chunk may have one byte. */
+	private static final int RECORDED_GROWTH_BYTES = 1_024;
+
+	/** Shortest field with its line end, for bytes whose fields have not been counted. */
+	private static final int MINIMUM_FIELD_BYTES = 4;
+
 	/** Retry-After of a request whose body has no room, about the time of an upload. */
 	private static final long NO_MEMORY_RETRY_AFTER_MILLIS = 1_000;
 
@@ -58,7 +63,11 @@
 
 	private final Channel channel;
 
-	private final Deque<Object> queuedMessages = new ArrayDeque<>();
+	private final StrictRequestDecoder decoder;
+
+	private final BodyMemory.Holder headHolder = () -> refuse("no_head_memory");
+
+	private final BodyMemory.Holder responseHolder = this::closeUnread;
 
 	private @Nullable HttpRequest head;
 
@@ -72,11 +81,18 @@
 
 	private long headStartedMillis = -1;
 
+	private long headBytes;
+
+	private long headLines;
+
+	private int recordedBytes;
+
 	private final Disposable timeoutCheck;
 
 	CallerConnection(CallerServer server, Channel channel) {
 		this.server = server;
 		this.channel = channel;
+		this.decoder = new StrictRequestDecoder(server.limits().maximumHeaderBytes(), this);
 		this.lastActiveMillis = server.timers().milliTime();
 		this.timeoutCheck = server.timers()
 			.schedulePeriodically(Duration.ofMillis(CallerServer.CHECK_INTERVAL_MILLIS), () -> checkTimeouts());
@@ -114,15 +130,44 @@
 				- this.headStartedMillis > this.server.limits().headerTimeoutMillis();
 	}
 
-	/**
-	 * Records that bytes arrived, for the header and idle timeouts.
-	 */
-	void onBytesReceived() {
+	StrictRequestDecoder decoder() {
+		return this.decoder;
+	}
+
+	@Override
+	public void onBytesReceived(ByteBuf bytes) {
 		long now = this.server.timers().milliTime();
 		this.lastActiveMillis = now;
-		if (this.currentExchange == null && this.head == null && this.headStartedMillis < 0) {
+		if (this.currentExchange != null || this.head != null || this.closing) {
+			return;
+		}
+		if (this.headStartedMillis < 0) {
 			this.headStartedMillis = now;
 		}
+		this.headBytes += bytes.readableBytes();
+		this.headLines += countLines(bytes);
+	}
+
+	private static long countLines(ByteBuf bytes) {
+		long lines = 0;
+		int end = bytes.writerIndex();
+		int index = bytes.indexOf(bytes.readerIndex(), end, (byte) '\n');
+		while (index >= 0) {
+			lines++;
+			index = bytes.indexOf(index + 1, end, (byte) '\n');
+		}
+		return lines;
+	}
+
+	@Override
+	public void onBytesDecoded() {
+		if (this.headStartedMillis >= 0 && !this.closing) {
+			holdHead(CallerMemory.headBytes(this.headBytes, this.headLines));
+		}
+	}
+
+	private void holdHead(long bytes) {
+		this.server.memory().heads().hold(this.headHolder, this, bytes, bytes);
 	}
 
 	@Override
@@ -131,13 +176,6 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
-		if (this.currentExchange != null) {
-			this.queuedMessages.add(message);
-			if (this.queuedMessages.size() > MAXIMUM_QUEUED_MESSAGES) {
-				this.channel.config().setAutoRead(false);
-			}
-			return;
-		}
 		process(message);
 	}
 
@@ -157,6 +195,8 @@
 
 	private void startRequest(HttpRequest request) {
 		this.headStartedMillis = -1;
+		this.headBytes = 0;
+		this.headLines = 0;
 		if (request.decoderResult().isFailure()) {
 			reject((request.decoderResult().cause() instanceof TooLongFrameException)
 					? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
@@ -172,6 +212,11 @@
 		}
 		this.head = request;
 		this.body = Unpooled.EMPTY_BUFFER;
+		this.recordedBytes = 0;
+		holdHead(CallerMemory.headBytes(request.uri().length(), request.headers().size()));
+		if (this.closing) {
+			return;
+		}
 		if (HttpUtil.is100ContinueExpected(request)) {
 			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 		}
@@ -192,7 +237,10 @@
 				this.body = Unpooled.buffer(content.content().readableBytes());
 			}
 			this.body.writeBytes(content.content());
-			this.server.bodyMemory().hold(this, this, size, missingBytes(size));
+			if (size - this.recordedBytes >= RECORDED_GROWTH_BYTES || content instanceof LastHttpContent) {
+				this.recordedBytes = size;
+				this.server.memory().bodies().hold(this, this, size, missingBytes(size));
+			}
 		}
 		if (content instanceof LastHttpContent && !this.closing) {
 			completeRequest();
@@ -219,7 +267,9 @@
 		}
 		this.head = null;
 		this.body = Unpooled.EMPTY_BUFFER;
-		this.server.bodyMemory().complete(this);
+		this.server.memory().bodies().complete(this);
+		this.server.memory().heads().complete(this.headHolder);
+		this.decoder.suspend();
 		Exchange exchange = new Exchange(request, bytes, this.server.timers().milliTime());
 		this.currentExchange = exchange;
 		try {
@@ -239,58 +289,76 @@
 	// The request was not passed on, since it is incomplete.
 	@Override
 	public void evict() {
+		refuse("no_memory");
+	}
+
+	/**
+	 * Refuses what the caller sends and closes the connection. No request has been passed
+	 * on.
+	 * @param reason stated in the response and the log
+	 */
+	void refuse(String reason) {
 		HttpResponseStatus status = HttpResponseStatus.SERVICE_UNAVAILABLE;
 		String requestId = (this.head != null) ? PlatformHeaders.callerRequest(this.head.headers()).requestId() : "";
-		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+				Unpooled.copiedBuffer(reason, StandardCharsets.US_ASCII));
 		response.headers()
 			.set(PlatformHeaders.ownAnswerHeaders(requestId))
 			.set(HttpHeaderNames.RETRY_AFTER, Double.toString(NO_MEMORY_RETRY_AFTER_MILLIS / 1_000.0));
 		rejectWith(response);
-		this.server.logRefusedBody(requestId, status.code(), NO_MEMORY_RETRY_AFTER_MILLIS);
+		this.server.logRefused(requestId, status.code(), reason, NO_MEMORY_RETRY_AFTER_MILLIS);
+	}
+
+	private void closeUnread() {
+		this.server.countClosed("unread_responses");
+		this.channel.close();
 	}
 
 	private void rejectWith(FullHttpResponse response) {
 		this.closing = true;
-		dropBody();
+		dropRequest();
 		response.headers()
-			.set(HttpHeaderNames.CONTENT_LENGTH, 0)
+			.set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
 			.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		this.channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
 	}
 
-	private void dropBody() {
+	private void dropRequest() {
 		this.body = Unpooled.EMPTY_BUFFER;
-		this.server.bodyMemory().release(this);
+		this.server.memory().bodies().release(this);
+		this.server.memory().heads().release(this.headHolder);
 	}
 
 	private void onResponseEnd(boolean close) {
 		this.currentExchange = null;
-		dropBody();
+		dropRequest();
 		this.lastActiveMillis = this.server.timers().milliTime();
 		if (close) {
 			this.closing = true;
-			releaseQueued();
 			return;
 		}
-		while (this.currentExchange == null && !this.closing && !this.queuedMessages.isEmpty()) {
-			process(this.queuedMessages.poll());
-		}
-		if (this.queuedMessages.size() <= MAXIMUM_QUEUED_MESSAGES && !this.channel.config().isAutoRead()) {
-			this.channel.config().setAutoRead(true);
-		}
+		resumeIfRead();
 	}
 
-	private void releaseQueued() {
-		this.queuedMessages.forEach(ReferenceCountUtil::release);
-		this.queuedMessages.clear();
+	// The next request waits until the caller reads, since its response takes memory.
+	private void resumeIfRead() {
+		if (this.currentExchange != null || this.closing || !this.channel.isWritable()) {
+			return;
+		}
+		if (this.decoder.queuedBytes() > 0 && this.headStartedMillis < 0) {
+			this.headStartedMillis = this.lastActiveMillis;
+			this.headBytes = this.decoder.queuedBytes();
+			this.headLines = this.headBytes / MINIMUM_FIELD_BYTES;
+		}
+		this.decoder.resume();
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.closing = true;
 		this.timeoutCheck.dispose();
-		dropBody();
-		releaseQueued();
+		dropRequest();
+		this.server.memory().responses().release(this.responseHolder);
 		this.server.onConnectionClosed(this);
 		Exchange exchange = this.currentExchange;
 		this.currentExchange = null;
@@ -301,7 +369,13 @@
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
-		if (this.channel.isWritable() && this.currentExchange != null && this.currentExchange.observer != null) {
+		if (!this.channel.isWritable()) {
+			return;
+		}
+		if (this.currentExchange == null) {
+			resumeIfRead();
+		}
+		else if (this.currentExchange.observer != null) {
 			this.currentExchange.observer.onWritable();
 		}
 	}
@@ -433,19 +507,28 @@
 			if (!keep && last instanceof FullHttpResponse response) {
 				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 			}
-			if (keep) {
-				if (CallerConnection.this.channel.writeAndFlush(last).cause() != null) {
-					CallerConnection.this.channel.close();
-				}
+			int bytes = (last instanceof FullHttpResponse response) ? response.content().readableBytes() : 0;
+			ChannelFuture written = CallerConnection.this.channel.writeAndFlush(last);
+			if (!keep) {
+				written.addListener(ChannelFutureListener.CLOSE);
 			}
-			else {
-				CallerConnection.this.channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+			else if (written.cause() != null) {
+				CallerConnection.this.channel.close();
+			}
+			if (!written.isDone()) {
+				holdUnread(written, bytes);
 			}
 			if (CallerConnection.this.currentExchange == this) {
 				onResponseEnd(!keep);
 			}
 		}
 
+		private void holdUnread(ChannelFuture written, int bytes) {
+			BodyMemory responses = CallerConnection.this.server.memory().responses();
+			written.addListener((future) -> responses.release(CallerConnection.this.responseHolder));
+			responses.hold(CallerConnection.this.responseHolder, CallerConnection.this, bytes, bytes);
+		}
+
 		@Override
 		public void abort() {
 			if (this.ended) {
--- a/src/main/java/org/magnoliahub/entry/CallerServer.java
+++ b/src/main/java/org/magnoliahub/entry/CallerServer.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -15,7 +16,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.jspecify.annotations.Nullable;
-import org.magnoliahub.serving.BodyMemory;
 import org.magnoliahub.serving.CallerLimits;
 import org.magnoliahub.time.Timers;
 
@@ -29,6 +29,10 @@
 
 	private static final int BACKLOG = 1_024;
 
+	private static final int MINIMUM_READ_BYTES = 512;
+
+	private static final int INITIAL_READ_BYTES = 2_048;
+
 	/** Low and high water mark of the bytes buffered for a caller that reads slowly. */
 	private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK = new WriteBufferWaterMark(32_768, 131_072);
 
@@ -42,7 +46,7 @@
 
 	private final EntryMetrics metrics;
 
-	private final BodyMemory bodyMemory;
+	private final CallerMemory memory;
 
 	private final Set<CallerConnection> connections = new HashSet<>();
 
@@ -53,13 +57,13 @@
 	private boolean closingIdle;
 
 	CallerServer(Timers timers, Supplier<CallerLimits> limits, Consumer<CallerExchange> handler, EntryLog log,
-			EntryMetrics metrics, BodyMemory bodyMemory) {
+			EntryMetrics metrics, CallerMemory memory) {
 		this.timers = timers;
 		this.limits = limits;
 		this.handler = handler;
 		this.log = log;
 		this.metrics = metrics;
-		this.bodyMemory = bodyMemory;
+		this.memory = memory;
 	}
 
 	/**
@@ -71,16 +75,24 @@
 	void listen(EventLoopGroup group, InetSocketAddress address) throws IOException {
 		ServerBootstrap options = new ServerBootstrap().option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_WATER_MARK);
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_WATER_MARK)
+			.childOption(ChannelOption.RCVBUF_ALLOCATOR, receiveBuffers());
 		this.listener = Channels.listen(options, group, address, this::install);
 	}
 
+	// One read a turn, so that a connection with many bytes to decode waits for the
+	// others.
+	private static AdaptiveRecvByteBufAllocator receiveBuffers() {
+		AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES,
+				INITIAL_READ_BYTES, StrictRequestDecoder.MAXIMUM_QUEUED_BYTES);
+		allocator.maxMessagesPerRead(1);
+		return allocator;
+	}
+
 	private void install(SocketChannel channel) {
 		CallerConnection connection = new CallerConnection(this, channel);
 		this.connections.add(connection);
-		channel.pipeline()
-			.addLast(new StrictRequestDecoder(this.limits.get().maximumHeaderBytes(), connection::onBytesReceived),
-					new HttpResponseEncoder(), connection);
+		channel.pipeline().addLast(connection.decoder(), new HttpResponseEncoder(), connection);
 	}
 
 	Timers timers() {
@@ -91,8 +103,8 @@
 		return this.limits.get();
 	}
 
-	BodyMemory bodyMemory() {
-		return this.bodyMemory;
+	CallerMemory memory() {
+		return this.memory;
 	}
 
 	boolean isDraining() {
@@ -143,15 +155,20 @@
 		RequestFaultBarrier.report(this.log, this.metrics, "", cause);
 	}
 
-	void logRefusedBody(String requestId, int status, long retryAfterMillis) {
+	void logRefused(String requestId, int status, String reason, long retryAfterMillis) {
+		this.metrics.clientRefused(reason);
 		this.log.event(EntryEvent.REQUEST_REFUSED)
 			.field("id", requestId)
 			.field("status", status)
-			.field("reason", "no_memory")
+			.field("reason", reason)
 			.field("retry_after_ms", retryAfterMillis)
 			.write();
 	}
 
+	void countClosed(String reason) {
+		this.metrics.clientRefused(reason);
+	}
+
 	void logMalformedRequest(int status) {
 		this.log.event(EntryEvent.REQUEST_MALFORMED).field("status", status).write();
 	}
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -72,6 +72,10 @@
 
 	private static final long RESPONSE_HEAP_DIVISOR = 8;
 
+	private static final long HEAD_HEAP_DIVISOR = 10;
+
+	private static final long UNREAD_HEAP_DIVISOR = 8;
+
 	private static final Duration METRICS_START_DELAY = Duration.ofSeconds(8);
 
 	private final NodeSettings settings;
@@ -153,8 +157,11 @@
 				incarnation);
 		this.memberTable = new MemberTable(this.store, this.timers, this.log, self, this.restorationReport,
 				this.stageCoordinator::setMembers);
+		long heapBytes = Runtime.getRuntime().maxMemory();
+		CallerMemory callerMemory = new CallerMemory(new BodyMemory(heapBytes / HEAD_HEAP_DIVISOR), requestMemory,
+				new BodyMemory(heapBytes / UNREAD_HEAP_DIVISOR));
 		this.callerServer = new CallerServer(this.timers, this::limits, this::accept, this.log, this.metrics,
-				requestMemory);
+				callerMemory);
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/EntryMetrics.java
+++ b/src/main/java/org/magnoliahub/entry/EntryMetrics.java
@@ -99,6 +99,14 @@
 		record((meters) -> meters.counter("entry.attempts.failed", "may_have_run", run, "next", next).increment());
 	}
 
+	/**
+	 * Counts a request or connection of a client that exceeded a limit of the gateway.
+	 * @param reason the limit
+	 */
+	void clientRefused(String reason) {
+		record((meters) -> meters.counter("entry.clients.refused", "reason", reason).increment());
+	}
+
 	/**
 	 * Counts an unexpected exception while a request was handled.
 	 */
