Bound the connections of callers

A caller beyond the limit gets 503 with the reason too_many_connections. The connection that has sent no complete request, and nothing for longest, makes room; connections that carried a request are kept.

Cause: connections used up the descriptors of the process, after which it accepted nobody and reached no endpoint.

This commit alone was compiled, not tested.

--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -87,6 +87,8 @@
 
 	private int recordedBytes;
 
+	private boolean answered;
+
 	private final Disposable timeoutCheck;
 
 	CallerConnection(CallerServer server, Channel channel) {
@@ -134,6 +136,18 @@
 		return this.decoder;
 	}
 
+	/**
+	 * Returns whether the connection has not been used for a complete request.
+	 * @return whether it may be closed to make room
+	 */
+	boolean isClosable() {
+		return !this.answered && this.currentExchange == null && !this.closing;
+	}
+
+	long idleSince() {
+		return this.lastActiveMillis;
+	}
+
 	@Override
 	public void onBytesReceived(ByteBuf bytes) {
 		long now = this.server.timers().milliTime();
@@ -269,6 +283,7 @@
 		this.body = Unpooled.EMPTY_BUFFER;
 		this.server.memory().bodies().complete(this);
 		this.server.memory().heads().complete(this.headHolder);
+		this.answered = true;
 		this.decoder.suspend();
 		Exchange exchange = new Exchange(request, bytes, this.server.timers().milliTime());
 		this.currentExchange = exchange;
--- a/src/main/java/org/magnoliahub/entry/CallerServer.java
+++ b/src/main/java/org/magnoliahub/entry/CallerServer.java
@@ -29,6 +29,8 @@
 
 	private static final int BACKLOG = 1_024;
 
+	private static final String TOO_MANY_CONNECTIONS = "too_many_connections";
+
 	private static final int MINIMUM_READ_BYTES = 512;
 
 	private static final int INITIAL_READ_BYTES = 2_048;
@@ -48,6 +50,8 @@
 
 	private final CallerMemory memory;
 
+	private final int maximumConnections;
+
 	private final Set<CallerConnection> connections = new HashSet<>();
 
 	private @Nullable Channel listener;
@@ -57,13 +61,14 @@
 	private boolean closingIdle;
 
 	CallerServer(Timers timers, Supplier<CallerLimits> limits, Consumer<CallerExchange> handler, EntryLog log,
-			EntryMetrics metrics, CallerMemory memory) {
+			EntryMetrics metrics, CallerMemory memory, int maximumConnections) {
 		this.timers = timers;
 		this.limits = limits;
 		this.handler = handler;
 		this.log = log;
 		this.metrics = metrics;
 		this.memory = memory;
+		this.maximumConnections = maximumConnections;
 	}
 
 	/**
@@ -90,9 +95,28 @@
 	}
 
 	private void install(SocketChannel channel) {
+		boolean room = this.connections.size() < this.maximumConnections || closeUnused();
 		CallerConnection connection = new CallerConnection(this, channel);
 		this.connections.add(connection);
 		channel.pipeline().addLast(connection.decoder(), new HttpResponseEncoder(), connection);
+		if (!room) {
+			connection.refuse(TOO_MANY_CONNECTIONS);
+		}
+	}
+
+	// A caller that has sent nothing for longest loses least. Connections that have been
+	// used may be reused by their callers for most of the idle timeout.
+	private boolean closeUnused() {
+		CallerConnection longest = null;
+		for (CallerConnection connection : this.connections) {
+			if (connection.isClosable() && (longest == null || connection.idleSince() < longest.idleSince())) {
+				longest = connection;
+			}
+		}
+		if (longest != null) {
+			longest.refuse(TOO_MANY_CONNECTIONS);
+		}
+		return longest != null;
 	}
 
 	Timers timers() {
--- /dev/null
+++ b/src/main/java/org/magnoliahub/entry/DescriptorLimits.java
@@ -0,0 +1,71 @@
+package org.magnoliahub.entry;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * How many connections each server of a process may have open, so that descriptors remain
+ * for files and for connections to endpoints and to the store.
+ *
+ * @param callers connections of callers
+ * @param status connections of each of the servers for readiness and metrics
+ * @param gateways connections of other gateways
+ */
+record DescriptorLimits(int callers, int status, int gateways) {
+
+	private static final Path PROCESS_LIMITS = Path.of("/proc/self/limits");
+
+	private static final String OPEN_FILES = "Max open files";
+
+	/** Used where the limit of the process cannot be read. */
+	private static final int UNKNOWN_DESCRIPTORS = 1_024;
+
+	/** Beyond it the memory of connections counts, not their descriptors. */
+	private static final int MAXIMUM_DESCRIPTORS = 16_384;
+
+	/** Descriptors of the smallest machine that are reserved for files. */
+	private static final int FILE_DESCRIPTORS = 200;
+
+	private static final int MINIMUM_STATUS_CONNECTIONS = 16;
+
+	private static final int MAXIMUM_STATUS_CONNECTIONS = 32;
+
+	private static final int MINIMUM_CONNECTIONS = 32;
+
+	/**
+	 * Divides the descriptors of this process.
+	 * @return the limits
+	 */
+	static DescriptorLimits ofProcess() {
+		return of(processDescriptors());
+	}
+
+	/**
+	 * Divides descriptors: half of those that are not reserved for files are for callers
+	 * and an eighth is for other gateways; the rest is for outgoing connections.
+	 * @param descriptors how many the process may open
+	 * @return the limits
+	 */
+	static DescriptorLimits of(int descriptors) {
+		int available = Math.min(descriptors, MAXIMUM_DESCRIPTORS) - FILE_DESCRIPTORS;
+		int status = Math.max(MINIMUM_STATUS_CONNECTIONS, Math.min(available / 32, MAXIMUM_STATUS_CONNECTIONS));
+		return new DescriptorLimits(Math.max(MINIMUM_CONNECTIONS, available / 2), status,
+				Math.max(MINIMUM_CONNECTIONS, available / 8));
+	}
+
+	private static int processDescriptors() {
+		try {
+			for (String line : Files.readAllLines(PROCESS_LIMITS)) {
+				if (line.startsWith(OPEN_FILES)) {
+					return Integer.parseInt(line.substring(OPEN_FILES.length()).trim().split(" ")[0]);
+				}
+			}
+		}
+		catch (IOException | NumberFormatException ex) {
+			// Not Linux, or no limit; both are far from the smallest machine.
+		}
+		return UNKNOWN_DESCRIPTORS;
+	}
+
+}
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -106,6 +106,8 @@
 
 	private final CallerServer callerServer;
 
+	private final DescriptorLimits descriptorLimits = DescriptorLimits.ofProcess();
+
 	private final StatusServer readinessServer = new StatusServer(this::readinessPage);
 
 	private final StatusServer metricsServer = new StatusServer(this::metricsPage);
@@ -161,7 +163,7 @@
 		CallerMemory callerMemory = new CallerMemory(new BodyMemory(heapBytes / HEAD_HEAP_DIVISOR), requestMemory,
 				new BodyMemory(heapBytes / UNREAD_HEAP_DIVISOR));
 		this.callerServer = new CallerServer(this.timers, this::limits, this::accept, this.log, this.metrics,
-				callerMemory);
+				callerMemory, this.descriptorLimits.callers());
 	}
 
 	/**
