--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -76,6 +76,10 @@
 
 	private static final long RESPONSE_HEAP_DIVISOR = 8;
 
+	private static final long HEAD_HEAP_DIVISOR = 10;
+
+	private static final long UNREAD_HEAP_DIVISOR = 8;
+
 	private static final Duration METRICS_START_DELAY = Duration.ofSeconds(8);
 
 	private final NodeSettings settings;
@@ -111,9 +115,12 @@
 
 	private final CallerServer callerServer;
 
-	private final StatusServer readinessServer = new StatusServer(this::readinessPage);
+	private final DescriptorLimits descriptorLimits = DescriptorLimits.ofProcess();
+
+	private final StatusServer readinessServer = new StatusServer(this::readinessPage,
+			connections("readiness_connections"));
 
-	private final StatusServer metricsServer = new StatusServer(this::metricsPage);
+	private final StatusServer metricsServer = new StatusServer(this::metricsPage, connections("metrics_connections"));
 
 	private final RandomGenerator random = new SplittableRandom();
 
@@ -163,13 +170,17 @@
 				gateways, this.directory, selector, retryBudget,
 				new CrashingPrompts(this.group, this.timers, this.log, settings.nodeName()), this.configurationTable,
 				this.gracefulShutdown, responseMemory, this.requestRecorder, settings.nodeName());
-		this.stageCoordinator = new StageCoordinator(this.context, this.group, settings.nodeName());
+		this.stageCoordinator = new StageCoordinator(this.context, this.group, settings.nodeName(),
+				this.descriptorLimits.gateways());
 		MemberRecord self = new MemberRecord(settings.nodeName(), settings.ip() + ":" + settings.internalPort(),
 				incarnation);
 		this.memberTable = new MemberTable(this.store, this.timers, this.log, self, this.restorationReport,
 				this::useMembers);
+		long heapBytes = Runtime.getRuntime().maxMemory();
+		CallerMemory callerMemory = new CallerMemory(new BodyMemory(heapBytes / HEAD_HEAP_DIVISOR), requestMemory,
+				new BodyMemory(heapBytes / UNREAD_HEAP_DIVISOR));
 		this.callerServer = new CallerServer(this.timers, this::limits, this::accept, this.log, this.metrics,
-				requestMemory);
+				callerMemory, this.descriptorLimits.callers());
 	}
 
 	private @Nullable ColdServers createColdServers(NodeSettings nodeSettings) {
@@ -219,6 +230,10 @@
 		return gateway;
 	}
 
+	private RecentChannels connections(String reason) {
+		return new RecentChannels(this.descriptorLimits.status(), () -> this.metrics.clientRefused(reason));
+	}
+
 	private static String hostAndPort(InetSocketAddress address) {
 		return address.getAddress().getHostAddress() + ":" + address.getPort();
 	}
