--- a/src/main/java/org/magnoliahub/balancing/BalancedChoice.java
+++ b/src/main/java/org/magnoliahub/balancing/BalancedChoice.java
@@ -19,9 +19,9 @@
 
 	/**
 	 * Part of the deviation that is corrected. The load follows the mean too slowly with
-	 * less, and above 1 gateways that see the same deviation correct it repeatedly.
+	 * less, and with more gateways that see the same deviation correct it repeatedly.
 	 */
-	private static final double CORRECTION = 0.8;
+	private static final double CORRECTION = 1;
 
 	/**
 	 * Time constant with which the requests of others in a report are replaced by the
@@ -47,6 +47,12 @@
 	 */
 	private static final double FULL_PREFERENCE = 0.25;
 
+	/**
+	 * Limit of what the recent requests add to the exponent of the draw. A fixed exponent
+	 * of 2 gave small servers 0.4 of their share from gateways that send rarely.
+	 */
+	private static final double MAXIMUM_SHARPNESS = 6;
+
 	private final List<Candidate> candidates;
 
 	private final LoadCost loadCost;
@@ -194,17 +200,24 @@
 	}
 
 	private double[] lacking(double[] shares) {
-		double sent = 1;
+		double sent = 0;
+		int servers = 0;
 		for (int index = 0; index < shares.length; index++) {
-			sent += (shares[index] > 0) ? this.candidates.get(index).recentlySent() : 0;
+			if (shares[index] > 0) {
+				sent += this.candidates.get(index).recentlySent();
+				servers++;
+			}
 		}
+		// Without recent requests, only a draw in proportion to the shares is even. With
+		// many, a higher exponent follows the shares more closely. The tolerance keeps
+		// small differences between shares from deciding for all gateways alike.
+		double tolerance = sent / (sent + servers);
+		double exponent = 1 + MAXIMUM_SHARPNESS * tolerance;
 		double[] lacking = new double[shares.length];
 		for (int index = 0; index < shares.length; index++) {
 			if (shares[index] > 0) {
-				double lack = Math.max(0, shares[index] * sent - this.candidates.get(index).recentlySent());
-				// The square follows the shares more closely than a draw by the lack
-				// itself.
-				lacking[index] = lack * lack;
+				double lack = shares[index] * (sent + 1) - this.candidates.get(index).recentlySent();
+				lacking[index] = (lack > 0) ? Math.pow(lack + tolerance, exponent) : 0;
 			}
 		}
 		return lacking;
--- a/src/main/java/org/magnoliahub/balancing/LoadTracker.java
+++ b/src/main/java/org/magnoliahub/balancing/LoadTracker.java
@@ -9,7 +9,7 @@
 	 * Time constant of the smoothed slowdown. The reported value is that of a moment and
 	 * changes many times a second, whereas a machine stays slow for seconds.
 	 */
-	private static final double SLOWDOWN_TIME_MILLIS = 700;
+	private static final double SLOWDOWN_TIME_MILLIS = 1_000;
 
 	/** Time after the last report in which half of the stated slowdown is forgotten. */
 	private static final double SLOWDOWN_HALF_LIFE_MILLIS = 5_000;
@@ -20,11 +20,20 @@
 	/** Time constant of the count of requests that were sent. */
 	static final double SENT_TIME_MILLIS = 1_500;
 
-	/** Weight of one response in the deviation of the observed from the stated speed. */
+	/**
+	 * Minimum weight of a response in the deviation of the observed from the stated
+	 * speed.
+	 */
 	private static final double DEVIATION_SMOOTHING = 0.05;
 
-	/** Time after the last response in which half of the deviation is forgotten. */
-	private static final double DEVIATION_HALF_LIFE_MILLIS = 8_000;
+	/** Weight of the assumption that there is no deviation, in responses. */
+	private static final double FIRST_RESPONSES = 3;
+
+	/**
+	 * Time after the last response in which half of the deviation is forgotten. With 8 s,
+	 * one of 48 gateways that gets a response a second learned a third of the deviation.
+	 */
+	private static final double DEVIATION_HALF_LIFE_MILLIS = 60_000;
 
 	/** Maximum slowdown, and the inverse of the minimum. */
 	private static final double MAXIMUM_SLOWDOWN = 10;
@@ -45,6 +54,8 @@
 
 	private long deviationUpdatedAt;
 
+	private int responses;
+
 	private double sent;
 
 	private long sentUpdatedAt;
@@ -92,7 +103,9 @@
 	public void recordResponse(double slowdown, long now) {
 		double unstated = boundedLogarithm(slowdown) - statedLogarithm(now);
 		double current = deviation(now);
-		this.deviationLogarithm = current + DEVIATION_SMOOTHING * (unstated - current);
+		this.responses++;
+		double weight = Math.max(DEVIATION_SMOOTHING, 1 / (FIRST_RESPONSES + this.responses));
+		this.deviationLogarithm = current + weight * (unstated - current);
 		this.deviationUpdatedAt = now;
 	}
 
--- a/src/test/java/org/magnoliahub/balancing/BalancedChoiceTests.java
+++ b/src/test/java/org/magnoliahub/balancing/BalancedChoiceTests.java
@@ -50,6 +50,24 @@
 		assertThat(sent[1]).isCloseTo(400 * 2 / 14.0, within(4.0));
 	}
 
+	@Test
+	void gatewayWithFewRequestsDoesNotStarveSmallServers() {
+		double sentToSmall = 0;
+		double[] recent = new double[6];
+		for (int request = 0; request < 6_000; request++) {
+			Candidate[] candidates = new Candidate[6];
+			for (int index = 0; index < 6; index++) {
+				recent[index] *= 0.5;
+				candidates[index] = new Candidate((index < 3) ? 4 : 16, 1, 0, 0, 500, recent[index], 0);
+			}
+			int chosen = BalancedChoice.choose(List.of(candidates), LoadCost.linear(60), 24, request * 0.618034 % 1)
+				.index();
+			recent[chosen]++;
+			sentToSmall += (chosen < 3) ? 1 : 0;
+		}
+		assertThat(sentToSmall / 6_000).isBetween(0.15, 0.25);
+	}
+
 	@Test
 	void serverWithoutReportIsNeitherStarvedNorFlooded() {
 		double[] parts = parts(candidate(1, 0, Candidate.NO_REPORT, 0), candidate(1, 7, 300, 0),
