--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -175,7 +175,7 @@
 
 	@Override
 	public void onBytesDecoded() {
-		if (this.headStartedMillis >= 0 && !this.closing) {
+		if (this.headBytes > 0 && !this.closing) {
 			holdHead(CallerMemory.headBytes(this.headBytes, this.headLines));
 		}
 	}
@@ -360,8 +360,7 @@
 		if (this.currentExchange != null || this.closing || !this.channel.isWritable()) {
 			return;
 		}
-		if (this.decoder.queuedBytes() > 0 && this.headStartedMillis < 0) {
-			this.headStartedMillis = this.lastActiveMillis;
+		if (this.head == null && this.headBytes == 0) {
 			this.headBytes = this.decoder.queuedBytes();
 			this.headLines = this.headBytes / MINIMUM_FIELD_BYTES;
 		}
--- a/src/main/java/org/magnoliahub/entry/DescriptorLimits.java
+++ b/src/main/java/org/magnoliahub/entry/DescriptorLimits.java
@@ -1,8 +1,8 @@
 package org.magnoliahub.entry;
 
+import java.io.FileInputStream;
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import java.nio.charset.StandardCharsets;
 
 /**
  * How many connections each server of a process may have open, so that descriptors remain
@@ -14,7 +14,7 @@
  */
 record DescriptorLimits(int callers, int status, int gateways) {
 
-	private static final Path PROCESS_LIMITS = Path.of("/proc/self/limits");
+	private static final String PROCESS_LIMITS = "/proc/self/limits";
 
 	private static final String OPEN_FILES = "Max open files";
 
@@ -54,9 +54,10 @@
 				Math.max(MINIMUM_CONNECTIONS, available / 8));
 	}
 
+	// A stream, since file channels would load ten more classes at the start.
 	private static int processDescriptors() {
-		try {
-			for (String line : Files.readAllLines(PROCESS_LIMITS)) {
+		try (FileInputStream limits = new FileInputStream(PROCESS_LIMITS)) {
+			for (String line : new String(limits.readAllBytes(), StandardCharsets.US_ASCII).split("\n")) {
 				if (line.startsWith(OPEN_FILES)) {
 					return Integer.parseInt(line.substring(OPEN_FILES.length()).trim().split(" ")[0]);
 				}
--- a/src/main/java/org/magnoliahub/entry/StatusServer.java
+++ b/src/main/java/org/magnoliahub/entry/StatusServer.java
@@ -70,9 +70,10 @@
 	record Page(boolean ok, String body) {
 	}
 
-	private final class Handler extends SimpleChannelInboundHandler<HttpObject> {
+	private final class Handler extends SimpleChannelInboundHandler<HttpObject>
+			implements StrictRequestDecoder.Listener {
 
-		private final StrictRequestDecoder decoder = new StrictRequestDecoder(MAXIMUM_HEADER_BYTES);
+		private final StrictRequestDecoder decoder = new StrictRequestDecoder(MAXIMUM_HEADER_BYTES, this);
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
--- a/src/main/java/org/magnoliahub/entry/StrictRequestDecoder.java
+++ b/src/main/java/org/magnoliahub/entry/StrictRequestDecoder.java
@@ -34,15 +34,6 @@
 
 	private boolean suspended;
 
-	/**
-	 * Creates a decoder whose bytes are not observed.
-	 * @param maximumHeaderBytes the maximum size of the headers
-	 */
-	StrictRequestDecoder(int maximumHeaderBytes) {
-		this(maximumHeaderBytes, new Listener() {
-		});
-	}
-
 	/**
 	 * Creates a decoder.
 	 * @param maximumHeaderBytes the maximum size of the headers
--- a/src/test/java/org/magnoliahub/entry/StrictRequestDecoderTests.java
+++ b/src/test/java/org/magnoliahub/entry/StrictRequestDecoderTests.java
@@ -15,7 +15,8 @@
 
 	private static final String REQUEST = "GET / HTTP/1.1\r\n\r\n";
 
-	private final StrictRequestDecoder decoder = new StrictRequestDecoder(8_192);
+	private final StrictRequestDecoder decoder = new StrictRequestDecoder(8_192, new StrictRequestDecoder.Listener() {
+	});
 
 	private final EmbeddedChannel channel = new EmbeddedChannel(this.decoder);
 
