Record each unread response by itself

Several small responses of one connection that nobody had read shared one record, which the first of them released. Each has its own now. Callers see no other change.

MisbehavingClientsIT was not run again after this commit.

--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -67,8 +67,6 @@
 
 	private final BodyMemory.Holder headHolder = () -> refuse("no_head_memory");
 
-	private final BodyMemory.Holder responseHolder = this::closeUnread;
-
 	private @Nullable HttpRequest head;
 
 	private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -372,7 +370,6 @@
 		this.closing = true;
 		this.timeoutCheck.dispose();
 		dropRequest();
-		this.server.memory().responses().release(this.responseHolder);
 		this.server.onConnectionClosed(this);
 		Exchange exchange = this.currentExchange;
 		this.currentExchange = null;
@@ -539,8 +536,9 @@
 
 		private void holdUnread(ChannelFuture written, int bytes) {
 			BodyMemory responses = CallerConnection.this.server.memory().responses();
-			written.addListener((future) -> responses.release(CallerConnection.this.responseHolder));
-			responses.hold(CallerConnection.this.responseHolder, CallerConnection.this, bytes, bytes);
+			BodyMemory.Holder holder = CallerConnection.this::closeUnread;
+			written.addListener((future) -> responses.release(holder));
+			responses.hold(holder, CallerConnection.this, bytes, bytes);
 		}
 
 		@Override
