--- a/src/main/java/org/magnoliahub/entry/CallerConnection.java
+++ b/src/main/java/org/magnoliahub/entry/CallerConnection.java
@@ -67,8 +67,6 @@
 
 	private final BodyMemory.Holder headHolder = () -> refuse("no_head_memory");
 
-	private final BodyMemory.Holder responseHolder = this::closeUnread;
-
 	private @Nullable HttpRequest head;
 
 	private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -175,7 +173,7 @@
 
 	@Override
 	public void onBytesDecoded() {
-		if (this.headStartedMillis >= 0 && !this.closing) {
+		if (this.headBytes > 0 && !this.closing) {
 			holdHead(CallerMemory.headBytes(this.headBytes, this.headLines));
 		}
 	}
@@ -360,8 +358,7 @@
 		if (this.currentExchange != null || this.closing || !this.channel.isWritable()) {
 			return;
 		}
-		if (this.decoder.queuedBytes() > 0 && this.headStartedMillis < 0) {
-			this.headStartedMillis = this.lastActiveMillis;
+		if (this.head == null && this.headBytes == 0) {
 			this.headBytes = this.decoder.queuedBytes();
 			this.headLines = this.headBytes / MINIMUM_FIELD_BYTES;
 		}
@@ -373,7 +370,6 @@
 		this.closing = true;
 		this.timeoutCheck.dispose();
 		dropRequest();
-		this.server.memory().responses().release(this.responseHolder);
 		this.server.onConnectionClosed(this);
 		Exchange exchange = this.currentExchange;
 		this.currentExchange = null;
@@ -540,8 +536,9 @@
 
 		private void holdUnread(ChannelFuture written, int bytes) {
 			BodyMemory responses = CallerConnection.this.server.memory().responses();
-			written.addListener((future) -> responses.release(CallerConnection.this.responseHolder));
-			responses.hold(CallerConnection.this.responseHolder, CallerConnection.this, bytes, bytes);
+			BodyMemory.Holder holder = CallerConnection.this::closeUnread;
+			written.addListener((future) -> responses.release(holder));
+			responses.hold(holder, CallerConnection.this, bytes, bytes);
 		}
 
 		@Override
