Take the number of descriptors from the settings

Cause: the limits on connections were divided from the limit of the process, which the platform leaves low; it enforces max_fds of the settings by other means.

Change: max_fds of the settings counts; without it the limit of the process. NodeSettingsReaderTests reads both.

--- a/src/main/java/org/magnoliahub/entry/DescriptorLimits.java
+++ b/src/main/java/org/magnoliahub/entry/DescriptorLimits.java
@@ -34,11 +34,13 @@
 	private static final int MINIMUM_CONNECTIONS = 32;
 
 	/**
-	 * Divides the descriptors of this process.
+	 * Divides the descriptors that the settings state, or else those of this process. The
+	 * platform enforces its limit by other means than that of the process.
+	 * @param stated descriptors that the settings state, zero if they state none
 	 * @return the limits
 	 */
-	static DescriptorLimits ofProcess() {
-		return of(processDescriptors());
+	static DescriptorLimits ofSettings(int stated) {
+		return of((stated > 0) ? stated : processDescriptors());
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -115,12 +115,11 @@
 
 	private final CallerServer callerServer;
 
-	private final DescriptorLimits descriptorLimits = DescriptorLimits.ofProcess();
+	private final DescriptorLimits descriptorLimits;
 
-	private final StatusServer readinessServer = new StatusServer(this::readinessPage,
-			connections("readiness_connections"));
+	private final StatusServer readinessServer;
 
-	private final StatusServer metricsServer = new StatusServer(this::metricsPage, connections("metrics_connections"));
+	private final StatusServer metricsServer;
 
 	private final RandomGenerator random = new SplittableRandom();
 
@@ -141,6 +140,9 @@
 	private EntryGateway(NodeSettings settings, Duration recordInterval, Consumer<String> output,
 			BodyMemory requestMemory, BodyMemory responseMemory) {
 		this.settings = settings;
+		this.descriptorLimits = DescriptorLimits.ofSettings(settings.maximumDescriptors());
+		this.readinessServer = new StatusServer(this::readinessPage, connections("readiness_connections"));
+		this.metricsServer = new StatusServer(this::metricsPage, connections("metrics_connections"));
 		this.placement = new Placement(settings.regionsByZone());
 		this.directory = new EndpointDirectory(this.placement);
 		this.group = new NioEventLoopGroup(1);
--- a/src/main/java/org/magnoliahub/platform/NodeSettings.java
+++ b/src/main/java/org/magnoliahub/platform/NodeSettings.java
@@ -17,14 +17,15 @@
  * @param internalPort first port for the system's own connections
  * @param lastInternalPort last port for the system's own connections
  * @param memoryMegabytes memory limit of the process
+ * @param maximumDescriptors descriptors that the process may open, zero if not stated
  * @param bounds times within which changes take effect
  * @param storeAddress address of the platform's store
  * @param regionsByZone region of each zone that belongs to one
  */
 public record NodeSettings(String nodeName, String ip, String availabilityZone,
 		@Nullable InetSocketAddress callerAddress, @Nullable InetSocketAddress readinessAddress, int internalPort,
-		int lastInternalPort, int memoryMegabytes, Bounds bounds, InetSocketAddress storeAddress,
-		Map<String, String> regionsByZone) {
+		int lastInternalPort, int memoryMegabytes, int maximumDescriptors, Bounds bounds,
+		InetSocketAddress storeAddress, Map<String, String> regionsByZone) {
 
 	/**
 	 * Creates settings with an immutable copy of the regions.
--- a/src/main/java/org/magnoliahub/platform/NodeSettingsReader.java
+++ b/src/main/java/org/magnoliahub/platform/NodeSettingsReader.java
@@ -91,12 +91,13 @@
 		int first = port(ports.path(0), "internal_ports[0]");
 		int last = ports.path(1).isInt() ? ports.path(1).asInt() : first;
 		int memory = root.path("limits").path("memory_mb").asInt(0);
+		int descriptors = Math.max(0, root.path("limits").path("max_fds").asInt(0));
 		NodeSettings.Bounds bounds = bounds(root.path("bounds"));
 		InetSocketAddress store = address(root.path("platform_settings").path("address"), "platform_settings.address");
 		if (store == null) {
 			return null;
 		}
-		return new NodeSettings(name, ip, zone, callers, readiness, first, last, memory, bounds, store,
+		return new NodeSettings(name, ip, zone, callers, readiness, first, last, memory, descriptors, bounds, store,
 				regions(root.path("zones")));
 	}
 
--- a/src/test/java/org/magnoliahub/platform/NodeSettingsReaderTests.java
+++ b/src/test/java/org/magnoliahub/platform/NodeSettingsReaderTests.java
@@ -27,13 +27,24 @@
 			    "control": "10.1.0.41:8628"
 			  },
 			  "internal_ports": [7740, 7755],
-			  "limits": {"memory_mb": 430},
+			  "limits": {"memory_mb": 430, "max_fds": 4100},
 			  "bounds": {"contact_ms": 3000, "drain_ms": 2000, "config_apply_ms": 2000, "grace_s": 8, "retry_budget_ratio": 0.2,
 			    "retry_budget_extra": 58, "budget_window_s": 10},
 			  "platform_settings": {"address": "10.200.1.7:8624"}
 			}
 			""";
 
+	/**
+	 * Guards against callers that are refused because the limit of the process is lower
+	 * than that of the platform.
+	 */
+	@Test
+	void descriptorsAreThoseThatTheSettingsState() throws PlatformFormatException {
+		assertThat(NodeSettingsReader.parse(SETTINGS).maximumDescriptors()).isEqualTo(4_100);
+		assertThat(NodeSettingsReader.parse(SETTINGS.replace("\"max_fds\"", "\"other\"")).maximumDescriptors())
+			.isZero();
+	}
+
 	@Test
 	void readsAllFieldsAndIgnoresUnknownOnes() throws PlatformFormatException {
 		NodeSettings settings = NodeSettingsReader.parse(SETTINGS);
