--- a/src/test/java/org/magnoliahub/entry/EntryFixture.java
+++ b/src/test/java/org/magnoliahub/entry/EntryFixture.java
@@ -257,7 +257,10 @@
 	}
 
 	String log() {
-		return String.join("", this.log);
+		// The gateway appends lines meanwhile.
+		synchronized (this.log) {
+			return String.join("", this.log);
+		}
 	}
 
 	/**
