Leave a plain response without an end, and store responses above 9 MB

It is 9 MB now; 14,000 routes take 8 MB. - A silent attempt of a plain request was kept until the other endpoint responded. If it receives bytes without an end, it takes the processor from the other one. - A kept attempt of a stream was resumed by any bytes, and cancelled the other endpoint. It is resumed by a complete event now.

--- a/src/main/java/org/magnoliahub/entry/Attempt.java
+++ b/src/main/java/org/magnoliahub/entry/Attempt.java
@@ -126,6 +126,14 @@
 		return this.head != null && isUsable(this.head);
 	}
 
+	/**
+	 * Returns whether the response is relayed event by event.
+	 * @return whether its head has announced events
+	 */
+	boolean isEventStream() {
+		return this.eventStream;
+	}
+
 	private static boolean isUsable(ResponseHead responseHead) {
 		return responseHead.isSuccess() && responseHead.signed() && !responseHead.contentEncoded();
 	}
@@ -202,7 +210,12 @@
 
 	@Override
 	public void onHead(HttpResponse response, ResponseHead responseHead) {
-		this.flow.silentAttempts().onResponding(this, isUsable(responseHead));
+		this.eventStream = this.streaming && responseHead.isSuccess() && this.expectsBody
+				&& StreamPosition.mayContainEvents(response.headers().get(HttpHeaderNames.CONTENT_TYPE));
+		// The head of a stream may be long before its first event.
+		if (!this.eventStream || !isUsable(responseHead)) {
+			this.flow.silentAttempts().onResponding(this, isUsable(responseHead));
+		}
 		if (this.ended) {
 			return;
 		}
@@ -210,8 +223,6 @@
 		this.lastReceivedMillis = now;
 		this.head = responseHead;
 		this.headers = response.headers();
-		this.eventStream = this.streaming && responseHead.isSuccess() && this.expectsBody
-				&& StreamPosition.mayContainEvents(response.headers().get(HttpHeaderNames.CONTENT_TYPE));
 		if (responseHead.load() != null && this.choice.endpoint().recordLoad(responseHead.load(), now)) {
 			logBalancedLoad(now);
 		}
@@ -268,17 +279,17 @@
 			return;
 		}
 		this.lastReceivedMillis = this.context.now();
-		this.flow.silentAttempts().onResponding(this, true);
-		if (this.ended) {
-			return;
-		}
 		byte[] events = this.splitter.add(data);
 		if (this.splitter.incompleteBytes() > MAXIMUM_EVENT_BYTES) {
 			rejectResponse("event too large");
 			return;
 		}
 		holdMemory(this.splitter.incompleteBytes());
-		if (events.length > 0 && !this.ended) {
+		if (events.length == 0 || this.ended) {
+			return;
+		}
+		this.flow.silentAttempts().onResponding(this, true);
+		if (!this.ended) {
 			relayEvents(events, this.head, this.headers);
 		}
 	}
--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -290,7 +290,11 @@
 		next.send(this.exchange, this.request, headers, now);
 	}
 
-	private boolean isStreaming() {
+	/**
+	 * Returns whether the response is a stream of events.
+	 * @return whether the kind of the route is streaming
+	 */
+	boolean isStreaming() {
 		return this.route != null && this.route.kind() == CallKind.STREAMING;
 	}
 
--- a/src/main/java/org/magnoliahub/entry/SilentAttempts.java
+++ b/src/main/java/org/magnoliahub/entry/SilentAttempts.java
@@ -12,11 +12,12 @@
  * so that a silent one can continue if the other one refuses, fails, or the stages fail
  * that the other one needs.
  * <p>
- * Before the first event of a stream, and for plain responses, silent attempts are kept
- * until one attempt responds. Once a stream has begun, two endpoints must not work on it
- * for long: after the permitted overlap one of the two attempts is cancelled. It is the
- * silent one if its endpoint shows no sign of life, and the other one otherwise, because
- * a live endpoint that preempted the stream continues it.
+ * Before the first event of a stream, silent attempts are kept until one attempt
+ * responds. Once a stream has begun, two endpoints must not work on it for long: after
+ * the permitted overlap one of the two attempts is cancelled. It is the silent one if its
+ * endpoint shows no sign of life, and the other one otherwise, because a live endpoint
+ * that preempted the stream continues it. The silent attempt of a plain request is
+ * cancelled after the same time: it may be receiving a response without an end.
  */
 final class SilentAttempts {
 
@@ -92,17 +93,20 @@
 	}
 
 	/**
-	 * Called when the request is sent to another endpoint. Once the stream has begun, one
-	 * of the two attempts is cancelled after the permitted overlap.
+	 * Called when the request is sent to another endpoint. Once the stream has begun, and
+	 * for plain requests, one of the two attempts is cancelled after the permitted
+	 * overlap.
 	 */
 	void limitOverlap() {
-		if (this.kept.isEmpty() || !hasStreamBegun()) {
+		if (this.kept.isEmpty() || (this.flow.isStreaming() && !hasStreamBegun())) {
 			return;
 		}
-		// Asked now, because an earlier sign of life may be older than the end of the
-		// endpoint.
 		stopTimers();
-		this.probe = LivenessProbe.send(this.context, this.kept.get(0).endpoint());
+		if (hasStreamBegun()) {
+			// Asked now, because an earlier sign of life may be older than the end of the
+			// endpoint.
+			this.probe = LivenessProbe.send(this.context, this.kept.get(0).endpoint());
+		}
 		scheduleStep(OVERLAP_STEPS, this.context.now());
 	}
 
@@ -139,7 +143,7 @@
 	}
 
 	private boolean isAlive(Attempt silent, long now) {
-		if (silent.endpoint().isDraining()) {
+		if (!hasStreamBegun() || silent.endpoint().isDraining()) {
 			return false;
 		}
 		// An endpoint that requested a pause is not asked.
@@ -147,9 +151,9 @@
 	}
 
 	/**
-	 * Called when an attempt receives a part of its response. If it is kept, it is
-	 * resumed, or cancelled if the response is not usable or another endpoint has begun
-	 * its answer before.
+	 * Called when an attempt receives an event of a stream, or the head or the end of
+	 * another response. If it is kept, it is resumed, or cancelled if the response is not
+	 * usable or another endpoint has begun such a response before.
 	 * @param responding the attempt
 	 * @param usable whether the response is a signed success
 	 */
@@ -158,7 +162,7 @@
 			return;
 		}
 		Attempt other = this.flow.currentAttempt();
-		boolean tooLate = !hasStreamBegun() && other != null && other.isAnswerBeginning();
+		boolean tooLate = !responding.isEventStream() && other != null && other.isAnswerBeginning();
 		if (!usable || tooLate) {
 			responding.cancel();
 			return;
--- a/src/main/java/org/magnoliahub/entry/StoreClient.java
+++ b/src/main/java/org/magnoliahub/entry/StoreClient.java
@@ -35,8 +35,8 @@
 	 */
 	private static final long MAXIMUM_IDLE_MILLIS = 10_000;
 
-	/** A configuration of 14,000 routes with its encoding takes about 10 MB. */
-	private static final long MAXIMUM_RESPONSE_BYTES = 16_777_216;
+	/** A configuration of 14,000 routes with its encoding takes about 8 MB. */
+	private static final long MAXIMUM_RESPONSE_BYTES = 9_437_184;
 
 	/**
 	 * Time without a further part of a response after which it counts as lost. A large
