Bound the overlap of two attempts in a process whose timers are always late

Found by reading; no caller has seen it. Each step of the overlap that came over 30 ms late was followed by another one, so in a gateway that is always that late two endpoints would have worked on one stream without an end. One step follows now.

--- a/src/main/java/org/magnoliahub/entry/SilentAttempts.java
+++ b/src/main/java/org/magnoliahub/entry/SilentAttempts.java
@@ -50,6 +50,8 @@
 
 	private boolean stagesRepeated;
 
+	private boolean overlapExtended;
+
 	private @Nullable LivenessProbe probe;
 
 	private Disposable timer = Disposable.disposed();
@@ -102,6 +104,7 @@
 			return;
 		}
 		stopTimers();
+		this.overlapExtended = false;
 		if (hasStreamBegun()) {
 			// Asked now, because an earlier sign of life may be older than the end of the
 			// endpoint.
@@ -121,7 +124,10 @@
 		long now = this.context.now();
 		boolean delayed = now - scheduledMillis > OVERLAP_STEP.toMillis() + MAXIMUM_STEP_DELAY_MILLIS;
 		boolean due = remainingSteps <= 0 || now - startedMillis >= MAXIMUM_OVERLAP_MILLIS;
-		if (delayed || !due) {
+		// Only one step follows a pause, because steps of a busy process are always late.
+		boolean readsFirst = due && delayed && !this.overlapExtended;
+		if (!due || readsFirst) {
+			this.overlapExtended |= readsFirst;
 			scheduleStep(remainingSteps, startedMillis);
 			return;
 		}
