Log for the network library without the logging of the Java runtime

Callers wait for these classes after a gateway has crashed.

The network library logged through java.util.logging. That loads its classes, streams and the service loader before the first connection.

--- a/src/main/java/org/magnoliahub/entry/EntryMain.java
+++ b/src/main/java/org/magnoliahub/entry/EntryMain.java
@@ -4,8 +4,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.util.internal.logging.InternalLoggerFactory;
-import io.netty.util.internal.logging.JdkLoggerFactory;
 import org.magnoliahub.platform.NodeSettings;
 import org.magnoliahub.platform.NodeSettingsReader;
 import org.magnoliahub.platform.PlatformFormatException;
@@ -47,7 +45,7 @@
 		ReloadRequests reloads = new ReloadRequests();
 		Signal.handle(new Signal("HUP"), (signal) -> reloads.request());
 		disableSlf4jDiscovery();
-		InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+		NetworkLibraryLogger.install();
 		// Netty uses the machine id only for channel ids. Without one it searches the
 		// network interfaces for a hardware address, which slows the start.
 		System.setProperty("io.netty.machineId", "02:00:00:00:00:00:00:01");
