Know every field of the configuration format in check-configuration

Operators got warnings of unknown fields for every real configuration: max_connections, protocol and tls of services, link_mbps of pieces and priority of tenants belong to the format, and only routes, limits and the fields that gateways read were listed. So the check ended with 1 for a configuration without a fault.

The configuration of the tests, which is meant to use every field, lacked them too. Ranges of the fields are checked as those of the others.

--- a/src/main/java/org/magnoliahub/platform/ConfigurationDocumentReader.java
+++ b/src/main/java/org/magnoliahub/platform/ConfigurationDocumentReader.java
@@ -149,6 +149,7 @@
 		ObjectFields fields = fields(node, path);
 		Field<String> name = fields.requiredText("name");
 		fields.text("health_path");
+		readConnectionFields(fields);
 		// Gateways read only whether it is present.
 		fields.find("engine");
 		checkPieces(fields.object("pieces"));
@@ -159,6 +160,13 @@
 		return service;
 	}
 
+	// Belong to the format, but gateways do not read them.
+	private static void readConnectionFields(ObjectFields fields) {
+		fields.whole("max_connections", 1, Integer.MAX_VALUE, 1);
+		fields.text("protocol");
+		fields.flag("tls");
+	}
+
 	private static void checkPieces(ObjectFields fields) {
 		fields.whole("slots", 1, Integer.MAX_VALUE, 1);
 		fields.whole("batch", 1, Integer.MAX_VALUE, 1);
@@ -167,6 +175,8 @@
 		fields.decimal("item_ms", 0);
 		fields.decimal("headroom_mb", 0);
 		fields.decimal("handle_s", 0);
+		// Belongs to the format, but gateways do not read it.
+		fields.decimal("link_mbps", 0);
 		fields.reportUnknown();
 	}
 
@@ -174,6 +184,7 @@
 		ObjectFields fields = fields(node, path);
 		TenantEntry tenant = new TenantEntry(fields.requiredText("name"), fields.textFields("api_keys"),
 				fields.texts("allowed_regions"));
+		fields.whole("priority", 0, Integer.MAX_VALUE, 0);
 		fields.reportUnknown();
 		return tenant;
 	}
--- a/src/test/java/org/magnoliahub/configurationcheck/ConfigurationText.java
+++ b/src/test/java/org/magnoliahub/configurationcheck/ConfigurationText.java
@@ -27,13 +27,14 @@
 			"allow_anonymous":false,"gap_target_ms":100,"allowed_regions":["north","east"],
 			"stages":[{"service":"read","after":[],"size_bytes":100},{"service":"rank","after":[0],"size_bytes":90}]}],
 			"services":[{"name":"plain","health_path":"/h"},
-			{"name":"model","health_path":"/h","engine":{"slots":8},"cold_s":3.0,"cold_per_s":14.0},
+			{"name":"model","health_path":"/h","engine":{"slots":8},"cold_s":3.0,"cold_per_s":14.0,"protocol":"h1",
+			"max_connections":432,"tls":false},
 			{"name":"read","health_path":"/h","pieces":{"slots":1,"queue":2,"batch":4,"call_ms":200,"item_ms":20.5,
-			"headroom_mb":1,"handle_s":4}},
+			"headroom_mb":1,"handle_s":4,"link_mbps":10000}},
 			{"name":"rank","health_path":"/h","pieces":{"call_ms":100,"item_ms":2}}],
 			"limits":{"max_header_bytes":4000,"max_body_bytes":20000,"header_timeout_ms":800,"idle_timeout_ms":3000},
 			"tenants":[{"name":"t1","api_keys":["key-1","key-2"],"allowed_regions":["east"]},
-			{"name":"t2","api_keys":["key-3"]}]}
+			{"name":"t2","priority":2,"api_keys":["key-3"]}]}
 			""";
 
 	private ConfigurationText() {
