Drop the metrics of a gateway that has stopped while they load

A gateway loads its metrics library on a thread of its own 8 s after its start and hands the result to the event loop. If the gateway stops meanwhile, the loop rejects the task and the thread ends with an uncaught RejectedExecutionException.

Test classes run in parallel, and the waits of the tests report uncaught exceptions of any thread. No other thread hands tasks to a loop that may have ended without a handler; that it was this thread is concluded from the code and the same message, not from a stack trace.

The task is now dropped if the loop has ended. BackgroundLoadTests.resultIsDroppedIfTheLoopHasEnded fails with the same message if the exception is not caught.

--- a/src/main/java/org/magnoliahub/entry/EntryGateway.java
+++ b/src/main/java/org/magnoliahub/entry/EntryGateway.java
@@ -263,20 +263,15 @@
 		this.timers.schedule(METRICS_START_DELAY, this::startMetrics);
 	}
 
-	// A separate thread loads the metrics library, so that the event loop is not blocked
-	// meanwhile.
 	private void startMetrics() {
-		Thread loader = new Thread(() -> {
-			PrometheusMeterRegistry registry = EntryMetrics.createRegistry();
-			this.group.next().execute(() -> {
-				this.metrics.setRegistry(registry);
-				addGauges();
-				this.loopSampleDue = this.timers.milliTime();
-				sampleLoopDelay();
-			});
-		}, "metrics");
-		loader.setDaemon(true);
-		loader.start();
+		BackgroundLoad.start("metrics", EntryMetrics::createRegistry, this.group.next(), this::useRegistry);
+	}
+
+	private void useRegistry(PrometheusMeterRegistry registry) {
+		this.metrics.setRegistry(registry);
+		addGauges();
+		this.loopSampleDue = this.timers.milliTime();
+		sampleLoopDelay();
 	}
 
 	private void onObjectCall(boolean reachable, String reason) {
