Send endless test responses in larger writes

The server now writes at least 4 KB at a time. The bytes, their number, the limits and the expected answers are the same, and the gateway gets them faster, so the check is not weaker.

--- a/src/test/java/org/magnoliahub/entry/UnboundedResponseTests.java
+++ b/src/test/java/org/magnoliahub/entry/UnboundedResponseTests.java
@@ -35,6 +35,15 @@
 	 */
 	private static final long MAXIMUM_SENT_BYTES = 24_000_000;
 
+	private static final int PARTS_AT_ONCE = 64;
+
+	/**
+	 * Smallest write. With 64 bytes a write, a server on a busy machine needed longer for
+	 * 4 MB than the timeout of the route, so that its timeout ended the request before
+	 * the limit of the gateway.
+	 */
+	private static final int WRITE_BYTES = 4_096;
+
 	private EntryFixture fixture;
 
 	private final AtomicLong maximumSent = new AtomicLong();
@@ -62,7 +71,8 @@
 		this.openResponses.incrementAndGet();
 		try {
 			RawServer.write(socket, kind.start(request.header("Request-Id"), "s"));
-			byte[] part = kind.part().repeat(64).getBytes(StandardCharsets.ISO_8859_1);
+			int count = Math.max(PARTS_AT_ONCE, WRITE_BYTES / kind.part().length());
+			byte[] part = kind.part().repeat(count).getBytes(StandardCharsets.ISO_8859_1);
 			long sent = 0;
 			while (sent < 2 * MAXIMUM_SENT_BYTES) {
 				socket.getOutputStream().write(part);
