Play evacuations of zones in the fault soak

The soak did not play evacuations. Endpoints now stand in three zones, and the operator writes and removes the row of a zone beside the other faults. It repairs rows that a restored store has lost or brought back. The promise EVACUATION allows no request and no call with pieces at endpoints of the zone after 5,000 ms, and no request that is lost. Losing the store afterwards or restarting excuses nothing, except a restart while a restored store lacks the row.

The unit tests of the soak, EndpointEmulatorTests and PlatformNamesTests (70 tests together) and SoakIT (2) pass.

--- a/src/main/java/org/magnoliahub/platform/emulator/EmulatedSettings.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EmulatedSettings.java
@@ -24,6 +24,8 @@
 	/** The only workspace. */
 	public static final String WORKSPACE = "workspace-1";
 
+	private static final String ZONE = "z1";
+
 	private static final String PLAIN_ROUTE = """
 			{"name":"%s","host":"h","prefix":"%s","kind":"idempotent","timeout_ms":1500,"target_latency_ms":300,
 			"service":"plain","max_attempts":2},
@@ -57,7 +59,7 @@
 			"listen":{"front":"%s:%d","ready_address":"%s:%d"},
 			"internal_ports":[%d],
 			"bounds":{"contact_ms":3000,"drain_ms":2000,"config_apply_ms":2000,"grace_s":8,"retry_budget_ratio":%s,
-			"retry_budget_extra":%s,"budget_window_s":10},
+			"retry_budget_extra":%s,"budget_window_s":10%s},
 			"platform_settings":{"address":"%s"}}
 			""";
 
@@ -130,8 +132,22 @@
 	 * @return the text of the row
 	 */
 	public static String endpoint(String service, String address, int slots, String state, Write write) {
-		return "{\"service\":\"" + service + "\",\"address\":\"" + address
-				+ "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
+		return endpoint(service, address, ZONE, slots, state, write);
+	}
+
+	/**
+	 * Returns the row of an endpoint.
+	 * @param service its service
+	 * @param address host and port
+	 * @param zone its zone
+	 * @param slots how many requests it works on at once
+	 * @param state what it says of itself
+	 * @param write which write of which process it is
+	 * @return the text of the row
+	 */
+	public static String endpoint(String service, String address, String zone, int slots, String state, Write write) {
+		return "{\"service\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone
+				+ "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
 				+ "\",\"cold_left_ms\":0,\"seq\":" + write.sequence() + ",\"born\":" + write.bornMillis() + "}";
 	}
 
@@ -143,8 +159,24 @@
 	 * @return its text
 	 */
 	public static String gateway(Node node, Budget budget, String store) {
+		return gateway(node, budget, store, "");
+	}
+
+	/**
+	 * Returns the settings file of a gateway with a bound for evacuations of zones.
+	 * @param node where it runs
+	 * @param budget repeats that all gateways may make
+	 * @param store host and port of the store
+	 * @param evacuationMillis time within which an evacuation must be in force
+	 * @return its text
+	 */
+	public static String gateway(Node node, Budget budget, String store, long evacuationMillis) {
+		return gateway(node, budget, store, ",\"evacuate_ms\":" + evacuationMillis);
+	}
+
+	private static String gateway(Node node, Budget budget, String store, String furtherBounds) {
 		return NODE.formatted(node.name(), node.ip(), node.ip(), node.callerPort(), node.ip(), node.readinessPort(),
-				node.internalPort(), budget.ratio(), budget.constant(), store);
+				node.internalPort(), budget.ratio(), budget.constant(), furtherBounds, store);
 	}
 
 	/**
--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -116,6 +116,7 @@
 			RawServer.write(socket, late);
 		}
 		if (!request.header("Target-Instance").equals(this.id)) {
+			this.observer.misdirected(arrived);
 			refuse(arrived, socket, 421);
 			return;
 		}
--- a/src/main/java/org/magnoliahub/platform/emulator/RunObserver.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/RunObserver.java
@@ -11,6 +11,13 @@
 	 */
 	void arrived(EndpointRequest request);
 
+	/**
+	 * An endpoint answers 421 to a request, which is meant for another one.
+	 * @param request the request
+	 */
+	default void misdirected(EndpointRequest request) {
+	}
+
 	/**
 	 * An endpoint begins to work on a request.
 	 * @param run the run
--- a/src/main/java/org/magnoliahub/soak/Demonstration.java
+++ b/src/main/java/org/magnoliahub/soak/Demonstration.java
@@ -63,7 +63,7 @@
 		Map<String, Integer> counts = new LinkedHashMap<>();
 		List.of("plain", "model", "read", "rank").forEach((service) -> counts.put(service, ENDPOINTS));
 		Demonstration started = new Demonstration(Files.createTempDirectory("magnoliahub-demo"), store,
-				SoakEndpoints.start(store, new Ledger(), counts));
+				SoakEndpoints.start(store, new Ledger(), counts, List.of("z1")));
 		try {
 			started.startGateways(count);
 			return started;
--- a/src/main/java/org/magnoliahub/soak/Disturbances.java
+++ b/src/main/java/org/magnoliahub/soak/Disturbances.java
@@ -1,5 +1,6 @@
 package org.magnoliahub.soak;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -11,6 +12,8 @@
 	/** A gateway is in touch again this long after a disturbance. */
 	static final long CONTACT_MILLIS = 3_000;
 
+	private static final long OPEN = Long.MAX_VALUE - CONTACT_MILLIS;
+
 	private static final int ALL_GATEWAYS = -1;
 
 	private static final int LINK = -2;
@@ -113,6 +116,29 @@
 		return isCalm(gateway, moment - slackMillis, moment);
 	}
 
+	/**
+	 * Returns the first moment at which a gateway is in touch.
+	 * @param gateway index of the gateway
+	 * @param from earliest moment
+	 * @param slackMillis further time without a disturbance that is asked for
+	 * @return the moment, or the largest value if a disturbance did not end
+	 */
+	long firstInTouch(int gateway, long from, long slackMillis) {
+		long moment = from;
+		for (Span span : this.spans.stream()
+			.filter((known) -> known.gateway == gateway || known.gateway == ALL_GATEWAYS)
+			.sorted(Comparator.comparingLong((known) -> known.from))
+			.toList()) {
+			if (span.meets(moment - slackMillis, moment)) {
+				if (!span.hasEnded()) {
+					return Long.MAX_VALUE;
+				}
+				moment = span.to + CONTACT_MILLIS + slackMillis + 1;
+			}
+		}
+		return moment;
+	}
+
 	/**
 	 * Returns whether an endpoint and the link to it were sound throughout.
 	 * @param endpoint id of the endpoint
@@ -158,7 +184,7 @@
 
 		private final long from;
 
-		private volatile long to = Long.MAX_VALUE - CONTACT_MILLIS;
+		private volatile long to = OPEN;
 
 		private Span(int gateway, String endpoint, long from) {
 			this.gateway = gateway;
@@ -181,6 +207,10 @@
 			};
 		}
 
+		private boolean hasEnded() {
+			return this.to != OPEN;
+		}
+
 		private boolean meets(long start, long end) {
 			return this.from <= end && this.to + CONTACT_MILLIS >= start;
 		}
--- a/src/main/java/org/magnoliahub/soak/FaultInjector.java
+++ b/src/main/java/org/magnoliahub/soak/FaultInjector.java
@@ -47,6 +47,8 @@
 
 	private final ConfigurationOperator operator;
 
+	private final EvacuationOperator evacuations;
+
 	private final Ledger ledger;
 
 	private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(THREADS);
@@ -63,10 +65,12 @@
 		this.storeLinks = storeLinks;
 		this.operator = operator;
 		this.ledger = ledger;
+		this.evacuations = new EvacuationOperator(store, ledger.evacuations());
 		addStoreActions();
 		addGatewayActions();
 		addEndpointActions();
 		this.actions.put(FaultKind.CONFIGURATION_CHANGE, (fault) -> this.operator.change());
+		this.actions.put(FaultKind.ZONE_EVACUATION, this::evacuate);
 	}
 
 	private void addStoreActions() {
@@ -185,11 +189,18 @@
 		this.store.setMode(StoreEmulator.Mode.SOUND);
 		Thread.sleep(OPERATOR_RETURN_MILLIS);
 		this.operator.writeAgain();
+		this.evacuations.restoreRows();
 		Thread.sleep(ENDPOINT_RETURN_MILLIS);
 		this.endpoints.writeAgain();
 		span.end();
 	}
 
+	private void evacuate(PlannedFault fault) throws InterruptedException {
+		Evacuation evacuation = this.evacuations.begin(this.endpoints.zone(fault.target()));
+		Thread.sleep(fault.lengthMillis());
+		this.evacuations.end(evacuation);
+	}
+
 	private void killAmidStages(PlannedFault fault) throws IOException, InterruptedException {
 		Disturbances.Span span = this.ledger.disturbances().beginEndpoint("of stages");
 		this.endpoints.stages().setSlow(true);
--- a/src/main/java/org/magnoliahub/soak/FaultKind.java
+++ b/src/main/java/org/magnoliahub/soak/FaultKind.java
@@ -126,7 +126,10 @@
 	ENDPOINT_WRITES_LATE(Scope.PLANNED),
 
 	/** A new configuration adds a route and removes an older one. */
-	CONFIGURATION_CHANGE(Scope.PLANNED);
+	CONFIGURATION_CHANGE(Scope.PLANNED),
+
+	/** The operator evacuates a zone and later reopens it. */
+	ZONE_EVACUATION(Scope.PLANNED);
 
 	private final Scope scope;
 
--- a/src/main/java/org/magnoliahub/soak/FaultPlan.java
+++ b/src/main/java/org/magnoliahub/soak/FaultPlan.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
@@ -58,6 +59,19 @@
 	private static final List<FaultKind> LOSE_CALLS = List.of(FaultKind.STORE_SILENT, FaultKind.STORE_LOSES_CALLS,
 			FaultKind.STORE_CONNECTIONS_SILENT);
 
+	private static final long FIRST_EVACUATION_MILLIS = 500;
+
+	private static final long LATEST_FIRST_EVACUATION_MILLIS = 2_000;
+
+	/** Leaves time in which endpoints of the zone must get nothing. */
+	private static final long SHORTEST_EVACUATION_MILLIS = EvacuationCheck.BOUND_MILLIS + 1_500;
+
+	private static final long LONGEST_EVACUATION_MILLIS = 9_500;
+
+	private static final long SHORTEST_EVACUATION_GAP_MILLIS = 2_000;
+
+	private static final long LONGEST_EVACUATION_GAP_MILLIS = 6_000;
+
 	private static final int TARGETS = 60;
 
 	FaultPlan {
@@ -86,6 +100,7 @@
 		addFaults(faults, random, end);
 		addLostCalls(faults, random, end);
 		addChanges(faults, random, end);
+		addEvacuations(faults, new SplittableRandom(~seed), end);
 		faults.sort(Comparator.comparingLong(PlannedFault::startMillis));
 		return new FaultPlan(seed, lengthMillis, faults);
 	}
@@ -100,11 +115,11 @@
 	}
 
 	private static void addFaults(List<PlannedFault> faults, RandomGenerator random, long end) {
-		FaultKind[] kinds = FaultKind.values();
+		List<FaultKind> kinds = List.copyOf(EnumSet.complementOf(EnumSet.of(FaultKind.ZONE_EVACUATION)));
 		long count = (end - CALM_MILLIS) / FAULT_INTERVAL_MILLIS;
 		for (long index = 0; index < count; index++) {
 			long drawn = random.nextLong(CALM_MILLIS, end);
-			FaultKind kind = kinds[random.nextInt(kinds.length)];
+			FaultKind kind = kinds.get(random.nextInt(kinds.size()));
 			boolean series = random.nextDouble() < SERIES_SHARE && !kind.stopsAllGateways();
 			long start = kind.breaksContact() ? inBurst(drawn, end) : drawn;
 			for (int repeat = 0; repeat < (series ? SERIES_LENGTH : 1); repeat++) {
@@ -156,6 +171,17 @@
 		faults.addAll(changes);
 	}
 
+	// Drawn from random numbers of their own, so that seeds keep the other faults that
+	// they had before evacuations were played.
+	private static void addEvacuations(List<PlannedFault> faults, RandomGenerator random, long end) {
+		long next = random.nextLong(FIRST_EVACUATION_MILLIS, LATEST_FIRST_EVACUATION_MILLIS);
+		while (next + SHORTEST_EVACUATION_MILLIS <= end) {
+			long length = Math.min(random.nextLong(SHORTEST_EVACUATION_MILLIS, LONGEST_EVACUATION_MILLIS), end - next);
+			faults.add(new PlannedFault(FaultKind.ZONE_EVACUATION, next, length, random.nextInt(TARGETS)));
+			next += length + random.nextLong(SHORTEST_EVACUATION_GAP_MILLIS, LONGEST_EVACUATION_GAP_MILLIS);
+		}
+	}
+
 	private static PlannedFault change(long start, long end) {
 		return new PlannedFault(FaultKind.CONFIGURATION_CHANGE, Math.min(start, end), 0, 0);
 	}
--- a/src/main/java/org/magnoliahub/soak/Finding.java
+++ b/src/main/java/org/magnoliahub/soak/Finding.java
@@ -37,6 +37,11 @@
 		/** A draining endpoint gets nothing more in time. */
 		DRAINING,
 
+		/**
+		 * Endpoints of an evacuated zone get nothing more in time, and nothing is lost.
+		 */
+		EVACUATION,
+
 		/** An endpoint that said that it leaves gets nothing more in time. */
 		LEAVING,
 
--- a/src/main/java/org/magnoliahub/soak/GatewayChild.java
+++ b/src/main/java/org/magnoliahub/soak/GatewayChild.java
@@ -68,7 +68,7 @@
 			throws IOException {
 		EmulatedSettings.Node node = EmulatedSettings.Node.withFreePorts(name, ip);
 		Path settings = directory.resolve(name + ".json");
-		Files.writeString(settings, EmulatedSettings.gateway(node, budget, store));
+		Files.writeString(settings, EmulatedSettings.gateway(node, budget, store, EvacuationCheck.BOUND_MILLIS));
 		return new GatewayChild(node, settings, directory.resolve(name + ".log").toFile());
 	}
 
--- a/src/main/java/org/magnoliahub/soak/GatewayFaults.java
+++ b/src/main/java/org/magnoliahub/soak/GatewayFaults.java
@@ -56,6 +56,7 @@
 				this.ledger.found(Finding.Promise.PLANNED_STOP, "gateway " + index + " did not end in time");
 			}
 			this.stops.add(new PlannedWork.Stop(index, begun, Ledger.now()));
+			this.ledger.evacuations().recordStart(index, Ledger.now());
 			gateway.start();
 			gateway.awaitReady();
 		}
@@ -116,6 +117,7 @@
 			gateway.expectEnd();
 			gateway.signal("KILL");
 			gateway.awaitEnd(GRACE_MILLIS);
+			this.ledger.evacuations().recordStart(index, Ledger.now());
 			gateway.start();
 			gateway.awaitReady();
 			span.end();
--- a/src/main/java/org/magnoliahub/soak/Ledger.java
+++ b/src/main/java/org/magnoliahub/soak/Ledger.java
@@ -40,6 +40,8 @@
 
 	private final Disturbances disturbances = new Disturbances();
 
+	private final EvacuationHistory evacuations = new EvacuationHistory();
+
 	private final ConfigurationCheck configurations = new ConfigurationCheck();
 
 	/**
@@ -113,6 +115,14 @@
 		return this.configurations;
 	}
 
+	/**
+	 * Returns what is known of evacuations of zones.
+	 * @return the evacuations, and what endpoints saw of them
+	 */
+	EvacuationHistory evacuations() {
+		return this.evacuations;
+	}
+
 	Disturbances disturbances() {
 		return this.disturbances;
 	}
@@ -220,6 +230,11 @@
 		story.arrived(request, now());
 	}
 
+	@Override
+	public void misdirected(EndpointRequest request) {
+		this.evacuations.recordMisdirected(request);
+	}
+
 	@Override
 	public void started(EndpointRun run) {
 		RequestStory story = this.stories.get(run.request().requestId());
--- a/src/main/java/org/magnoliahub/soak/PromiseChecks.java
+++ b/src/main/java/org/magnoliahub/soak/PromiseChecks.java
@@ -80,6 +80,7 @@
 		checks.checkBudget("model");
 		checks.checkStops(work.stops());
 		checks.findings.addAll(new CompleteAnswerCheck(ledger, work, read).check());
+		checks.findings.addAll(new EvacuationCheck(ledger, work, read).check());
 		checks.checkRecovery(recovery);
 		return checks.findings;
 	}
--- a/src/main/java/org/magnoliahub/soak/Soak.java
+++ b/src/main/java/org/magnoliahub/soak/Soak.java
@@ -23,6 +23,9 @@
 	/** Small enough that an endpoint that refuses everything reaches the budget. */
 	private static final EmulatedSettings.Budget BUDGET = new EmulatedSettings.Budget(0.1, 12);
 
+	/** With these counts of endpoints no service is in one zone alone. */
+	private static final List<String> ZONES = List.of("z1", "z2", "z3");
+
 	private static final long FAULTS_END_LIMIT_MILLIS = 90_000;
 
 	private static final long RECOVERED_AFTER_MILLIS = 5_000;
@@ -89,7 +92,7 @@
 		Thread atExit = new Thread(this::killGateways, "soak-exit");
 		Runtime.getRuntime().addShutdownHook(atExit);
 		try (StoreEmulator store = new StoreEmulator();
-				SoakEndpoints endpoints = SoakEndpoints.start(store, this.ledger, endpointCounts())) {
+				SoakEndpoints endpoints = SoakEndpoints.start(store, this.ledger, endpointCounts(), ZONES)) {
 			ConfigurationOperator operator = new ConfigurationOperator(store, this.ledger.configurations().versions());
 			operator.change();
 			startGateways(store);
@@ -193,6 +196,7 @@
 		List<String> lines = new ArrayList<>(injector.timeline());
 		lines.addAll(this.ledger.disturbances().timeline());
 		lines.add(injector.plannedWork().toString());
+		this.ledger.evacuations().evacuations().forEach((evacuation) -> lines.add(evacuation.toString()));
 		this.ledger.configurations().versions().versions().forEach((version) -> lines.add(version.toString()));
 		Files.write(this.directory.resolve("timeline.txt"), lines);
 	}
--- a/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
+++ b/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
@@ -44,6 +44,8 @@
 
 	private final Ledger ledger;
 
+	private final List<String> zones;
+
 	private final StageEmulator stages = new StageEmulator(STAGE_CALL_MILLIS, RequestKind.PIECES);
 
 	private final List<Place> places = new ArrayList<>();
@@ -56,9 +58,10 @@
 
 	private volatile boolean closed;
 
-	private SoakEndpoints(StoreEmulator store, Ledger ledger) {
+	private SoakEndpoints(StoreEmulator store, Ledger ledger, List<String> zones) {
 		this.store = store;
 		this.ledger = ledger;
+		this.zones = List.copyOf(zones);
 	}
 
 	/**
@@ -66,14 +69,16 @@
 	 * @param store the store
 	 * @param ledger learns what they get
 	 * @param counts endpoints of each service
+	 * @param zones zones in which they are placed by turns
 	 * @return the running endpoints
 	 * @throws IOException if one cannot listen
 	 */
-	static SoakEndpoints start(StoreEmulator store, Ledger ledger, Map<String, Integer> counts) throws IOException {
-		SoakEndpoints endpoints = new SoakEndpoints(store, ledger);
+	static SoakEndpoints start(StoreEmulator store, Ledger ledger, Map<String, Integer> counts, List<String> zones)
+			throws IOException {
+		SoakEndpoints endpoints = new SoakEndpoints(store, ledger, zones);
 		for (Map.Entry<String, Integer> service : counts.entrySet()) {
 			for (int index = 0; index < service.getValue(); index++) {
-				Place place = new Place(service.getKey());
+				Place place = new Place(service.getKey(), endpoints.zone(endpoints.places.size()));
 				endpoints.places.add(place);
 				endpoints.fill(place);
 			}
@@ -85,6 +90,15 @@
 		return this.stages;
 	}
 
+	/**
+	 * Returns a zone.
+	 * @param target any number of at least 0
+	 * @return name of the zone that it falls on
+	 */
+	String zone(int target) {
+		return this.zones.get(target % this.zones.size());
+	}
+
 	/**
 	 * Returns a place.
 	 * @param target any number of at least 0
@@ -106,6 +120,7 @@
 
 	private void fill(Place place) throws IOException {
 		String id = place.service + "-" + this.nextId.incrementAndGet();
+		this.ledger.evacuations().place(id, place.zone);
 		Closeable server;
 		String address;
 		if (REQUEST_SERVICES.contains(place.service)) {
@@ -116,11 +131,11 @@
 			place.emulator = emulator;
 		}
 		else {
-			RawServer stage = RawServer.start(this.stages.handler());
+			RawServer stage = RawServer.start(this.ledger.evacuations().recording(id, this.stages.handler()));
 			server = stage;
 			address = stage.address();
 		}
-		place.occupant = new Occupant(id, server, LoopbackProxy.start(address), Ledger.now());
+		place.occupant = new Occupant(id, place.zone, server, LoopbackProxy.start(address), Ledger.now());
 		list(place.service, place.occupant(), "ready");
 	}
 
@@ -157,7 +172,7 @@
 	private String nextRow(String service, Occupant occupant, String state) {
 		EmulatedSettings.Write write = new EmulatedSettings.Write(occupant.bornMillis,
 				this.nextWrite.incrementAndGet());
-		return EmulatedSettings.endpoint(service, occupant.proxy.address(), LIMIT, state, write);
+		return EmulatedSettings.endpoint(service, occupant.proxy.address(), occupant.zone, LIMIT, state, write);
 	}
 
 	private synchronized void unlist(Occupant occupant) {
@@ -292,12 +307,15 @@
 
 		private final String service;
 
+		private final String zone;
+
 		private volatile @Nullable Occupant occupant;
 
 		private volatile @Nullable EndpointEmulator emulator;
 
-		private Place(String service) {
+		private Place(String service, String zone) {
 			this.service = service;
+			this.zone = zone;
 		}
 
 		private Occupant occupant() {
@@ -342,7 +360,7 @@
 	private record Entry(String service, Occupant occupant, String state) {
 	}
 
-	private record Occupant(String id, Closeable server, LoopbackProxy proxy, long bornMillis) {
+	private record Occupant(String id, String zone, Closeable server, LoopbackProxy proxy, long bornMillis) {
 
 		private void close() throws IOException {
 			this.proxy.close();
--- a/src/test/java/org/magnoliahub/soak/FaultPlanTests.java
+++ b/src/test/java/org/magnoliahub/soak/FaultPlanTests.java
@@ -80,4 +80,29 @@
 		assertThat(behind).isGreaterThan(100);
 	}
 
+	/**
+	 * Guards against seeds whose other faults change with the evacuations. The figure is
+	 * that of the plan before evacuations were played.
+	 */
+	@Test
+	void evacuationsComeInAdditionAndLastLongerThanTheirBound() {
+		List<PlannedFault> faults = FaultPlan.draw(7, LENGTH_MILLIS).faults();
+		assertThat(faults.stream().filter((fault) -> !isEvacuation(fault)).toList().toString()).hasSize(3_840)
+			.hasSameHashCodeAs(1_598_344_323);
+		for (long seed = 0; seed < 50; seed++) {
+			long free = 0;
+			for (PlannedFault fault : FaultPlan.draw(seed, LENGTH_MILLIS).faults()) {
+				if (isEvacuation(fault)) {
+					assertThat(fault.startMillis()).isGreaterThan(free);
+					assertThat(fault.lengthMillis()).isGreaterThan(EvacuationCheck.BOUND_MILLIS);
+					free = fault.endMillis();
+				}
+			}
+		}
+	}
+
+	private static boolean isEvacuation(PlannedFault fault) {
+		return fault.kind() == FaultKind.ZONE_EVACUATION;
+	}
+
 }
