Report the load of emulated endpoints with four figures in the fault soak

Endpoints of the soak sent no load reports, so balanced load was never in use there. Endpoints of requests now report their load in all answers with four figures; one report in six is malformed (empty, -1, text, two figures, commas, too large, or a malformed fourth figure). Other users of the emulator get no reports unless they ask for them.

--- a/src/main/java/org/magnoliahub/platform/emulator/EmulatedWork.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EmulatedWork.java
@@ -1,5 +1,9 @@
 package org.magnoliahub.platform.emulator;
 
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+
 /**
  * What a sound endpoint does with a request, decided by the request's id alone.
  */
@@ -50,6 +54,29 @@
 				: soundMillis(requestId);
 	}
 
+	/**
+	 * Waits like a request that is worked on.
+	 * @param socket its connection
+	 * @param millis how long
+	 * @return whether the connection is still open
+	 * @throws IOException if the connection is broken
+	 */
+	static boolean perform(Socket socket, long millis) throws IOException {
+		socket.setSoTimeout((int) Math.max(1, millis));
+		try {
+			// Nothing comes on a connection before the answer but its end.
+			return socket.getInputStream().read() >= 0;
+		}
+		catch (SocketTimeoutException ex) {
+			return true;
+		}
+		finally {
+			if (!socket.isClosed()) {
+				socket.setSoTimeout(0);
+			}
+		}
+	}
+
 	static long soundMillis(String requestId) {
 		int hash = Math.floorMod(requestId.hashCode() * 31, 1_000);
 		return (hash % LONG_RUN_SHARE == 0) ? LONG_RUN_MILLIS : 10 + hash / 20;
--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -4,13 +4,14 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketException;
-import java.net.SocketTimeoutException;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * An endpoint of a plain service or of a model service: it works on each request for a
  * time that the request's id decides, and can answer wrongly on demand.
@@ -52,6 +53,8 @@
 
 	private volatile boolean leaving;
 
+	private volatile @Nullable LoadReports loadReports;
+
 	private volatile CrashTrigger crashTrigger = CrashTrigger.NONE;
 
 	private EndpointEmulator(String id, int limit, RunObserver observer) throws IOException {
@@ -98,6 +101,14 @@
 		this.crashTrigger = trigger;
 	}
 
+	/**
+	 * Reports in all answers from now on its load with four figures, and at times with
+	 * text that is no report.
+	 */
+	public void reportLoad() {
+		this.loadReports = new LoadReports();
+	}
+
 	/**
 	 * Says in all answers from now on that it leaves.
 	 */
@@ -160,16 +171,17 @@
 	}
 
 	private String notice(EndpointRequest request) {
-		String rate = "";
+		LoadReports reports = this.loadReports;
+		String lines = (reports != null) ? reports.nextHeader(this.running.get(), this.limit, slowdown()) : "";
 		if (this.mode == Mode.LIMITED) {
 			this.observer.limited(request, REQUESTS_PER_SECOND);
-			rate = "Server-Limit: " + REQUESTS_PER_SECOND + "\r\n";
+			lines += "Server-Limit: " + REQUESTS_PER_SECOND + "\r\n";
 		}
 		if (!this.leaving) {
-			return rate;
+			return lines;
 		}
 		this.observer.told(request, 0);
-		return rate + "Server-Leaving: 1\r\n";
+		return lines + "Server-Leaving: 1\r\n";
 	}
 
 	private void run(EndpointRequest request, Socket socket, boolean crashes) throws IOException {
@@ -199,7 +211,7 @@
 	}
 
 	private void crash(EndpointRun run, Socket socket) throws IOException {
-		if (!work(socket, millis(run.request()) / 2)) {
+		if (!EmulatedWork.perform(socket, millis(run.request()) / 2)) {
 			return;
 		}
 		RawServer.write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + run.request().requestId()
@@ -217,11 +229,15 @@
 		boolean isLong = request.target().startsWith("/long/");
 		long sound = isLong ? EmulatedWork.longMillis(request.requestId())
 				: EmulatedWork.soundMillis(request.requestId());
-		return (this.mode == Mode.SLOW) ? SLOW_FACTOR * sound : sound;
+		return slowdown() * sound;
+	}
+
+	private int slowdown() {
+		return (this.mode == Mode.SLOW) ? SLOW_FACTOR : 1;
 	}
 
 	private void answer(EndpointRun run, Socket socket) throws IOException {
-		if (!work(socket, millis(run.request()))) {
+		if (!EmulatedWork.perform(socket, millis(run.request()))) {
 			return;
 		}
 		boolean untilClose = this.mode != Mode.ADDS_ANSWERS && endsWithConnection(run.request().requestId());
@@ -268,7 +284,7 @@
 		String requestId = run.request().requestId();
 		String from = run.request().lastEventId();
 		int next = from.isEmpty() ? 1 : Integer.parseInt(from) + 1;
-		if (!work(socket, millis(run.request()) / 2)) {
+		if (!EmulatedWork.perform(socket, millis(run.request()) / 2)) {
 			return;
 		}
 		if (this.mode == Mode.REJECTS_RESUMED && !from.isEmpty()) {
@@ -300,7 +316,7 @@
 				return;
 			}
 			RawServer.write(socket, framing.whole(event));
-			if (!work(socket, EmulatedWork.EVENT_MILLIS)) {
+			if (!EmulatedWork.perform(socket, EmulatedWork.EVENT_MILLIS)) {
 				return;
 			}
 		}
@@ -311,29 +327,6 @@
 		return this.mode == Mode.TRUNCATES || this.mode == Mode.REJECTS_RESUMED;
 	}
 
-	/**
-	 * Waits like a request that is worked on.
-	 * @param socket its connection
-	 * @param millis how long
-	 * @return whether the connection is still open
-	 * @throws IOException if the connection is broken
-	 */
-	private static boolean work(Socket socket, long millis) throws IOException {
-		socket.setSoTimeout((int) Math.max(1, millis));
-		try {
-			// Nothing comes on a connection before the answer but its end.
-			return socket.getInputStream().read() >= 0;
-		}
-		catch (SocketTimeoutException ex) {
-			return true;
-		}
-		finally {
-			if (!socket.isClosed()) {
-				socket.setSoTimeout(0);
-			}
-		}
-	}
-
 	// A proper close between two events would complete a stream that ends with its
 	// connection.
 	@Override
--- a/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
+++ b/src/main/java/org/magnoliahub/soak/SoakEndpoints.java
@@ -127,6 +127,7 @@
 			EndpointEmulator emulator = EndpointEmulator.start(id, LIMIT, this.ledger);
 			server = emulator;
 			emulator.setCrashTrigger(new CrashTrigger(Prompts.CRASHING_PART, () -> replaceCrashed(place, id)));
+			emulator.reportLoad();
 			address = emulator.address();
 			place.emulator = emulator;
 		}
--- a/src/test/java/org/magnoliahub/platform/emulator/EndpointEmulatorTests.java
+++ b/src/test/java/org/magnoliahub/platform/emulator/EndpointEmulatorTests.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.util.List;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
@@ -52,6 +53,16 @@
 		}
 	}
 
+	@Test
+	void loadReportsHaveFourFiguresOrAreMalformed() {
+		LoadReports reports = new LoadReports();
+		List<String> values = IntStream.range(0, 60)
+			.mapToObj((index) -> reports.nextHeader(9, 8, 6).strip().substring("Server-Load:".length()).strip())
+			.toList();
+		assertThat(values).filteredOn((value) -> value.matches("8,0,8,[6-8]\\d\\d")).hasSize(50);
+		assertThat(values).contains("", "-1", "text", "8,0,8,", "8,0,8,-1", "8,0,8,text");
+	}
+
 	@Test
 	void streamsAreBrokenOffInsideAnEventInAllFramings() throws IOException {
 		try (EndpointEmulator endpoint = EndpointEmulator.start(ENDPOINT, 4, new SilentObserver())) {
