--- a/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
+++ b/src/main/java/org/magnoliahub/platform/emulator/EndpointEmulator.java
@@ -117,6 +117,9 @@
 	}
 
 	private void handle(RawServer.Request request, Socket socket) throws IOException {
+		if (EngineStateCall.answer(request, socket, this.id)) {
+			return;
+		}
 		EndpointRequest arrived = new EndpointRequest(this.id, request.header("Request-Id"), request.method(),
 				request.target(), request.body(), request.header("Tenant"), request.header("Last-Event-Id"),
 				request.header("Prompt-Prefix"), inputs(request.header("Inputs")));
--- a/src/test/java/org/magnoliahub/platform/emulator/EndpointEmulatorTests.java
+++ b/src/test/java/org/magnoliahub/platform/emulator/EndpointEmulatorTests.java
@@ -53,6 +53,33 @@
 		}
 	}
 
+	/**
+	 * Guards against state calls of gateways that count as requests no caller has sent.
+	 */
+	@Test
+	void stateCallIsAnsweredAndIsNoRequest() throws IOException {
+		RunObserver failing = new SilentObserver() {
+
+			@Override
+			public void arrived(EndpointRequest request) {
+				throw new AssertionError(request);
+			}
+
+		};
+		try (EndpointEmulator endpoint = EndpointEmulator.start(ENDPOINT, 4, failing)) {
+			endpoint.setMode(EndpointEmulator.Mode.FULL);
+			int port = Integer.parseInt(endpoint.address().substring(endpoint.address().indexOf(':') + 1));
+			try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+				InputStream input = new BufferedInputStream(socket.getInputStream());
+				for (String target : List.of(ENDPOINT, "i-2")) {
+					RawServer.write(socket,
+							"GET /api/report HTTP/1.1\r\nHost: h\r\nTarget-Instance: " + target + "\r\n\r\n");
+					assertThat(CallerAnswer.read(input).status()).isEqualTo(target.equals(ENDPOINT) ? 200 : 421);
+				}
+			}
+		}
+	}
+
 	@Test
 	void loadReportsHaveFourFiguresOrAreMalformed() {
 		LoadReports reports = new LoadReports();
@@ -85,7 +112,7 @@
 		}
 	}
 
-	private static final class SilentObserver implements RunObserver {
+	private static class SilentObserver implements RunObserver {
 
 		@Override
 		public void arrived(EndpointRequest request) {
