Let the priority of a tenant replace that of the route

The platform's format says that a tenant's priority takes precedence over the priority of the route. Gateways did not read it, so requests of all tenants of a route were admitted to stages and ordered in their queues with the priority of the route.

It is read with the keys and applied when the request is authorized, so admission, the order of pieces and the log all use it. A value that is no number counts as absent, one below 0 as 0. Requests without a key and tenants without the field are served as before.

--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -140,10 +140,11 @@
 			refuse(NOT_FOUND, "no_route", -1);
 			return;
 		}
-		Route matched = found.get();
+		Optional<WorkspaceKey> key = workspaceKey(configuration.get());
+		Route matched = key.map((present) -> present.applyTo(found.get())).orElse(found.get());
 		this.route = matched;
 		this.telemetry.setRoute(matched);
-		if (!authorize(configuration.get(), matched)) {
+		if (!authorize(configuration.get(), matched, key)) {
 			refuse(UNAUTHORIZED, "unknown_key", -1);
 			return;
 		}
@@ -160,14 +161,17 @@
 		admit(configuration.get(), matched);
 	}
 
-	private boolean authorize(ServingConfiguration configuration, Route matched) {
+	private Optional<WorkspaceKey> workspaceKey(ServingConfiguration configuration) {
 		String key = configuration.keysRequired() ? this.request.apiKey() : null;
-		Optional<WorkspaceKey> match = (key != null) ? configuration.workspace(key) : Optional.empty();
-		this.workspace = match.map(WorkspaceKey::workspace).orElse(null);
+		return (key != null) ? configuration.workspace(key) : Optional.empty();
+	}
+
+	private boolean authorize(ServingConfiguration configuration, Route matched, Optional<WorkspaceKey> key) {
+		this.workspace = key.map(WorkspaceKey::workspace).orElse(null);
 		this.allowedZones = this.context.directory()
 			.placement()
-			.allowedZones(matched.allowedRegions(), match.map(WorkspaceKey::allowedRegions).orElse(Set.of()));
-		return match.isPresent() || matched.anonymous() || !configuration.keysRequired();
+			.allowedZones(matched.allowedRegions(), key.map(WorkspaceKey::allowedRegions).orElse(Set.of()));
+		return key.isPresent() || matched.anonymous() || !configuration.keysRequired();
 	}
 
 	private void admit(ServingConfiguration configuration, Route matched) {
--- a/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
+++ b/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -127,6 +128,10 @@
 
 	// Numbers out of range become the nearest possible one instead of being cut to any
 	// other one.
+	private static OptionalInt priority(JsonNode node) {
+		return node.isNumber() ? OptionalInt.of(integer(node, 0)) : OptionalInt.empty();
+	}
+
 	private static int integer(JsonNode node, int fallback) {
 		if (!node.isNumber() || node.canConvertToInt()) {
 			return Math.max(0, node.asInt(fallback));
@@ -192,7 +197,8 @@
 		Map<String, WorkspaceKey> keys = new HashMap<>();
 		for (JsonNode tenant : tenants) {
 			String name = tenant.path("name").asText();
-			WorkspaceKey workspace = new WorkspaceKey(name, regions("tenant", name, tenant.path("allowed_regions")));
+			WorkspaceKey workspace = new WorkspaceKey(name, regions("tenant", name, tenant.path("allowed_regions")),
+					priority(tenant.path("priority")));
 			for (JsonNode key : tenant.path("api_keys")) {
 				keys.put(key.asText(), workspace);
 			}
