--- a/src/main/java/org/magnoliahub/entry/RequestFlow.java
+++ b/src/main/java/org/magnoliahub/entry/RequestFlow.java
@@ -140,11 +140,10 @@
 			refuse(NOT_FOUND, "no_route", -1);
 			return;
 		}
-		Optional<WorkspaceKey> key = workspaceKey(configuration.get());
-		Route matched = key.map((present) -> present.applyTo(found.get())).orElse(found.get());
+		Route matched = found.get();
 		this.route = matched;
 		this.telemetry.setRoute(matched);
-		if (!authorize(configuration.get(), matched, key)) {
+		if (!authorize(configuration.get(), matched)) {
 			refuse(UNAUTHORIZED, "unknown_key", -1);
 			return;
 		}
@@ -161,17 +160,14 @@
 		admit(configuration.get(), matched);
 	}
 
-	private Optional<WorkspaceKey> workspaceKey(ServingConfiguration configuration) {
+	private boolean authorize(ServingConfiguration configuration, Route matched) {
 		String key = configuration.keysRequired() ? this.request.apiKey() : null;
-		return (key != null) ? configuration.workspace(key) : Optional.empty();
-	}
-
-	private boolean authorize(ServingConfiguration configuration, Route matched, Optional<WorkspaceKey> key) {
-		this.workspace = key.map(WorkspaceKey::workspace).orElse(null);
+		Optional<WorkspaceKey> match = (key != null) ? configuration.workspace(key) : Optional.empty();
+		this.workspace = match.map(WorkspaceKey::workspace).orElse(null);
 		this.allowedZones = this.context.directory()
 			.placement()
-			.allowedZones(matched.allowedRegions(), key.map(WorkspaceKey::allowedRegions).orElse(Set.of()));
-		return key.isPresent() || matched.anonymous() || !configuration.keysRequired();
+			.allowedZones(matched.allowedRegions(), match.map(WorkspaceKey::allowedRegions).orElse(Set.of()));
+		return match.isPresent() || matched.anonymous() || !configuration.keysRequired();
 	}
 
 	private void admit(ServingConfiguration configuration, Route matched) {
--- a/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
+++ b/src/main/java/org/magnoliahub/platform/ConfigurationReader.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalInt;
 import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -128,10 +127,6 @@
 
 	// Numbers out of range become the nearest possible one instead of being cut to any
 	// other one.
-	private static OptionalInt priority(JsonNode node) {
-		return node.isNumber() ? OptionalInt.of(integer(node, 0)) : OptionalInt.empty();
-	}
-
 	private static int integer(JsonNode node, int fallback) {
 		if (!node.isNumber() || node.canConvertToInt()) {
 			return Math.max(0, node.asInt(fallback));
@@ -197,8 +192,7 @@
 		Map<String, WorkspaceKey> keys = new HashMap<>();
 		for (JsonNode tenant : tenants) {
 			String name = tenant.path("name").asText();
-			WorkspaceKey workspace = new WorkspaceKey(name, regions("tenant", name, tenant.path("allowed_regions")),
-					priority(tenant.path("priority")));
+			WorkspaceKey workspace = new WorkspaceKey(name, regions("tenant", name, tenant.path("allowed_regions")));
 			for (JsonNode key : tenant.path("api_keys")) {
 				keys.put(key.asText(), workspace);
 			}
--- a/src/main/java/org/magnoliahub/serving/Route.java
+++ b/src/main/java/org/magnoliahub/serving/Route.java
@@ -60,20 +60,6 @@
 				stages, anonymous, resumable, maximumEventGapMillis, Set.of());
 	}
 
-	/**
-	 * Returns this route with another priority.
-	 * @param other the priority, zero is the most urgent
-	 * @return the route, this one if its priority is the same
-	 */
-	public Route withPriority(int other) {
-		if (other == this.priority) {
-			return this;
-		}
-		return new Route(this.name, this.host, this.pathPrefix, this.kind, this.timeoutMillis,
-				this.latencyObjectiveMillis, other, this.services, this.maximumEndpoints, this.stages, this.anonymous,
-				this.resumable, this.maximumEventGapMillis, this.allowedRegions);
-	}
-
 	/**
 	 * Returns whether a request can be retried although an endpoint may have executed it.
 	 * @return whether the request is idempotent or its stream can be resumed
