--- a/review/standin-2/SlowReaders.java
+++ b/review/standin-2/SlowReaders.java
@@ -8,7 +8,7 @@
 
 /**
  * Consumers read long answers slowly. In the first form their gateway is stopped
- * meanwhile, as in a rolling restart; in the second one nothing else happens.
+ * meanwhile, as in a rolling restart; in the second one others read theirs at once.
  */
 final class SlowReaders {
 
@@ -18,6 +18,10 @@
 
 	private static final long SLOWER = 300_000;
 
+	private static final int SLOW_READERS = 12;
+
+	private static final int FAST_READERS = 60;
+
 	private static final long FAST = 1_000_000_000;
 
 	private SlowReaders() {
@@ -70,7 +74,20 @@
 	}
 
 	private static int read(Journal journal, Deployment.Gateway gateway, boolean trouble) throws Exception {
-		return join(start(journal, gateway, 16, trouble ? SLOW : FAST, new CountDownLatch(16)));
+		CountDownLatch begun = new CountDownLatch(SLOW_READERS);
+		List<SlowReader> slow = start(journal, gateway, SLOW_READERS, trouble ? SLOW : FAST, begun);
+		begun.await();
+		int fastCut = 0;
+		for (int reader = 1; reader <= FAST_READERS; reader++) {
+			SlowReader next = new SlowReader(journal, gateway.callerPort(), "fast-" + reader, ANSWER_BYTES, FAST,
+					new CountDownLatch(1));
+			next.start();
+			fastCut += join(List.of(next));
+		}
+		int cut = join(slow);
+		journal.write(cut + " of the " + SLOW_READERS + " slow consumers and " + fastCut + " of the " + FAST_READERS
+				+ " that read at once got no whole answer");
+		return cut + fastCut;
 	}
 
 	private static List<SlowReader> start(Journal journal, Deployment.Gateway gateway, int count, long bytesPerSecond,
