--- a/review/standin-2/ReportServer.java
+++ b/review/standin-2/ReportServer.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Arrays;
+import java.util.Set;
 
 /**
  * A sound server: runs each request at once and sends its whole answer, which is as long
@@ -21,9 +22,13 @@
 
 	private final String name;
 
-	ReportServer(Journal journal, String name) throws IOException {
+	/** Ids of the requests whose whole answer was sent. */
+	private final Set<String> answered;
+
+	ReportServer(Journal journal, String name, Set<String> answered) throws IOException {
 		this.journal = journal;
 		this.name = name;
+		this.answered = answered;
 		this.listener.bind(new InetSocketAddress(InetAddress.getByName(Deployment.HOST), 0), 100);
 		start(this::accept);
 	}
@@ -66,6 +71,7 @@
 						+ "Content-Length: " + size + "\r\n\r\n"));
 				output.write(body);
 				output.flush();
+				this.answered.add(id);
 				this.journal.write("server " + this.name + " ran " + id + " and sent its whole answer, " + size
 						+ " bytes");
 			}
