Fail a response whose connection breaks while the request is written

Callers saw: a success with the endpoint's signature and a part of its body, framed as complete, after the endpoint had answered a long upload early, without a length, and reset the connection. The same with failures (404, 500) and with the end of a stream (MIXED, ORDER).

Cause: a response without a length ends with its connection, and every close of the channel counted as that end unless exceptionCaught had come first. The event loop writes before it reads. If the write meets the reset, the library closes the channel without an exception event, and the decoder reports the end of the body as the channel becomes inactive.

Change: the channel allows half closure, so that the end of the peer's output is an event of its own. Only a response that ends before the channel closes is complete; one that ends as the channel becomes inactive has been broken off, whatever closed it. That is an attempt with an unknown outcome: 502, another endpoint where the request may be repeated, or a cut stream. All calls of a gateway use this connection: requests, stage calls, state calls, the store.

--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -5,7 +5,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -61,8 +63,6 @@
 
 	private boolean reusable;
 
-	private @Nullable Throwable failureCause;
-
 	private long idleSinceMillis;
 
 	private long maximumIdleMillis;
@@ -77,6 +77,9 @@
 
 	void install(Channel opened) {
 		this.channel = opened;
+		// The end of the peer's output arrives as an event of its own, so that it differs
+		// from a failed write, which closes the channel without an exception event.
+		opened.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
 		opened.pipeline().addLast(new HttpRequestEncoder(), this.overheadLimit, this.decoder, this);
 	}
 
@@ -216,8 +219,8 @@
 	}
 
 	private void onResponseEnd(HttpExchange current) {
-		if (this.failureCause != null) {
-			abort("connection reset: " + this.failureCause.getMessage());
+		if (this.decoder.isBrokenOff()) {
+			abort("connection broken off within the answer");
 			return;
 		}
 		this.exchange = null;
@@ -252,10 +255,17 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		this.failureCause = cause;
 		abort("connection failed: " + cause.getMessage());
 	}
 
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			// The decoder has already delivered the end of a response without a length.
+			close();
+		}
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.client.removeFromPool(this.key, this);
@@ -264,6 +274,19 @@
 
 	private final class Decoder extends HttpResponseDecoder {
 
+		private boolean brokenOff;
+
+		// A response that ends only now has been broken off.
+		boolean isBrokenOff() {
+			return this.brokenOff;
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) throws Exception {
+			this.brokenOff = true;
+			super.channelInactive(context);
+		}
+
 		boolean hasUndecodedBytes() {
 			return actualReadableBytes() > 0;
 		}
