Fail calls of the own interface that break while they are written

Callers would see: a part of a plain service's answer as the result of a stage. A write to the object store counted as done although the store had reset the connection before it had read the content.

A call that fails while its request is written still reads a response. The failed write has consumed the reset, so the read finds a regular end of the input, and a response without a length looks complete.

Change: RequestTransmission records whether the request could be written, and a check behind the library rejects a response that ends with such a connection. It fails with a possible effect. The record also replaces two copies of the code that noted the start of a transmission.

--- a/src/main/java/org/magnoliahub/enginehttp/EndpointExchange.java
+++ b/src/main/java/org/magnoliahub/enginehttp/EndpointExchange.java
@@ -5,17 +5,17 @@
 import java.util.concurrent.TimeUnit;
 
 import okhttp3.Call;
-import okhttp3.EventListener;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
 import org.magnoliahub.agent.EndpointException;
+import org.magnoliahub.okhttp.RequestTransmission;
 
 /**
  * An HTTP request and its response. Tracks whether any byte of the request may have
  * reached the back end.
  */
-final class EndpointExchange extends EventListener {
+final class EndpointExchange {
 
 	private static final int TOO_MANY_REQUESTS = 429;
 
@@ -25,11 +25,12 @@
 
 	private final Call call;
 
-	private volatile boolean transmissionStarted;
+	private final RequestTransmission transmission;
 
 	private EndpointExchange(OkHttpClient client, Request.Builder request, Duration timeout) {
 		this.client = client;
-		this.call = client.newCall(request.tag(EndpointExchange.class, this).build());
+		this.transmission = RequestTransmission.attachTo(request);
+		this.call = client.newCall(request.build());
 		this.call.timeout().timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
@@ -37,11 +38,6 @@
 		return new EndpointExchange(client, request, timeout);
 	}
 
-	static EventListener eventListenerFor(Call call) {
-		EndpointExchange exchange = call.request().tag(EndpointExchange.class);
-		return (exchange != null) ? exchange : EventListener.NONE;
-	}
-
 	/**
 	 * Sends the request and waits for the response headers.
 	 * @return a response with status 2xx, to be closed by the caller
@@ -68,17 +64,13 @@
 	}
 
 	EndpointException toEndpointException(IOException cause) {
-		String phase = this.transmissionStarted ? "call to back end failed: " : "back end cannot be reached: ";
-		return new EndpointException(phase + cause.getMessage(), this.transmissionStarted);
+		boolean started = this.transmission.hasStarted();
+		String phase = started ? "call to back end failed: " : "back end cannot be reached: ";
+		return new EndpointException(phase + cause.getMessage(), started);
 	}
 
 	void cancel() {
 		this.call.cancel();
 	}
 
-	@Override
-	public void requestHeadersStart(Call startedCall) {
-		this.transmissionStarted = true;
-	}
-
 }
--- a/src/main/java/org/magnoliahub/enginehttp/HttpEndpointClient.java
+++ b/src/main/java/org/magnoliahub/enginehttp/HttpEndpointClient.java
@@ -30,6 +30,7 @@
 import org.magnoliahub.model.AttemptId;
 import org.magnoliahub.model.StageCall;
 import org.magnoliahub.model.StageType;
+import org.magnoliahub.okhttp.ResponseChecks;
 import org.magnoliahub.protocol.ControlAction;
 import org.magnoliahub.protocol.Message;
 
@@ -90,12 +91,12 @@
 		this.baseUrl = baseUrl;
 		this.defaultModel = defaultModel;
 		this.eventLoop = eventLoop;
-		this.client = new OkHttpClient.Builder().connectTimeout(CONNECT_TIMEOUT)
+		this.client = ResponseChecks.addTo(new OkHttpClient.Builder())
+			.connectTimeout(CONNECT_TIMEOUT)
 			.readTimeout(Duration.ZERO)
 			.writeTimeout(Duration.ZERO)
 			.retryOnConnectionFailure(false)
 			.followRedirects(false)
-			.eventListenerFactory(EndpointExchange::eventListenerFor)
 			.build();
 	}
 
--- /dev/null
+++ b/src/main/java/org/magnoliahub/okhttp/ResponseChecks.java
@@ -0,0 +1,64 @@
+package org.magnoliahub.okhttp;
+
+import java.io.IOException;
+import java.net.ProtocolException;
+
+import okhttp3.Connection;
+import okhttp3.Interceptor;
+import okhttp3.OkHttpClient;
+import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Rejects responses that the HTTP library accepts although they are not complete. A
+ * rejected response fails its call and closes the connection.
+ */
+public final class ResponseChecks implements Interceptor {
+
+	private static final int NO_CONTENT = 204;
+
+	private static final int NOT_MODIFIED = 304;
+
+	private ResponseChecks() {
+	}
+
+	/**
+	 * Adds the checks to a client.
+	 * @param client the client; its event listeners are replaced
+	 * @return the client
+	 */
+	public static OkHttpClient.Builder addTo(OkHttpClient.Builder client) {
+		return client.eventListenerFactory(RequestTransmission::listenerFor)
+			.addNetworkInterceptor(new ResponseChecks());
+	}
+
+	@Override
+	public Response intercept(Chain chain) throws IOException {
+		RequestTransmission transmission = RequestTransmission.find(chain.request());
+		Response response = chain.proceed(chain.request());
+		String fault = fault(response, transmission);
+		if (fault == null) {
+			return response;
+		}
+		Connection connection = chain.connection();
+		if (connection != null) {
+			connection.socket().close();
+		}
+		response.close();
+		throw new ProtocolException(fault);
+	}
+
+	// A failed write consumes the reset of a connection, so that a read behind it finds
+	// the regular end of the input.
+	private static @Nullable String fault(Response response, @Nullable RequestTransmission transmission) {
+		boolean broken = transmission != null && transmission.hasFailed();
+		return (broken && endsWithConnection(response)) ? "connection broken off within the response" : null;
+	}
+
+	private static boolean endsWithConnection(Response response) {
+		boolean chunked = "chunked".equalsIgnoreCase(response.header("Transfer-Encoding"));
+		boolean withoutBody = response.code() == NO_CONTENT || response.code() == NOT_MODIFIED;
+		return !chunked && !withoutBody && response.header("Content-Length") == null;
+	}
+
+}
--- a/src/main/java/org/magnoliahub/platformhttp/HttpCalls.java
+++ b/src/main/java/org/magnoliahub/platformhttp/HttpCalls.java
@@ -2,18 +2,18 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.Dispatcher;
-import okhttp3.EventListener;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
 import okhttp3.ResponseBody;
+import org.magnoliahub.okhttp.RequestTransmission;
+import org.magnoliahub.okhttp.ResponseChecks;
 import org.magnoliahub.store.StoreException;
 
 /**
@@ -65,7 +65,7 @@
 		Dispatcher dispatcher = new Dispatcher(client.dispatcher().executorService());
 		dispatcher.setMaxRequests(MAXIMUM_CONCURRENT_CALLS);
 		dispatcher.setMaxRequestsPerHost(MAXIMUM_CONCURRENT_CALLS);
-		return new HttpCalls(client.newBuilder()
+		return new HttpCalls(ResponseChecks.addTo(client.newBuilder())
 			.dispatcher(dispatcher)
 			.callTimeout(timeout)
 			.connectTimeout(timeout)
@@ -73,20 +73,19 @@
 			.writeTimeout(timeout)
 			.retryOnConnectionFailure(false)
 			.followRedirects(false)
-			.eventListenerFactory((call) -> new SentListener())
 			.build(), eventLoop);
 	}
 
 	Single<HttpAnswer> send(Request.Builder builder, boolean write) {
 		return Single.<HttpAnswer>create((emitter) -> {
-			Sent sent = new Sent();
-			Call call = this.client.newCall(builder.tag(Sent.class, sent).build());
+			RequestTransmission transmission = RequestTransmission.attachTo(builder);
+			Call call = this.client.newCall(builder.build());
 			emitter.setCancellable(call::cancel);
 			call.enqueue(new Callback() {
 
 				@Override
 				public void onFailure(Call failed, IOException ex) {
-					emitter.tryOnError(failure(failed, ex, write && sent.started.get()));
+					emitter.tryOnError(failure(failed, ex, write && transmission.hasStarted()));
 				}
 
 				@Override
@@ -123,28 +122,4 @@
 		return failure;
 	}
 
-	/**
-	 * Whether the transmission of a request has begun.
-	 */
-	private static final class Sent {
-
-		private final AtomicBoolean started = new AtomicBoolean();
-
-	}
-
-	/**
-	 * Notes the start of the transmission, before which a failed write has no effect.
-	 */
-	private static final class SentListener extends EventListener {
-
-		@Override
-		public void requestHeadersStart(Call call) {
-			Sent sent = call.request().tag(Sent.class);
-			if (sent != null) {
-				sent.started.set(true);
-			}
-		}
-
-	}
-
 }
