Reject responses whose status is outside the protocol

Callers saw: nothing of a status 000 itself. It counted as an interim response, so the caller waited until the timeout of the route and got 504 although nothing else could arrive; a repeatable request reached its second endpoint late, and a call to the store waited for its timeout. Statuses above the range were worse: 600, 999 and 2000 were passed on with the endpoint's signature, and 0200 as 200. 101, which no request asks for, was an interim response, too.

Cause: the library reads any number as a status, and every status below 200 was skipped.

Change: the decoder of all responses of a gateway accepts a status of three digits from 100 to 599 but 101. Anything else is a malformed response and is known as soon as its status line is: 502, or another endpoint, a failure of the endpoint, attempt_failed with the request's id. Interim responses are skipped as before. The own interface already failed its calls at each of these statuses, except that a negative one raised an untyped exception; that is mapped now and nothing else is changed there.

--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -11,12 +11,10 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
@@ -45,7 +43,7 @@
 	private final ResponseOverheadLimit overheadLimit = new ResponseOverheadLimit(
 			() -> abort("bytes without end that are no answer"));
 
-	private final Decoder decoder = new Decoder();
+	private final StrictResponseDecoder decoder = new StrictResponseDecoder();
 
 	private final CarriedRequestIds carriedIds = new CarriedRequestIds();
 
@@ -131,6 +129,7 @@
 		this.skippingResponse = false;
 		this.receivingResponse = false;
 		this.headRequest = call.method().equals(HttpMethod.HEAD);
+		this.decoder.beginResponse(this.headRequest);
 		next.setConnectedChannel(open);
 		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.target(),
 				Unpooled.wrappedBuffer(call.body()));
@@ -272,30 +271,4 @@
 		abort("connection closed");
 	}
 
-	private final class Decoder extends HttpResponseDecoder {
-
-		private boolean brokenOff;
-
-		// A response that ends only now has been broken off.
-		boolean isBrokenOff() {
-			return this.brokenOff;
-		}
-
-		@Override
-		public void channelInactive(ChannelHandlerContext context) throws Exception {
-			this.brokenOff = true;
-			super.channelInactive(context);
-		}
-
-		boolean hasUndecodedBytes() {
-			return actualReadableBytes() > 0;
-		}
-
-		@Override
-		protected boolean isContentAlwaysEmpty(HttpMessage message) {
-			return HttpConnection.this.headRequest || super.isContentAlwaysEmpty(message);
-		}
-
-	}
-
 }
--- /dev/null
+++ b/src/main/java/org/magnoliahub/httpsyntax/StatusCodes.java
@@ -0,0 +1,48 @@
+package org.magnoliahub.httpsyntax;
+
+/**
+ * Decides which status codes a response may have.
+ */
+public final class StatusCodes {
+
+	private static final int LENGTH = 3;
+
+	private static final int LOWEST = 100;
+
+	private static final int HIGHEST = 599;
+
+	private static final int SWITCHING_PROTOCOLS = 101;
+
+	private StatusCodes() {
+	}
+
+	/**
+	 * Returns whether a response may have a status code. A change of the protocol is
+	 * never requested, so a response that announces one is malformed, too.
+	 * @param code the status code
+	 * @return whether it is from 100 to 599 and not 101
+	 */
+	public static boolean isValid(int code) {
+		return code >= LOWEST && code <= HIGHEST && code != SWITCHING_PROTOCOLS;
+	}
+
+	/**
+	 * Returns whether the status in a status line is a valid status code.
+	 * @param text the text
+	 * @return whether it consists of the three digits of a valid code; a sign, further
+	 * digits or digits of other scripts are invalid
+	 */
+	public static boolean isValid(String text) {
+		if (text.length() != LENGTH) {
+			return false;
+		}
+		for (int index = 0; index < LENGTH; index++) {
+			char symbol = text.charAt(index);
+			if (symbol < '0' || symbol > '9') {
+				return false;
+			}
+		}
+		return isValid(Integer.parseInt(text));
+	}
+
+}
--- a/src/main/java/org/magnoliahub/okhttp/ResponseChecks.java
+++ b/src/main/java/org/magnoliahub/okhttp/ResponseChecks.java
@@ -10,8 +10,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Rejects responses that the HTTP library accepts although they are not complete. A
- * rejected response fails its call and closes the connection.
+ * Rejects responses that the HTTP library accepts although they are malformed or not
+ * complete. A rejected response fails its call and closes the connection.
  */
 public final class ResponseChecks implements Interceptor {
 
@@ -35,17 +35,32 @@
 	@Override
 	public Response intercept(Chain chain) throws IOException {
 		RequestTransmission transmission = RequestTransmission.find(chain.request());
-		Response response = chain.proceed(chain.request());
+		Response response = receive(chain);
 		String fault = fault(response, transmission);
 		if (fault == null) {
 			return response;
 		}
+		closeConnection(chain);
+		response.close();
+		throw new ProtocolException(fault);
+	}
+
+	private static Response receive(Chain chain) throws IOException {
+		try {
+			return chain.proceed(chain.request());
+		}
+		catch (IllegalStateException ex) {
+			// The library reads a negative status, but cannot represent it.
+			closeConnection(chain);
+			throw new ProtocolException("malformed response: " + ex.getMessage());
+		}
+	}
+
+	private static void closeConnection(Chain chain) throws IOException {
 		Connection connection = chain.connection();
 		if (connection != null) {
 			connection.socket().close();
 		}
-		response.close();
-		throw new ProtocolException(fault);
 	}
 
 	// A failed write consumes the reset of a connection, so that a read behind it finds
--- a/src/test/java/org/magnoliahub/ArchitectureTests.java
+++ b/src/test/java/org/magnoliahub/ArchitectureTests.java
@@ -19,7 +19,7 @@
 
 	private static final String[] CORE = { "..model..", "..time..", "..store..", "..protocol..", "..claim..",
 			"..agent..", "..gateway..", "..routing..", "..configuration..", "..lease..", "..serving..", "..balancing..",
-			"..coldstart..", "..configurationcheck.." };
+			"..coldstart..", "..configurationcheck..", "..httpsyntax.." };
 
 	private static final String CHECK_READERS = ".*\\.platform\\.(ConfigurationDocumentReader|ConfigurationItems|ObjectFields|RepeatedFields).*";
 
--- /dev/null
+++ b/src/test/java/org/magnoliahub/httpsyntax/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the syntax rules.
+ */
+@NullMarked
+package org.magnoliahub.httpsyntax;
+
+import org.jspecify.annotations.NullMarked;
