Reject responses with malformed field names

Callers saw: a success, signed, with a line passed on whose field name held a blank, or with a body that was not the endpoint's: "Content-Length : 2" cut the body to two bytes, and a folded " Content-Length: 4" became part of the value before it and left the body without an end.

Cause: the library skips blanks around the name of a response's field, takes a name up to its first blank, and joins a line that begins with a blank to the line before it. Control characters, an empty name and a line without a colon were rejected before.

Folded lines are rejected as well, since nothing tells them from a name with a blank in front. The own interface's clients check names in heads and, at the end of a chunked body, in trailers; their library had kept such names and so missed the field.

The cases that were handled before keep their tests.

--- a/src/main/java/org/magnoliahub/okhttp/ResponseChecks.java
+++ b/src/main/java/org/magnoliahub/okhttp/ResponseChecks.java
@@ -8,6 +8,7 @@
 import okhttp3.OkHttpClient;
 import okhttp3.Response;
 import org.jspecify.annotations.Nullable;
+import org.magnoliahub.httpsyntax.FieldNames;
 
 /**
  * Rejects responses that the HTTP library accepts although they are malformed or not
@@ -38,7 +39,7 @@
 		Response response = receive(chain);
 		String fault = fault(response, transmission);
 		if (fault == null) {
-			return response;
+			return isChunked(response) ? TrailerCheck.addTo(response) : response;
 		}
 		closeConnection(chain);
 		response.close();
@@ -63,17 +64,23 @@
 		}
 	}
 
-	// A failed write consumes the reset of a connection, so that a read behind it finds
-	// the regular end of the input.
 	private static @Nullable String fault(Response response, @Nullable RequestTransmission transmission) {
+		if (!response.headers().names().stream().allMatch(FieldNames::isToken)) {
+			return "malformed response: invalid field name";
+		}
+		// A failed write consumes the reset of a connection, so that a read behind it
+		// finds the regular end of the input.
 		boolean broken = transmission != null && transmission.hasFailed();
 		return (broken && endsWithConnection(response)) ? "connection broken off within the response" : null;
 	}
 
 	private static boolean endsWithConnection(Response response) {
-		boolean chunked = "chunked".equalsIgnoreCase(response.header("Transfer-Encoding"));
 		boolean withoutBody = response.code() == NO_CONTENT || response.code() == NOT_MODIFIED;
-		return !chunked && !withoutBody && response.header("Content-Length") == null;
+		return !isChunked(response) && !withoutBody && response.header("Content-Length") == null;
+	}
+
+	private static boolean isChunked(Response response) {
+		return "chunked".equalsIgnoreCase(response.header("Transfer-Encoding"));
 	}
 
 }
--- a/src/test/java/org/magnoliahub/enginehttp/MalformedResponseTests.java
+++ b/src/test/java/org/magnoliahub/enginehttp/MalformedResponseTests.java
@@ -63,4 +63,28 @@
 		assertRejected(call("HTTP/1.1 " + status + "\r\nContent-Length: 4\r\n\r\nbody"));
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { " X: 1", "\tX: 1", "X Y: 1", "X : 1", "X\t: 1", "X Y", "X\u0001Y: 1", "\u0001X: 1",
+			"X\u0001: 1", "X\u001fY: 1", "X\u007fY: 1", "X\u000bY: 1", "X\u0000Y: 1", "X\rY: 1", ": 1", " : 1", "X",
+			"X\u00e9: 1", "Content-Length : 2", "Content Length: 2", "Transfer-Encoding : chunked" })
+	void responseWithMalformedFieldNameIsNoResult(String line) throws Exception {
+		assertRejected(call("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody"));
+		assertRejected(call("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + line + "\r\n\r\nbody"));
+	}
+
+	/** The field that should frame the body is malformed. */
+	@ParameterizedTest
+	@ValueSource(strings = { "Content-Length : 4", " Content-Length: 4", "Content Length: 4", "Content-Length\u0001: 4",
+			"Transfer-Encoding : chunked" })
+	void responseWithMalformedFramingIsNoResult(String line) throws Exception {
+		assertRejected(call("HTTP/1.1 200 OK\r\nServer: s\r\n" + line + "\r\n\r\nbody"));
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "X : 1", "X Y: 1", " X: 1", "X\u0001: 1" })
+	void responseWithMalformedTrailerIsNoResult(String line) throws Exception {
+		assertRejected(
+				call("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + line + "\r\n\r\n"));
+	}
+
 }
