Share the scripted endpoints of three test classes

CutOffAnswerTests and the two new tests of malformed answers each had their own copy of endpoints that answer a request with a handler of its own. Building a request is taken out of HttpConnection.start.

--- a/src/main/java/org/magnoliahub/entry/HttpConnection.java
+++ b/src/main/java/org/magnoliahub/entry/HttpConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -131,7 +132,11 @@
 		this.headRequest = call.method().equals(HttpMethod.HEAD);
 		this.decoder.beginResponse(this.headRequest);
 		next.setConnectedChannel(open);
-		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.target(),
+		this.requestWrite = open.writeAndFlush(request(call));
+	}
+
+	private static FullHttpRequest request(HttpCall call) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.target(),
 				Unpooled.wrappedBuffer(call.body()));
 		request.headers().set(call.headers());
 		if (!request.headers().contains(HttpHeaderNames.HOST)) {
@@ -140,7 +145,7 @@
 		if (call.body().length > 0 || requiresContentLength(call.method())) {
 			request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
 		}
-		this.requestWrite = open.writeAndFlush(request);
+		return request;
 	}
 
 	private static boolean requiresContentLength(HttpMethod method) {
--- a/src/test/java/org/magnoliahub/entry/CutOffAnswerTests.java
+++ b/src/test/java/org/magnoliahub/entry/CutOffAnswerTests.java
@@ -6,9 +6,6 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
-import java.util.Objects;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
@@ -37,19 +34,14 @@
 
 	private static final String CUT_EVENT = "id: 2\ndata: pi";
 
-	private static final Map<String, RawServer.Handler> HANDLERS = new ConcurrentHashMap<>();
-
-	private static final AtomicInteger NEXT_ID = new AtomicInteger();
-
 	private static EntryFixture fixture;
 
+	private static RequestHandlers handlers;
+
 	@BeforeAll
 	static void start() throws IOException, PlatformFormatException, InterruptedException {
 		fixture = EntryFixture.start();
-		fixture.addEndpoint("m-1", "model", CutOffAnswerTests::handle);
-		fixture.addEndpoint("m-2", "model", CutOffAnswerTests::handle);
-		fixture.addEndpoint("p-1", "plain", CutOffAnswerTests::handle);
-		fixture.awaitEndpoints();
+		handlers = RequestHandlers.addEndpoints(fixture, "plain", "model");
 	}
 
 	@AfterAll
@@ -57,21 +49,11 @@
 		fixture.close();
 	}
 
-	private static void handle(RawServer.Request request, Socket socket) throws IOException {
-		Objects.requireNonNull(HANDLERS.get(request.header("Request-Id"))).handle(request, socket);
-	}
-
-	private static String register(RawServer.Handler handler) {
-		String id = "r" + NEXT_ID.incrementAndGet();
-		HANDLERS.put(id, handler);
-		return id;
-	}
-
 	/**
-	 * Sends a request that either engine, or the plain endpoint, answers with a handler.
+	 * Sends a request that its endpoint answers with a handler.
 	 */
 	private static CallerAnswer send(String target, RawServer.Handler handler) throws IOException {
-		return fixture.send("POST", target, register(handler));
+		return handlers.send(target, handler);
 	}
 
 	private static RawServer.Handler stream(Framing framing, String body) {
@@ -138,7 +120,7 @@
 	@ParameterizedTest
 	@EnumSource(Framing.class)
 	void cutStreamOfOlderProtocolVersionIsReset(Framing framing) throws Exception {
-		String id = register(stream(framing, FIRST + CUT_EVENT));
+		String id = handlers.register(stream(framing, FIRST + CUT_EVENT));
 		try (Socket socket = fixture.connect(0)) {
 			RawServer.write(socket, EntryFixture.request("POST", "/once/1", id).replace("HTTP/1.1", "HTTP/1.0"));
 			assertThat(readToEnd(socket)).endsWith("<reset>").doesNotContain("id: 2");
--- a/src/test/java/org/magnoliahub/entry/MalformedFieldNameTests.java
+++ b/src/test/java/org/magnoliahub/entry/MalformedFieldNameTests.java
@@ -1,12 +1,9 @@
 package org.magnoliahub.entry;
 
 import java.io.IOException;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Objects;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
@@ -47,24 +44,16 @@
 	/** Complete on streaming routes, too. */
 	private static final String EVENT = EntryFixture.event(1);
 
-	private static final ConcurrentHashMap<String, RawServer.Handler> HANDLERS = new ConcurrentHashMap<>();
-
-	private static final AtomicInteger NEXT_ID = new AtomicInteger();
-
 	private static final NioEventLoopGroup GROUP = new NioEventLoopGroup(1);
 
 	private static EntryFixture fixture;
 
+	private static RequestHandlers handlers;
+
 	@BeforeAll
 	static void start() throws IOException, PlatformFormatException, InterruptedException {
 		fixture = EntryFixture.start();
-		for (String id : new String[] { "p-1", "p-2" }) {
-			fixture.addEndpoint(id, "plain", MalformedFieldNameTests::handle);
-		}
-		for (String id : new String[] { "m-1", "m-2" }) {
-			fixture.addEndpoint(id, "model", MalformedFieldNameTests::handle);
-		}
-		fixture.awaitEndpoints();
+		handlers = RequestHandlers.addEndpoints(fixture, "plain", "model");
 	}
 
 	@AfterAll
@@ -73,14 +62,8 @@
 		GROUP.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
-	private static void handle(RawServer.Request request, Socket socket) throws IOException {
-		Objects.requireNonNull(HANDLERS.get(request.header("Request-Id"))).handle(request, socket);
-	}
-
 	private static CallerAnswer send(String target, RawServer.Handler handler) throws IOException {
-		String id = "n" + NEXT_ID.incrementAndGet();
-		HANDLERS.put(id, handler);
-		return fixture.send("POST", target, id);
+		return handlers.send(target, handler);
 	}
 
 	private static String response(RawServer.Request request, String line) {
--- a/src/test/java/org/magnoliahub/entry/MalformedStatusTests.java
+++ b/src/test/java/org/magnoliahub/entry/MalformedStatusTests.java
@@ -1,10 +1,7 @@
 package org.magnoliahub.entry;
 
 import java.io.IOException;
-import java.net.Socket;
-import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -27,25 +24,17 @@
  */
 class MalformedStatusTests {
 
-	private static final ConcurrentHashMap<String, RawServer.Handler> HANDLERS = new ConcurrentHashMap<>();
-
 	/** Complete on streaming routes, too. */
 	private static final String BODY = EntryFixture.event(1);
 
-	private static final AtomicInteger NEXT_ID = new AtomicInteger();
-
 	private static EntryFixture fixture;
 
+	private static RequestHandlers handlers;
+
 	@BeforeAll
 	static void start() throws IOException, PlatformFormatException, InterruptedException {
 		fixture = EntryFixture.start();
-		for (String id : new String[] { "p-1", "p-2" }) {
-			fixture.addEndpoint(id, "plain", MalformedStatusTests::handle);
-		}
-		for (String id : new String[] { "m-1", "m-2" }) {
-			fixture.addEndpoint(id, "model", MalformedStatusTests::handle);
-		}
-		fixture.awaitEndpoints();
+		handlers = RequestHandlers.addEndpoints(fixture, "plain", "model");
 	}
 
 	@AfterAll
@@ -53,14 +42,8 @@
 		fixture.close();
 	}
 
-	private static void handle(RawServer.Request request, Socket socket) throws IOException {
-		Objects.requireNonNull(HANDLERS.get(request.header("Request-Id"))).handle(request, socket);
-	}
-
 	private static CallerAnswer send(String target, RawServer.Handler handler) throws IOException {
-		String id = "s" + NEXT_ID.incrementAndGet();
-		HANDLERS.put(id, handler);
-		return fixture.send("POST", target, id);
+		return handlers.send(target, handler);
 	}
 
 	private static String response(RawServer.Request request, String status) {
