--- a/src/main/java/org/magnoliahub/httpsyntax/FieldNameScanner.java
+++ b/src/main/java/org/magnoliahub/httpsyntax/FieldNameScanner.java
@@ -7,6 +7,8 @@
  */
 public final class FieldNameScanner {
 
+	private static final byte DELETE = 0x7f;
+
 	private State state = State.BEFORE_FIRST_LINE;
 
 	/**
@@ -33,7 +35,7 @@
 
 	// Blanks, line ends and control characters before the first line belong to no line.
 	private static boolean isSkipped(byte next) {
-		return next >= 0 && (next <= ' ' || next == 0x7f);
+		return next >= 0 && (next <= ' ' || next == DELETE);
 	}
 
 	private static State afterLineStart(byte next) {
--- a/src/main/java/org/magnoliahub/httpsyntax/StatusCodes.java
+++ b/src/main/java/org/magnoliahub/httpsyntax/StatusCodes.java
@@ -17,20 +17,10 @@
 	}
 
 	/**
-	 * Returns whether a response may have a status code. A change of the protocol is
-	 * never requested, so a response that announces one is malformed, too.
-	 * @param code the status code
-	 * @return whether it is from 100 to 599 and not 101
-	 */
-	public static boolean isValid(int code) {
-		return code >= LOWEST && code <= HIGHEST && code != SWITCHING_PROTOCOLS;
-	}
-
-	/**
-	 * Returns whether the status in a status line is a valid status code.
-	 * @param text the text
-	 * @return whether it consists of the three digits of a valid code; a sign, further
-	 * digits or digits of other scripts are invalid
+	 * Returns whether a response may have a status. A change of the protocol is never
+	 * requested, so a response that announces one is malformed, too.
+	 * @param text the status as it stands in the status line
+	 * @return whether it consists of three digits, is from 100 to 599 and is not 101
 	 */
 	public static boolean isValid(String text) {
 		if (text.length() != LENGTH) {
@@ -42,7 +32,8 @@
 				return false;
 			}
 		}
-		return isValid(Integer.parseInt(text));
+		int code = Integer.parseInt(text);
+		return code >= LOWEST && code <= HIGHEST && code != SWITCHING_PROTOCOLS;
 	}
 
 }
