--- a/review/standin-3/Deployment.java
+++ b/review/standin-3/Deployment.java
@@ -23,6 +23,15 @@
  */
 final class Deployment implements AutoCloseable {
 
+	/** Exit status if the rule held; those of a process that did not start are others. */
+	static final int HELD = 10;
+
+	/** Exit status if the rule was broken. */
+	static final int BROKEN = 11;
+
+	/** Exit status if the case could not run. */
+	static final int NOT_RUN = 12;
+
 	private static final long HEARTBEAT_MILLIS = 1_200;
 
 	private final long started = System.nanoTime();
@@ -39,12 +48,16 @@
 
 	private volatile boolean closed;
 
+	/** Milliseconds of each tenth of a second in which a gateway runs, from 10 to 90, zero for all of them. */
+	int runMillis;
+
 	/** Descriptors that a gateway may open, zero for the limit of this process. */
 	int descriptorLimit;
 
 	Deployment(String recordFile) throws IOException {
 		this.record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)), true);
 		this.directory = Files.createTempDirectory("review-3-");
+		Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
 		Thread heartbeats = new Thread(this::heartbeats);
 		heartbeats.setDaemon(true);
 		heartbeats.start();
@@ -111,12 +124,16 @@
 		}
 	}
 
-	@Override
-	public void close() throws Exception {
+	private void endProcesses() {
 		this.closed = true;
 		for (Gateway gateway : this.gateways) {
 			gateway.kill();
 		}
+	}
+
+	@Override
+	public void close() throws Exception {
+		endProcesses();
 		this.store.close();
 		try (var files = Files.list(this.directory)) {
 			files.forEach((file) -> file.toFile().delete());
@@ -174,6 +191,8 @@
 
 		private Process process;
 
+		private Process shareLoop;
+
 		private Gateway(String name, String ip, String zone, int memoryMegabytes, int descriptors) throws IOException {
 			this.name = name;
 			this.ip = ip;
@@ -242,6 +261,7 @@
 				pause(50);
 			}
 			log(this.name + " is ready, process " + this.process.pid());
+			limitShare();
 		}
 
 		// The command of the only role in the deploy file.
@@ -295,9 +315,27 @@
 			return 0;
 		}
 
-		void kill() throws InterruptedException {
+		/**
+		 * Gives the process a share of each tenth of a second and stops it for the rest, as DEPLOY.md says: "On some
+		 * days, a core's share is an allowance. The core runs at full speed until the allowance is used up, and then
+		 * runs not at all for the rest of that tenth of a second."
+		 */
+		private void limitShare() throws IOException {
+			if (Deployment.this.runMillis == 0) {
+				return;
+			}
+			String pid = Long.toString(this.process.pid());
+			String loop = "while kill -CONT " + pid + " 2>/dev/null; do sleep 0.0" + Deployment.this.runMillis
+					+ "; kill -STOP " + pid + " 2>/dev/null; sleep 0.0" + (100 - Deployment.this.runMillis) + "; done";
+			this.shareLoop = new ProcessBuilder("sh", "-c", loop).start();
+		}
+
+		void kill() {
+			if (this.shareLoop != null) {
+				this.shareLoop.destroyForcibly().onExit().join();
+			}
 			if (this.process != null) {
-				this.process.destroyForcibly().waitFor();
+				this.process.destroyForcibly().onExit().join();
 			}
 		}
 
--- a/review/standin-3/MemoryCase.java
+++ b/review/standin-3/MemoryCase.java
@@ -74,11 +74,11 @@
 		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 		int exit;
 		try (Deployment deployment = new Deployment(arguments[0])) {
-			exit = new MemoryCase(deployment, trouble).run() ? 0 : 1;
+			exit = new MemoryCase(deployment, trouble).run() ? Deployment.HELD : Deployment.BROKEN;
 		}
 		catch (Exception ex) {
 			ex.printStackTrace();
-			exit = 2;
+			exit = Deployment.NOT_RUN;
 		}
 		Runtime.getRuntime().halt(exit);
 	}
--- a/review/standin-3/RecoveryCase.java
+++ b/review/standin-3/RecoveryCase.java
@@ -8,20 +8,14 @@
 import org.magnoliahub.platform.emulator.RawServer;
 
 /**
- * All processes of the system are killed and come back, and three times in the seconds after it many users come at
+ * All processes of the system are killed and come back, and several times in the seconds after it many users come at
  * once. The rule RECOVER says that of the requests sent later than recover_s after the return, a quarter at least is
  * served. Here recover_s is counted from the end of the last burst.
  */
 final class RecoveryCase {
 
-	/** Consumers of a usual second; each sends one request after the other. */
-	private static final int CONSUMERS = 700;
-
-	private static final double BURST_FACTOR = 2.6;
-
-	private static final double IMPATIENT_SHARE = 0.3;
-
-	private static final int REPEATS_AT_ONCE = 3;
+	/** Consumers; each keeps its channel and sends one request after the other. */
+	private static final int CONSUMERS = 930;
 
 	private static final long RETRY_MILLIS = 500;
 
@@ -29,17 +23,17 @@
 
 	private static final long BETWEEN_MILLIS = 2_000;
 
-	private static final int BURSTS = 3;
+	private static final int BURSTS = 7;
 
 	private static final int EVENTS = 8;
 
 	private static final long GAP_MILLIS = 125;
 
-	private static final int ENGINES = 8;
+	private static final int ENGINES = 3;
 
-	private static final int SLOTS = 100;
+	private static final int SLOTS = 128;
 
-	private static final int QUEUE = 144;
+	private static final int QUEUE = 200;
 
 	private static final int DESCRIPTORS = 2_069;
 
@@ -53,19 +47,22 @@
 
 	private static final long DEADLINE_MILLIS = 12_000;
 
-	private static final long STEADY_MILLIS = 10_000;
+	private static final long STEADY_MILLIS = 8_000;
 
 	private static final long DOWN_MILLIS = 1_400;
 
 	private static final long RECOVER_MILLIS = 15_000;
 
-	private static final long JUDGED_MILLIS = 12_000;
+	private static final long JUDGED_MILLIS = 8_000;
+
+	/** Share of a core, in milliseconds of each tenth of a second. */
+	private static final int RUN_MILLIS = 60;
 
 	private static final String CONFIGURATION = """
 			{"version":1,"routes":[{"name":"claim","host":"h","prefix":"/claim/","kind":"streaming","timeout_ms":12000,
 			"target_latency_ms":1219,"gap_target_ms":400,"service":"counsel","max_attempts":2,"resume_streams":true,
 			"sticky":true}],
-			"services":[{"name":"counsel","health_path":"/healthz","max_connections":432,"engine":{"slots":48}}],
+			"services":[{"name":"counsel","health_path":"/healthz","max_connections":490,"engine":{"slots":48}}],
 			"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":10000},
 			"tenants":[{"name":"t1","api_keys":["key1"]}]}
 			""";
@@ -99,6 +96,7 @@
 			new Engine(deployment, "i-engine" + index, "counsel", SLOTS, QUEUE, EVENTS, GAP_MILLIS);
 		}
 		deployment.descriptorLimit = DESCRIPTORS - FILE_DESCRIPTORS + OPEN_FILES;
+		deployment.runMillis = RUN_MILLIS;
 		this.gateway = deployment.gateway("front-1", "127.0.0.2", "z1", MEMORY_MEGABYTES, DESCRIPTORS);
 	}
 
@@ -106,19 +104,18 @@
 		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 		int exit;
 		try (Deployment deployment = new Deployment(arguments[0])) {
-			exit = new RecoveryCase(deployment).run(trouble) ? 0 : 1;
+			exit = new RecoveryCase(deployment).run(trouble) ? Deployment.HELD : Deployment.BROKEN;
 		}
 		catch (Exception ex) {
 			ex.printStackTrace();
-			exit = 2;
+			exit = Deployment.NOT_RUN;
 		}
 		Runtime.getRuntime().halt(exit);
 	}
 
 	private boolean run(boolean trouble) throws Exception {
-		for (int number = 0; number < BURST_FACTOR * CONSUMERS; number++) {
-			int index = number;
-			Thread consumer = new Thread(null, () -> consume(index), "consumer", 262_144);
+		for (int number = 0; number < CONSUMERS; number++) {
+			Thread consumer = new Thread(null, this::consume, "consumer", 262_144);
 			consumer.setDaemon(true);
 			consumer.start();
 		}
@@ -132,7 +129,7 @@
 			this.burstFrom = this.deployment.millis();
 		}
 		long back = this.deployment.millis();
-		this.judgedFrom = back + BURSTS * (BURST_MILLIS + BETWEEN_MILLIS) + RECOVER_MILLIS;
+		this.judgedFrom = back + RECOVER_MILLIS + BURSTS * (BURST_MILLIS + BETWEEN_MILLIS);
 		long end = this.judgedFrom + JUDGED_MILLIS;
 		while (this.deployment.millis() < end) {
 			Deployment.pause(1_000);
@@ -149,29 +146,36 @@
 				&& since % (BURST_MILLIS + BETWEEN_MILLIS) < BURST_MILLIS;
 	}
 
-	// Each request has a channel of its own. Some consumers do not wait as told, and repeat a refused request up to three
-	// times at once.
-	private void consume(int number) {
-		boolean patient = Math.random() >= IMPATIENT_SHARE;
-		int atOnce = 0;
+	// Between its requests a consumer waits 1.6 times as long as one takes on average, and in a burst not at all.
+	private void think() {
+		long end = this.deployment.millis() + (long) (Math.random() * 3.2 * EVENTS * GAP_MILLIS);
+		while (this.deployment.millis() < end && !isBurst() && !this.ended) {
+			Deployment.pause(20);
+		}
+	}
+
+	private void consume() {
 		while (!this.ended) {
-			if (number >= CONSUMERS && !isBurst()) {
-				Deployment.pause(20);
-				continue;
+			try (Socket socket = this.gateway.connect()) {
+				boolean kept = true;
+				while (kept && !this.ended) {
+					think();
+					kept = request(socket);
+				}
+			}
+			catch (IOException ex) {
+				count(this.deployment.millis(), "no channel");
+				Deployment.pause(RETRY_MILLIS);
 			}
-			long wait = request();
-			boolean repeats = wait > 0 && !patient && atOnce < REPEATS_AT_ONCE;
-			atOnce = repeats ? atOnce + 1 : 0;
-			Deployment.pause(repeats ? 0 : wait);
 		}
 	}
 
-	// Returns how long to wait before the next request, zero after an answer.
-	private long request() {
+	// Returns whether the channel may be used again.
+	private boolean request(Socket socket) {
 		long sentAt = this.deployment.millis();
 		String id = Integer.toHexString(this.nextId.incrementAndGet());
 		this.open.incrementAndGet();
-		try (Socket socket = this.gateway.connect()) {
+		try {
 			socket.setSoTimeout((int) DEADLINE_MILLIS);
 			RawServer.write(socket,
 					"POST /claim/x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nModel: m\r\nToken-Count: 6610,32\r\n"
@@ -180,15 +184,16 @@
 			CallerAnswer answer = CallerAnswer.read(socket.getInputStream());
 			boolean complete = answer.complete() && answer.body().contains("id: " + EVENTS + "\n");
 			count(sentAt, (answer.status() != 200) ? Integer.toString(answer.status()) : complete ? "served" : "cut");
-			if (answer.status() == 200) {
-				return 0;
+			if (answer.status() != 200) {
+				double seconds = Double.parseDouble(answer.headers().getOrDefault("retry-after", "0.3"));
+				Deployment.pause((long) Math.min(DEADLINE_MILLIS / 3, 1_000 * seconds));
 			}
-			double seconds = Double.parseDouble(answer.headers().getOrDefault("retry-after", "0.5"));
-			return (long) Math.min(DEADLINE_MILLIS / 3, 1_000 * seconds);
+			return answer.complete() && answer.status() != 0 && !answer.closes();
 		}
 		catch (IOException ex) {
 			count(sentAt, "no answer");
-			return RETRY_MILLIS;
+			Deployment.pause(RETRY_MILLIS);
+			return false;
 		}
 		finally {
 			this.open.decrementAndGet();
