--- a/review/standin-3/RecoveryCase.java
+++ b/review/standin-3/RecoveryCase.java
@@ -29,11 +29,11 @@
 
 	private static final long GAP_MILLIS = 125;
 
-	private static final int ENGINES = 3;
+	private static final int ENGINES = 2;
 
-	private static final int SLOTS = 128;
+	private static final int SLOTS = 192;
 
-	private static final int QUEUE = 200;
+	private static final int QUEUE = 290;
 
 	private static final int DESCRIPTORS = 2_069;
 
@@ -56,7 +56,7 @@
 	private static final long JUDGED_MILLIS = 8_000;
 
 	/** Share of a core, in milliseconds of each tenth of a second. */
-	private static final int RUN_MILLIS = 60;
+	private static final int RUN_MILLIS = 40;
 
 	private static final String CONFIGURATION = """
 			{"version":1,"routes":[{"name":"claim","host":"h","prefix":"/claim/","kind":"streaming","timeout_ms":12000,
