--- a/review/standin-3/MemoryCase.java
+++ b/review/standin-3/MemoryCase.java
@@ -1,9 +1,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -31,6 +29,8 @@
 
 	private static final int SERVERS = 8;
 
+	private static final int CHANNELS = 200;
+
 	private static final int SMALL_BUFFER = 4_096;
 
 	private static final long RUN_MILLIS = 85_000;
@@ -65,8 +65,12 @@
 		Arrays.fill(this.body, (byte) 'x');
 		deployment.configuration(CONFIGURATION);
 		for (int index = 0; index < SERVERS; index++) {
-			deployment.server("i-stock" + index, "stock", stock(), "z1", 50);
-			deployment.server("i-view" + index, "view", RawServer.start(this::view).address(), "z1", 50);
+			String stockId = "i-stock" + index;
+			deployment.server(stockId, "stock", Peer.serve(CHANNELS, this.slow ? SMALL_BUFFER : 262_144,
+					(request, socket) -> stock(stockId, request, socket)), "z1", 50);
+			String viewId = "i-view" + index;
+			deployment.server(viewId, "view",
+					Peer.serve(CHANNELS, 262_144, (request, socket) -> view(viewId, request, socket)), "z1", 50);
 		}
 	}
 
@@ -89,58 +93,46 @@
 		thread.start();
 	}
 
-	// A server that reads a request, slowly if it is to, and answers behind its last byte.
-	private String stock() throws IOException {
-		ServerSocket listener = new ServerSocket();
-		listener.setReceiveBufferSize(this.slow ? SMALL_BUFFER : 262_144);
-		listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 200);
-		daemon(() -> {
-			while (true) {
-				try {
-					Socket socket = listener.accept();
-					daemon(() -> serve(socket));
-				}
-				catch (IOException ex) {
-					return;
-				}
-			}
-		});
-		return "127.0.0.1:" + listener.getLocalPort();
+	// Returns whether the request is meant for this server and may run.
+	private static boolean isOwn(String id, RawServer.Request request, Socket socket) throws IOException {
+		if (request.header("Target-Instance").equals(id)) {
+			return true;
+		}
+		RawServer.write(socket, "HTTP/1.1 421 X\r\nRequest-Id: " + request.header("Request-Id")
+				+ "\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+		socket.close();
+		return false;
 	}
 
-	private void serve(Socket socket) {
-		try (socket) {
-			InputStream input = socket.getInputStream();
-			byte[] buffer = new byte[65_536];
-			StringBuilder head = new StringBuilder();
-			while (head.indexOf("\r\n\r\n") < 0) {
-				int next = input.read();
-				if (next < 0) {
-					return;
-				}
-				head.append((char) next);
+	// A server that reads a request, slowly if it is to, and answers behind its last byte, or at the deadline.
+	private void stock(String id, RawServer.Request request, Socket socket) throws IOException {
+		if (!isOwn(id, request, socket)) {
+			return;
+		}
+		long deadline = Peer.deadline(request);
+		InputStream input = socket.getInputStream();
+		byte[] buffer = new byte[65_536];
+		long left = Peer.bodyLength(request);
+		while (left > 0 && System.nanoTime() < deadline) {
+			int count = input.read(buffer, 0, (int) Math.min(left, this.slow ? SMALL_BUFFER : buffer.length));
+			if (count < 0) {
+				return;
 			}
-			String id = head.toString().replaceAll("(?is).*\r\nrequest-id: ([0-9a-f]+).*", "$1");
-			long left = BODY_BYTES;
-			while (left > 0) {
-				int count = input.read(buffer, 0, this.slow ? SMALL_BUFFER : buffer.length);
-				if (count < 0) {
-					return;
-				}
-				left -= count;
-				if (this.slow) {
-					Deployment.pause(50);
-				}
+			left -= count;
+			if (this.slow) {
+				Deployment.pause(50);
 			}
-			RawServer.write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: " + id
-					+ "\r\nResponse-Signature: s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
-		}
-		catch (IOException ex) {
-			// The gateway has closed the channel.
 		}
+		RawServer.write(socket, "HTTP/1.1 " + ((left > 0) ? "504 X" : "200 OK") + "\r\nRequest-Id: "
+				+ request.header("Request-Id")
+				+ "\r\nResponse-Signature: s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
+		socket.close();
 	}
 
-	private void view(RawServer.Request request, Socket socket) throws IOException {
+	private void view(String id, RawServer.Request request, Socket socket) throws IOException {
+		if (!isOwn(id, request, socket)) {
+			return;
+		}
 		OutputStream output = socket.getOutputStream();
 		output.write(("HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("Request-Id")
 				+ "\r\nResponse-Signature: s\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n")
@@ -153,7 +145,7 @@
 		Machine first = new Machine(this.deployment.gateway("front-1", "127.0.0.2", "z1", MEMORY_MEGABYTES, DESCRIPTORS));
 		Machine second = new Machine(
 				this.deployment.gateway("front-2", "127.0.0.3", "z1", MEMORY_MEGABYTES, DESCRIPTORS));
-		Deployment.pause(3_500);
+		Deployment.pause(4_500);
 		for (Machine machine : new Machine[] { first, second }) {
 			for (int index = 0; index < UPLOADS + DOWNLOADS; index++) {
 				boolean upload = index < UPLOADS;
--- a/review/standin-3/RecoveryCase.java
+++ b/review/standin-3/RecoveryCase.java
@@ -35,6 +35,11 @@
 
 	private static final int QUEUE = 290;
 
+	private static final int CHANNELS = 490;
+
+	/** The longest gap before a consumer abandons a stream: four times the objective. */
+	private static final int GAP_LIMIT_MILLIS = 4_876;
+
 	private static final int DESCRIPTORS = 2_069;
 
 	private static final int MEMORY_MEGABYTES = 282;
@@ -59,10 +64,10 @@
 	private static final int RUN_MILLIS = 40;
 
 	private static final String CONFIGURATION = """
-			{"version":1,"routes":[{"name":"claim","host":"h","prefix":"/claim/","kind":"streaming","timeout_ms":12000,
+			{"version":%d,"routes":[{"name":"claim","host":"h","prefix":"/claim/","kind":"streaming","timeout_ms":12000,
 			"target_latency_ms":1219,"gap_target_ms":400,"service":"counsel","max_attempts":2,"resume_streams":true,
 			"sticky":true}],
-			"services":[{"name":"counsel","health_path":"/healthz","max_connections":490,"engine":{"slots":48}}],
+			"services":[{"name":"counsel","health_path":"/healthz","max_connections":490,"engine":{"slots":192}}],
 			"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":10000},
 			"tenants":[{"name":"t1","api_keys":["key1"]}]}
 			""";
@@ -91,9 +96,9 @@
 
 	private RecoveryCase(Deployment deployment) throws Exception {
 		this.deployment = deployment;
-		deployment.configuration(CONFIGURATION);
+		deployment.configuration(CONFIGURATION.formatted(1));
 		for (int index = 0; index < ENGINES; index++) {
-			new Engine(deployment, "i-engine" + index, "counsel", SLOTS, QUEUE, EVENTS, GAP_MILLIS);
+			new Engine(deployment, "i-engine" + index, "counsel", SLOTS, QUEUE, CHANNELS, EVENTS, GAP_MILLIS);
 		}
 		deployment.descriptorLimit = DESCRIPTORS - FILE_DESCRIPTORS + OPEN_FILES;
 		deployment.runMillis = RUN_MILLIS;
@@ -122,6 +127,7 @@
 		Deployment.pause(STEADY_MILLIS);
 		this.faultAt = this.deployment.millis();
 		if (trouble) {
+			this.deployment.configuration(CONFIGURATION.formatted(2));
 			this.gateway.signal("KILL");
 			this.gateway.process().waitFor();
 			Deployment.pause(DOWN_MILLIS);
@@ -176,7 +182,7 @@
 		String id = Integer.toHexString(this.nextId.incrementAndGet());
 		this.open.incrementAndGet();
 		try {
-			socket.setSoTimeout((int) DEADLINE_MILLIS);
+			socket.setSoTimeout(GAP_LIMIT_MILLIS);
 			RawServer.write(socket,
 					"POST /claim/x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\nModel: m\r\nToken-Count: 6610,32\r\n"
 							+ "Prompt-Prefix: a1:512," + id + ":6098\r\nDeadline-Ms: " + DEADLINE_MILLIS
